Lay out the workspace with the shared vocabulary types

Cause: every part needs the same names for calls, priorities, outcomes, resources and scenarios before it can be built beside the others. Ruled out: keeping the vocabulary in the protocol crate, since the decision logic would then depend on an encoder. Change: crates core, protocol, resources and emulator hold the types; the other crates are empty.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The commands of the operators' toolbox.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! wharfquay: the toolbox of operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Which endpoints are leaving, merged from every source.
--- /dev/null
+++ b/crates/core/src/idempotency/mod.rs
@@ -0,0 +1,1 @@
+//! Claims on idempotency keys, so that a repeated request takes effect at most once.
--- /dev/null
+++ b/crates/core/src/priority.rs
@@ -0,0 +1,157 @@
+//! The order in which calls are refused when capacity runs short.
+
+use serde::{Deserialize, Serialize};
+
+use crate::call::OriginId;
+
+/// Importance of a request kind. Zero is the most important; a larger number is refused earlier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Priority(u8);
+
+impl Priority {
+    /// The importance that is refused last.
+    pub const HIGHEST: Self = Self(0);
+    /// The importance that is refused first.
+    pub const LOWEST: Self = Self(7);
+    /// How many distinct priorities there are.
+    pub const COUNT: usize = 8;
+
+    /// The priority with this number, or `None` above [`Priority::LOWEST`].
+    #[must_use]
+    pub const fn new(number: u8) -> Option<Self> {
+        if number <= Self::LOWEST.0 {
+            Some(Self(number))
+        } else {
+            None
+        }
+    }
+
+    /// The priority's number, 0 to 7.
+    #[must_use]
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+
+    /// The priority's number as an index, 0 to 7.
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Position of a request among those of its own priority, from a hash of its origin id.
+///
+/// All calls of one originating request carry the same rank, so that every hop under the same
+/// admission level takes the same decision and invested work is not thrown away deep in the chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rank(u16);
+
+impl Rank {
+    /// Number of distinct ranks inside one priority.
+    pub const COUNT: u16 = 4096;
+
+    /// The rank of an originating request.
+    #[must_use]
+    pub fn of(origin: OriginId) -> Self {
+        let value = origin.as_u128();
+        let folded = (value as u64) ^ ((value >> 64) as u64);
+        let mixed = mix(folded);
+        Self((mixed % u64::from(Self::COUNT)) as u16)
+    }
+
+    /// A rank from its number; numbers from [`Rank::COUNT`] on are folded back.
+    #[must_use]
+    pub const fn from_number(number: u16) -> Self {
+        Self(number % Self::COUNT)
+    }
+
+    /// The rank's number, 0 to 4095.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self.0
+    }
+}
+
+/// Finalizer of the SplitMix64 generator: spreads close inputs over the whole range.
+const fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    value ^ (value >> 31)
+}
+
+/// Combined order of priority and rank; the smaller key is served first and refused last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AdmissionKey(u16);
+
+impl AdmissionKey {
+    /// One more than the largest key.
+    pub const COUNT: u16 = Priority::COUNT as u16 * Rank::COUNT;
+
+    /// The key of a call.
+    #[must_use]
+    pub const fn new(priority: Priority, rank: Rank) -> Self {
+        Self(priority.0 as u16 * Rank::COUNT + rank.0)
+    }
+
+    /// The key's number, 0 to 32767.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self.0
+    }
+
+    /// The priority that the key was made from.
+    #[must_use]
+    pub const fn priority(self) -> Priority {
+        Priority((self.0 / Rank::COUNT) as u8)
+    }
+}
+
+/// Threshold on admission keys: a call is admitted when its key lies below the level.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AdmissionLevel(u16);
+
+impl AdmissionLevel {
+    /// Admits every call.
+    pub const OPEN: Self = Self(AdmissionKey::COUNT);
+    /// Admits no call.
+    pub const CLOSED: Self = Self(0);
+
+    /// The level that admits keys below `number`; larger numbers are clamped to [`Self::OPEN`].
+    #[must_use]
+    pub const fn new(number: u16) -> Self {
+        if number < AdmissionKey::COUNT {
+            Self(number)
+        } else {
+            Self::OPEN
+        }
+    }
+
+    /// The level's number, 0 (closed) to 32768 (open).
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self.0
+    }
+
+    /// Whether a call with this key is admitted.
+    #[must_use]
+    pub const fn admits(self, key: AdmissionKey) -> bool {
+        key.0 < self.0
+    }
+
+    /// The stricter of two levels: what a path through both admits.
+    #[must_use]
+    pub fn fold(self, other: Self) -> Self {
+        self.min(other)
+    }
+}
+
+impl Default for AdmissionLevel {
+    fn default() -> Self {
+        Self::OPEN
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries: the conserved allowance, the budget per destination and backoff.
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! The choice of an endpoint for a call.
--- /dev/null
+++ b/crates/emulator/src/demo/mod.rs
@@ -0,0 +1,1 @@
+//! A whole deployment on loopback in one process.
--- /dev/null
+++ b/crates/emulator/src/experiment/mod.rs
@@ -0,0 +1,1 @@
+//! Experiments: seeded runs of the simulator that compare policies and measure slopes.
--- /dev/null
+++ b/crates/emulator/src/simulator/mod.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulation of a whole deployment on a virtual clock.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gossip membership and configuration relay, sans-I/O.
--- /dev/null
+++ b/crates/resources/src/snapshot.rs
@@ -0,0 +1,109 @@
+//! The configuration in force: every accepted resource at one revision.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::kinds::{
+    ClaimGroup, Drain, RequestKind, Resource, ResourceId, ResourceKind, RetryBudget, Service,
+};
+
+/// Revision of the platform's store; grows with every write to any object.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(u64);
+
+impl Revision {
+    /// Before the first write.
+    pub const ZERO: Self = Self(0);
+
+    /// Wraps a revision number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The revision number.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+}
+
+/// Every accepted resource at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision of the last change that this snapshot holds.
+    pub revision: Revision,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Request kinds by name.
+    pub request_kinds: BTreeMap<String, RequestKind>,
+    /// Retry budgets by name.
+    pub retry_budgets: BTreeMap<String, RetryBudget>,
+    /// Drains by name.
+    pub drains: BTreeMap<String, Drain>,
+    /// Claim groups by name.
+    pub claim_groups: BTreeMap<String, ClaimGroup>,
+}
+
+impl Snapshot {
+    /// Adds a resource or puts it in place of the one with the same identity.
+    pub fn insert(&mut self, resource: Resource) {
+        match resource {
+            Resource::Service(service) => {
+                self.services.insert(service.name.clone(), service);
+            }
+            Resource::RequestKind(request_kind) => {
+                self.request_kinds
+                    .insert(request_kind.name.clone(), request_kind);
+            }
+            Resource::RetryBudget(budget) => {
+                self.retry_budgets.insert(budget.name.clone(), budget);
+            }
+            Resource::Drain(drain) => {
+                self.drains.insert(drain.name.clone(), drain);
+            }
+            Resource::ClaimGroup(group) => {
+                self.claim_groups.insert(group.name.clone(), group);
+            }
+        }
+    }
+
+    /// Removes a resource; returns whether it was there.
+    pub fn remove(&mut self, id: &ResourceId) -> bool {
+        match id.kind {
+            ResourceKind::Service => self.services.remove(&id.name).is_some(),
+            ResourceKind::RequestKind => self.request_kinds.remove(&id.name).is_some(),
+            ResourceKind::RetryBudget => self.retry_budgets.remove(&id.name).is_some(),
+            ResourceKind::Drain => self.drains.remove(&id.name).is_some(),
+            ResourceKind::ClaimGroup => self.claim_groups.remove(&id.name).is_some(),
+        }
+    }
+
+    /// The request kind that a request to `service` matches: the longest path prefix wins, then a
+    /// named method over any method, then the first name.
+    #[must_use]
+    pub fn match_request(&self, service: &str, method: &str, path: &str) -> Option<&RequestKind> {
+        self.request_kinds
+            .values()
+            .filter(|kind| kind.service == service)
+            .filter(|kind| {
+                kind.method
+                    .as_deref()
+                    .is_none_or(|allowed| allowed == method)
+            })
+            .filter(|kind| path.starts_with(&kind.path_prefix))
+            .rev()
+            .max_by_key(|kind| (kind.path_prefix.len(), kind.method.is_some()))
+    }
+
+    /// The retry budget that applies to a request kind, if one is configured.
+    #[must_use]
+    pub fn retry_budget_for(&self, request_kind: &RequestKind) -> Option<&RetryBudget> {
+        let name = request_kind.retry_budget.as_deref().unwrap_or("default");
+        self.retry_budgets.get(name)
+    }
+}
