--- /dev/null
+++ b/crates/protocol/tests/wire.rs
@@ -0,0 +1,134 @@
+//! Contract of the wire forms: what is written is read back, and bad input is refused by name.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use wharfquay_core::call::{
+    AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
+};
+use wharfquay_core::priority::{AdmissionLevel, Priority};
+use wharfquay_core::time::Timestamp;
+use wharfquay_protocol::answer::WireAnswer;
+use wharfquay_protocol::context::{DecodeError, MAX_ENCODED_LENGTH, WireContext};
+use wharfquay_protocol::envelope;
+
+fn any_context() -> impl Strategy<Value = CallContext> {
+    (
+        any::<u128>(),
+        any::<u64>(),
+        "[a-z_]{1,40}",
+        0..=Priority::LOWEST.number(),
+        0..600_000_000_u64,
+        any::<u16>(),
+        any::<bool>(),
+        any::<Option<u128>>(),
+        any::<u8>(),
+    )
+        .prop_map(
+            |(origin, attempt, kind, priority, deadline, allowance, repeatable, key, depth)| {
+                CallContext {
+                    origin: OriginId::from_u128(origin),
+                    attempt: AttemptId::new(attempt),
+                    request_kind: kind,
+                    priority: Priority::new(priority).unwrap_or(Priority::LOWEST),
+                    deadline: Timestamp::from_micros(deadline),
+                    allowance: RetryAllowance::new(allowance),
+                    repeatability: if repeatable {
+                        Repeatability::Repeatable
+                    } else {
+                        Repeatability::AtMostOnce
+                    },
+                    idempotency_key: key.map(IdempotencyKey::from_u128),
+                    depth,
+                }
+            },
+        )
+}
+
+proptest! {
+    #[test]
+    fn context_survives_a_hop_with_its_remaining_time(context in any_context(), sent in 0..600_000_000_u64) {
+        let sent_at = Timestamp::from_micros(sent);
+        let received_at = Timestamp::from_micros(42);
+        let remaining = context.remaining(sent_at);
+        let value = WireContext::from_context(&context, sent_at).encode();
+        let received = WireContext::decode(value.as_bytes())
+            .and_then(|wire| wire.into_context(received_at))
+            .expect("a context that was written is read back");
+        prop_assert_eq!(received.remaining(received_at), remaining);
+        prop_assert_eq!(CallContext { deadline: context.deadline, ..received }, context);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        let _ = WireContext::decode(&bytes);
+        let _ = WireAnswer::decode(&bytes);
+        let _ = envelope::decode::<WireAnswer>(&bytes, envelope::MAX_DATAGRAM);
+    }
+}
+
+#[test]
+fn largest_context_fits_a_header() {
+    let context = CallContext {
+        origin: OriginId::from_u128(u128::MAX),
+        attempt: AttemptId::new(u64::MAX),
+        request_kind: "k".repeat(63),
+        priority: Priority::LOWEST,
+        deadline: Timestamp::ZERO + Duration::from_secs(600),
+        allowance: RetryAllowance::new(u16::MAX),
+        repeatability: Repeatability::AtMostOnce,
+        idempotency_key: Some(IdempotencyKey::from_u128(u128::MAX)),
+        depth: u8::MAX,
+    };
+    let value = WireContext::from_context(&context, Timestamp::ZERO).encode();
+    assert!(value.len() <= MAX_ENCODED_LENGTH, "{} bytes", value.len());
+}
+
+#[test]
+fn bad_header_values_are_refused_by_name() {
+    let too_long = vec![b'A'; MAX_ENCODED_LENGTH + 1];
+    assert_eq!(
+        WireContext::decode(&too_long),
+        Err(DecodeError::TooLong(MAX_ENCODED_LENGTH + 1))
+    );
+    assert!(matches!(
+        WireContext::decode(b"not base64!"),
+        Err(DecodeError::Base64(_))
+    ));
+    assert!(matches!(
+        WireContext::decode(b"AAAA"),
+        Err(DecodeError::Cbor(_))
+    ));
+}
+
+#[test]
+fn envelope_refuses_other_versions_and_sizes() {
+    let answer = WireAnswer {
+        returned: RetryAllowance::new(2),
+        level: AdmissionLevel::OPEN,
+        folded_level: AdmissionLevel::CLOSED,
+        in_flight: 1,
+        limit: 2,
+        queued: 3,
+    };
+    let bytes = envelope::encode(&answer).expect("the message is plain data");
+    assert_eq!(
+        envelope::decode::<WireAnswer>(&bytes, envelope::MAX_DATAGRAM),
+        Ok(answer)
+    );
+
+    let mut foreign = bytes.clone();
+    foreign[0] = 99;
+    assert_eq!(
+        envelope::decode::<WireAnswer>(&foreign, envelope::MAX_DATAGRAM),
+        Err(DecodeError::Version {
+            found: 99,
+            expected: envelope::VERSION
+        })
+    );
+    assert_eq!(
+        envelope::decode::<WireAnswer>(&bytes, 3),
+        Err(DecodeError::TooLong(bytes.len()))
+    );
+    assert!(envelope::decode::<WireAnswer>(&[], envelope::MAX_DATAGRAM).is_err());
+}
