Add the client of the platform's object API

The daemons and the operators' program need list, watch, compare-and-swap writes, status, leases and the machine list.

--- /dev/null
+++ b/crates/platform/src/backoff.rs
@@ -0,0 +1,40 @@
+//! Exponential backoff with full jitter.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Exponents above this one would overflow and reach the maximum anyway.
+const MAXIMUM_DOUBLINGS: u32 = 20;
+
+/// Waits between attempts towards the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Backoff {
+    /// Longest wait before the first repetition.
+    pub base: Duration,
+    /// Longest wait before any repetition.
+    pub maximum: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self {
+            base: Duration::from_millis(50),
+            maximum: Duration::from_secs(5),
+        }
+    }
+}
+
+impl Backoff {
+    /// Longest wait before the repetition that follows `failures` failures in a row.
+    #[must_use]
+    pub fn ceiling(&self, failures: u32) -> Duration {
+        let doublings = failures.saturating_sub(1).min(MAXIMUM_DOUBLINGS);
+        self.base.saturating_mul(1 << doublings).min(self.maximum)
+    }
+
+    /// A random wait between zero and [`Self::ceiling`].
+    pub fn delay(&self, failures: u32, random: &mut impl Rng) -> Duration {
+        self.ceiling(failures).mul_f64(random.random::<f64>())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/watch.rs
@@ -0,0 +1,118 @@
+//! The watch: a stream of typed events read from newline-delimited JSON.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::error::PlatformError;
+use crate::wire::WatchEvent;
+
+/// Longest line that is accepted, in bytes.
+const MAXIMUM_LINE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Splits bytes into the events of a watch, whatever the pieces in which they arrive.
+#[derive(Debug, Default)]
+pub struct EventDecoder {
+    partial_line: Vec<u8>,
+    events: VecDeque<WatchEvent>,
+}
+
+impl EventDecoder {
+    /// Takes in the next bytes. The error text says what can't be read.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), String> {
+        self.partial_line.extend_from_slice(bytes);
+        while let Some(end) = self.partial_line.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.partial_line.drain(..=end).collect();
+            self.push_line(line.trim_ascii())?;
+        }
+        if self.partial_line.len() > MAXIMUM_LINE_BYTES {
+            return Err(format!("line of more than {MAXIMUM_LINE_BYTES} bytes"));
+        }
+        Ok(())
+    }
+
+    /// The next whole event, if one has arrived.
+    pub fn pop(&mut self) -> Option<WatchEvent> {
+        self.events.pop_front()
+    }
+
+    fn push_line(&mut self, line: &[u8]) -> Result<(), String> {
+        if line.is_empty() {
+            return Ok(());
+        }
+        let event = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+        self.events.push_back(event);
+        Ok(())
+    }
+}
+
+/// An open watch.
+#[derive(Debug)]
+pub struct WatchStream {
+    target: String,
+    body: Incoming,
+    decoder: EventDecoder,
+    idle_timeout: Duration,
+    ended: bool,
+}
+
+impl WatchStream {
+    pub(crate) fn new(target: String, body: Incoming, idle_timeout: Duration) -> Self {
+        Self {
+            target,
+            body,
+            decoder: EventDecoder::default(),
+            idle_timeout,
+            ended: false,
+        }
+    }
+
+    /// The next event, or `None` after the platform ended the watch or an error was returned.
+    ///
+    /// Cancel safe: no event is lost when the returned future is dropped.
+    pub async fn next(&mut self) -> Option<Result<WatchEvent, PlatformError>> {
+        loop {
+            if let Some(event) = self.decoder.pop() {
+                return Some(Ok(event));
+            }
+            if self.ended {
+                return None;
+            }
+            if let Err(error) = self.read_more().await {
+                self.ended = true;
+                return Some(Err(error));
+            }
+        }
+    }
+
+    async fn read_more(&mut self) -> Result<(), PlatformError> {
+        let frame = tokio::time::timeout(self.idle_timeout, self.body.frame())
+            .await
+            .map_err(|_| PlatformError::Timeout {
+                target: self.target.clone(),
+                limit: self.idle_timeout,
+            })?;
+        match frame {
+            None => self.ended = true,
+            Some(Err(error)) => {
+                return Err(PlatformError::ConnectionLost {
+                    target: self.target.clone(),
+                    detail: error.to_string(),
+                });
+            }
+            Some(Ok(frame)) => self.decode(frame.data_ref().map_or(&[], |data| data))?,
+        }
+        Ok(())
+    }
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<(), PlatformError> {
+        self.decoder
+            .push(bytes)
+            .map_err(|detail| PlatformError::MalformedAnswer {
+                target: self.target.clone(),
+                detail,
+            })
+    }
+}
