Add admission control: adaptive limits, bounded queue, levels and path levels

Cause: the daemon and the simulator need one decision about what a back end executes, queues or refuses. Ruled out: nothing yet; the rivals stand side by side to be measured.

--- /dev/null
+++ b/crates/core/src/admission/controller.rs
@@ -0,0 +1,412 @@
+//! The admission decision of one back end's daemon.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::admission::estimate::{FloorDuration, MeanDuration, unit_hash};
+use crate::admission::level::LevelController;
+use crate::admission::limit::{Limit, LimitBounds, LimitSample};
+use crate::admission::queue::{Pushed, WaitQueue, Waiting};
+use crate::admission::settings::AdmissionSettings;
+use crate::outcome::ResultCode;
+use crate::priority::{AdmissionKey, AdmissionLevel, Priority};
+use crate::time::Timestamp;
+
+/// Weight of one call in the mean time in execution.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// Identity of a call between the driver and its controller; the driver never uses one twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallTicket(pub u64);
+
+/// A call that asks to be executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OfferedCall {
+    /// Its identity.
+    pub ticket: CallTicket,
+    /// Its position in the order of refusal.
+    pub key: AdmissionKey,
+    /// When its answer becomes worthless.
+    pub deadline: Timestamp,
+}
+
+/// How an execution ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Completion {
+    /// The back end answered.
+    Succeeded,
+    /// The back end failed to answer.
+    Failed,
+    /// The caller gave up and the execution was cancelled.
+    Cancelled,
+}
+
+/// What the driver has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionEffect {
+    /// Hand the call to the back end now.
+    Dispatch(CallTicket),
+    /// Refuse the call; it was not run.
+    Refuse {
+        /// The call.
+        ticket: CallTicket,
+        /// Why.
+        code: ResultCode,
+        /// When the caller should come back, spread by jitter.
+        retry_after: Duration,
+    },
+}
+
+/// What a cancellation found. Only [`Cancellation::RemovedFromQueue`] means that the call was not run
+/// and never will be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cancellation {
+    /// The call waited and is gone; no effect follows for it.
+    RemovedFromQueue,
+    /// The call is in execution; the driver still has to report its completion.
+    AlreadyDispatched,
+    /// The call was never offered, was refused or has completed.
+    NotFound,
+}
+
+/// Load of a back end, as its daemon knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Calls in execution.
+    pub in_flight: u32,
+    /// Concurrency limit in force.
+    pub limit: u32,
+    /// Calls that wait.
+    pub queued: u32,
+}
+
+/// A call in execution.
+#[derive(Clone, Copy, Debug)]
+struct Execution {
+    key: AdmissionKey,
+    dispatched_at: Timestamp,
+    in_flight: u32,
+    downstream_calls: u32,
+    downstream_since: Timestamp,
+    downstream_time: Duration,
+}
+
+/// Decides which calls a back end executes, which wait and which are refused.
+#[derive(Clone, Debug)]
+pub struct AdmissionController {
+    settings: AdmissionSettings,
+    limit: Limit,
+    queue: WaitQueue,
+    level: LevelController,
+    executing: HashMap<CallTicket, Execution>,
+    shortest: [FloorDuration; Priority::COUNT],
+    mean: MeanDuration,
+    draining: bool,
+}
+
+impl AdmissionController {
+    /// A controller without calls.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings, now: Timestamp) -> Self {
+        Self {
+            limit: new_limit(&settings, now),
+            queue: WaitQueue::new(settings.discipline, settings.queue_capacity),
+            level: LevelController::new(settings.level_interval, now),
+            executing: HashMap::new(),
+            shortest: [FloorDuration::default(); Priority::COUNT],
+            mean: MeanDuration::default(),
+            draining: false,
+            settings,
+        }
+    }
+
+    /// Decides about a call. The effects may concern other calls as well: those that it displaces
+    /// and those whose wait has expired.
+    pub fn offer(&mut self, now: Timestamp, call: OfferedCall) -> Vec<AdmissionEffect> {
+        let mut effects = self.advance(now);
+        if self.draining {
+            effects.push(self.refuse(now, &call, ResultCode::Draining));
+            return effects;
+        }
+        if self.is_doomed(now, &call) {
+            effects.push(self.refuse(now, &call, ResultCode::DeadlineUnreachable));
+            return effects;
+        }
+        if !self.level().admits(call.key) {
+            effects.push(self.refuse(now, &call, ResultCode::RefusedByLevel));
+            return effects;
+        }
+        self.level.arrived(call.key);
+        self.enqueue(now, call, &mut effects);
+        self.dispatch_waiting(now, &mut effects);
+        effects
+    }
+
+    /// Takes in the end of an execution; calls that wait may be dispatched.
+    pub fn complete(
+        &mut self,
+        now: Timestamp,
+        ticket: CallTicket,
+        completion: Completion,
+    ) -> Vec<AdmissionEffect> {
+        if let Some(execution) = self.executing.remove(&ticket) {
+            self.learn(now, &execution, completion);
+        }
+        let mut effects = self.advance(now);
+        self.dispatch_waiting(now, &mut effects);
+        effects
+    }
+
+    /// The execution started a call to another service; time until the matching
+    /// [`Self::downstream_ended`] is not held against the back end.
+    pub fn downstream_started(&mut self, now: Timestamp, ticket: CallTicket) {
+        if let Some(execution) = self.executing.get_mut(&ticket) {
+            if execution.downstream_calls == 0 {
+                execution.downstream_since = now;
+            }
+            execution.downstream_calls += 1;
+        }
+    }
+
+    /// A call to another service ended, see [`Self::downstream_started`].
+    pub fn downstream_ended(&mut self, now: Timestamp, ticket: CallTicket) {
+        if let Some(execution) = self.executing.get_mut(&ticket) {
+            execution.downstream_calls = execution.downstream_calls.saturating_sub(1);
+            if execution.downstream_calls == 0 {
+                execution.downstream_time += now.saturating_since(execution.downstream_since);
+            }
+        }
+    }
+
+    /// The caller gave up. The driver reports the completion of a call that is already in execution.
+    pub fn cancel(&mut self, _now: Timestamp, ticket: CallTicket) -> Cancellation {
+        if self.queue.remove(ticket).is_some() {
+            return Cancellation::RemovedFromQueue;
+        }
+        if self.executing.contains_key(&ticket) {
+            return Cancellation::AlreadyDispatched;
+        }
+        Cancellation::NotFound
+    }
+
+    /// Drops calls whose wait has expired and adjusts the level; to be called at
+    /// [`Self::next_wakeup`].
+    pub fn advance(&mut self, now: Timestamp) -> Vec<AdmissionEffect> {
+        let mut effects = Vec::new();
+        while let Some(waiting) = self.queue.pop_expired(now) {
+            let code = self.expiry_code(now, &waiting);
+            self.level.refused();
+            effects.push(self.refuse(now, &waiting.call, code));
+        }
+        if self.settings.adaptive_level {
+            self.level.utilisation(self.utilisation());
+            self.level.advance(now);
+        }
+        self.dispatch_waiting(now, &mut effects);
+        effects
+    }
+
+    /// When [`Self::advance`] is to be called next, if ever.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let adjustment =
+            (self.level() != AdmissionLevel::OPEN).then(|| self.level.next_adjustment());
+        match (self.queue.next_expiry(), adjustment) {
+            (Some(expiry), Some(adjustment)) => Some(expiry.min(adjustment)),
+            (expiry, adjustment) => expiry.or(adjustment),
+        }
+    }
+
+    /// The admission level in force; closed while draining.
+    #[must_use]
+    pub fn level(&self) -> AdmissionLevel {
+        if self.draining {
+            return AdmissionLevel::CLOSED;
+        }
+        self.level.level()
+    }
+
+    /// The load now.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            in_flight: self.in_flight(),
+            limit: self.limit.current(),
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Puts new settings in force. The limit starts again when its algorithm or a bound changed;
+    /// calls in execution go on.
+    pub fn reconfigure(
+        &mut self,
+        now: Timestamp,
+        settings: AdmissionSettings,
+    ) -> Vec<AdmissionEffect> {
+        if bounds(&settings) != bounds(&self.settings)
+            || settings.algorithm != self.settings.algorithm
+        {
+            self.limit = new_limit(&settings, now);
+        }
+        if settings.level_interval != self.settings.level_interval || !settings.adaptive_level {
+            self.level = LevelController::new(settings.level_interval, now);
+        }
+        self.settings = settings;
+        self.queue.set_discipline(self.settings.discipline);
+        let mut effects = Vec::new();
+        while let Some(waiting) = self.queue.shrink_to(self.settings.queue_capacity) {
+            effects.push(self.refuse(now, &waiting.call, ResultCode::RefusedQueueFull));
+        }
+        self.dispatch_waiting(now, &mut effects);
+        effects
+    }
+
+    /// Refuses every waiting call and every call from now on; executions go on.
+    pub fn begin_drain(&mut self, now: Timestamp) -> Vec<AdmissionEffect> {
+        self.draining = true;
+        let mut effects = Vec::new();
+        while let Some(waiting) = self.queue.pop() {
+            effects.push(self.refuse(now, &waiting.call, ResultCode::Draining));
+        }
+        effects
+    }
+
+    fn enqueue(&mut self, now: Timestamp, call: OfferedCall, effects: &mut Vec<AdmissionEffect>) {
+        let longest = now + self.settings.maximum_queue_wait;
+        let expires = longest.min(self.last_useful_start(&call));
+        if self.has_free_slot() && self.queue.is_empty() {
+            self.execute(now, &call);
+            effects.push(AdmissionEffect::Dispatch(call.ticket));
+            return;
+        }
+        match self.queue.push(now, call, expires) {
+            Pushed::Queued => {}
+            Pushed::Displaced(waiting) => {
+                self.level.refused();
+                effects.push(self.refuse(now, &waiting.call, ResultCode::DisplacedFromQueue));
+            }
+            Pushed::Full => {
+                self.level.refused();
+                effects.push(self.refuse(now, &call, ResultCode::RefusedQueueFull));
+            }
+        }
+    }
+
+    fn dispatch_waiting(&mut self, now: Timestamp, effects: &mut Vec<AdmissionEffect>) {
+        while self.has_free_slot() {
+            let Some(waiting) = self.queue.pop() else {
+                return;
+            };
+            if waiting.expires <= now {
+                let code = self.expiry_code(now, &waiting);
+                self.level.refused();
+                effects.push(self.refuse(now, &waiting.call, code));
+                continue;
+            }
+            self.execute(now, &waiting.call);
+            effects.push(AdmissionEffect::Dispatch(waiting.call.ticket));
+        }
+    }
+
+    fn execute(&mut self, now: Timestamp, call: &OfferedCall) {
+        self.level.dispatched();
+        let execution = Execution {
+            key: call.key,
+            dispatched_at: now,
+            in_flight: self.in_flight() + 1,
+            downstream_calls: 0,
+            downstream_since: now,
+            downstream_time: Duration::ZERO,
+        };
+        self.executing.insert(call.ticket, execution);
+    }
+
+    /// Learns from an execution that ended. A cancelled one says nothing about latency.
+    fn learn(&mut self, now: Timestamp, execution: &Execution, completion: Completion) {
+        if completion == Completion::Cancelled {
+            return;
+        }
+        let total = now.saturating_since(execution.dispatched_at);
+        let mut downstream = execution.downstream_time;
+        if execution.downstream_calls > 0 {
+            downstream += now.saturating_since(execution.downstream_since);
+        }
+        let failed = completion == Completion::Failed;
+        if !failed {
+            self.shortest[execution.key.priority().index()].observe(total);
+            self.mean.observe(total, MEAN_WEIGHT);
+        }
+        let sample = LimitSample {
+            latency: total.saturating_sub(downstream),
+            in_flight: execution.in_flight,
+            failed,
+        };
+        self.limit.observe(now, sample);
+    }
+
+    fn is_doomed(&self, now: Timestamp, call: &OfferedCall) -> bool {
+        self.last_useful_start(call) <= now
+    }
+
+    /// Last moment at which starting the call can still meet its deadline.
+    fn last_useful_start(&self, call: &OfferedCall) -> Timestamp {
+        call.deadline - self.shortest[call.key.priority().index()].get()
+    }
+
+    fn expiry_code(&self, now: Timestamp, waiting: &Waiting) -> ResultCode {
+        if self.is_doomed(now, &waiting.call) {
+            ResultCode::DeadlineUnreachable
+        } else {
+            ResultCode::QueueTimeout
+        }
+    }
+
+    fn refuse(&self, now: Timestamp, call: &OfferedCall, code: ResultCode) -> AdmissionEffect {
+        AdmissionEffect::Refuse {
+            ticket: call.ticket,
+            code,
+            retry_after: self.retry_after(now, call),
+        }
+    }
+
+    /// Expected time until a call like this one is admitted, spread by jitter over half to one and
+    /// a half of it.
+    fn retry_after(&self, now: Timestamp, call: &OfferedCall) -> Duration {
+        let mean = self.mean.get().unwrap_or(self.settings.minimum_retry_after);
+        let limit = f64::from(self.limit.current().max(1));
+        let backlog = mean.mul_f64(self.queue.len() as f64 / limit);
+        let closed = f64::from(AdmissionLevel::OPEN.number() - self.level().number())
+            / f64::from(AdmissionLevel::OPEN.number());
+        let reopening = self.settings.maximum_retry_after.mul_f64(closed * 0.2);
+        let expected = (self.settings.minimum_retry_after + backlog + reopening)
+            .min(self.settings.maximum_retry_after);
+        let jitter = unit_hash(call.ticket.0 ^ now.as_micros().rotate_left(32));
+        expected
+            .mul_f64(0.5 + jitter)
+            .max(self.settings.minimum_retry_after)
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.in_flight() < self.limit.current()
+    }
+
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.executing.len()).unwrap_or(u32::MAX)
+    }
+
+    fn utilisation(&self) -> f64 {
+        f64::from(self.in_flight()) / f64::from(self.limit.current().max(1))
+    }
+}
+
+const fn bounds(settings: &AdmissionSettings) -> LimitBounds {
+    LimitBounds {
+        initial: settings.initial_limit,
+        minimum: settings.minimum_limit,
+        maximum: settings.maximum_limit,
+    }
+}
+
+fn new_limit(settings: &AdmissionSettings, now: Timestamp) -> Limit {
+    Limit::new(settings.algorithm, bounds(settings), now)
+}
--- /dev/null
+++ b/crates/core/src/admission/limit/gradient.rs
@@ -0,0 +1,32 @@
+//! Latency gradient: the limit follows the ratio of base and recent latency.
+
+use crate::admission::limit::window::{BaseLatency, WindowSummary};
+
+/// Latency up to this multiple of the base is taken for noise.
+const TOLERANCE: f64 = 1.5;
+/// Smallest ratio of one step.
+const SMALLEST_RATIO: f64 = 0.5;
+/// Weight of a step.
+const SMOOTHING: f64 = 0.2;
+/// Share by which the base latency follows a higher window.
+const BASE_RISE: f64 = 0.05;
+
+/// State of the algorithm.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Gradient {
+    base: BaseLatency,
+}
+
+impl Gradient {
+    /// The next limit.
+    pub(super) fn next(&mut self, limit: f64, window: &WindowSummary) -> f64 {
+        let base = self.base.observe(window.mean_latency, BASE_RISE);
+        let ratio = (base * TOLERANCE / window.mean_latency).clamp(SMALLEST_RATIO, 1.0);
+        let headroom = limit.sqrt();
+        let target = limit * ratio + headroom;
+        if !window.in_use && target > limit {
+            return limit;
+        }
+        limit + (target - limit) * SMOOTHING
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/limit/window.rs
@@ -0,0 +1,90 @@
+//! Samples gathered between two adaptations of a limit.
+
+use std::time::Duration;
+
+use crate::admission::limit::LimitSample;
+use crate::time::Timestamp;
+
+/// Least number of samples in a window, per call of the limit.
+const SAMPLES_PER_LIMIT: u32 = 4;
+/// Least number of samples in a window.
+const MINIMUM_SAMPLES: u32 = 32;
+/// Shortest window.
+const MINIMUM_LENGTH: Duration = Duration::from_millis(50);
+/// Share of the limit that calls in execution must reach for the limit to count as in use.
+const IN_USE_SHARE: f64 = 0.9;
+
+/// What a window of samples says.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WindowSummary {
+    /// Mean latency, in microseconds.
+    pub(super) mean_latency: f64,
+    /// Whether the limit was in use, so that its growth would change something.
+    pub(super) in_use: bool,
+    /// Share of failed calls.
+    pub(super) failed_share: f64,
+}
+
+/// Gathers samples until there are enough of them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SampleWindow {
+    started: Timestamp,
+    count: u32,
+    failed: u32,
+    total_micros: f64,
+    peak_in_flight: u32,
+}
+
+impl SampleWindow {
+    pub(super) const fn new(started: Timestamp) -> Self {
+        Self {
+            started,
+            count: 0,
+            failed: 0,
+            total_micros: 0.0,
+            peak_in_flight: 0,
+        }
+    }
+
+    /// Adds a sample; returns the summary when the window is full, and starts the next one.
+    pub(super) fn observe(
+        &mut self,
+        now: Timestamp,
+        sample: LimitSample,
+        limit: u32,
+    ) -> Option<WindowSummary> {
+        self.count += 1;
+        self.failed += u32::from(sample.failed);
+        self.total_micros += sample.latency.as_secs_f64() * 1e6;
+        self.peak_in_flight = self.peak_in_flight.max(sample.in_flight);
+        let wanted = limit.saturating_mul(SAMPLES_PER_LIMIT).max(MINIMUM_SAMPLES);
+        if self.count < wanted || now.saturating_since(self.started) < MINIMUM_LENGTH {
+            return None;
+        }
+        let summary = WindowSummary {
+            mean_latency: self.total_micros / f64::from(self.count),
+            in_use: f64::from(self.peak_in_flight) >= f64::from(limit) * IN_USE_SHARE,
+            failed_share: f64::from(self.failed) / f64::from(self.count),
+        };
+        *self = Self::new(now);
+        Some(summary)
+    }
+}
+
+/// Latency without queueing: falls with lower windows, rises slowly with higher ones.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct BaseLatency {
+    micros: Option<f64>,
+}
+
+impl BaseLatency {
+    /// Takes in a window and returns the base latency, in microseconds.
+    pub(super) fn observe(&mut self, mean: f64, rise: f64) -> f64 {
+        let next = match self.micros {
+            Some(base) if mean > base => base + (mean - base) * rise,
+            _ => mean,
+        };
+        self.micros = Some(next);
+        next.max(1.0)
+    }
+}
