--- /dev/null
+++ b/crates/core/src/retry/authorize.rs
@@ -0,0 +1,33 @@
+//! The decision together with its payment.
+
+use super::budget::DestinationBudget;
+use super::decide::{GiveUpReason, RetryDecision, RetryQuestion, decide};
+use super::ledger::Ledger;
+
+/// Decides on a retry and pays for it in the same step.
+///
+/// Ledger and budget overrule what the question says of them, so that two attempts of one call that
+/// fail at the same time can't both spend the last unit. Nothing is paid when the answer is to give
+/// up.
+pub fn authorize(
+    question: &RetryQuestion,
+    ledger: &mut Ledger,
+    budget: &mut DestinationBudget,
+) -> RetryDecision {
+    let question = RetryQuestion {
+        allowance: ledger.remaining(),
+        budget_available: budget.available(question.now),
+        ..*question
+    };
+    let decision = decide(&question);
+    if let RetryDecision::GiveUp(_) = decision {
+        return decision;
+    }
+    if question.needs_budget() && !budget.try_withdraw(question.now) {
+        return RetryDecision::GiveUp(GiveUpReason::BudgetSpent);
+    }
+    if !ledger.try_spend_retry() {
+        return RetryDecision::GiveUp(GiveUpReason::AllowanceSpent);
+    }
+    decision
+}
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,1 +1,15 @@
-//! Retries: the conserved allowance, the budget per destination and backoff.
+//! Retries: the conserved allowance, the budget per destination, backoff and the decision itself.
+
+mod authorize;
+mod backoff;
+mod budget;
+mod decide;
+mod ledger;
+mod split;
+
+pub use authorize::authorize;
+pub use backoff::Backoff;
+pub use budget::{BudgetSettings, DestinationBudget};
+pub use decide::{FailureLocation, GiveUpReason, RetryDecision, RetryQuestion, decide};
+pub use ledger::{Grant, Ledger, Settlement};
+pub use split::AllowanceSplit;
--- /dev/null
+++ b/crates/core/src/routing/balance.rs
@@ -0,0 +1,82 @@
+//! Power of two choices: the cheaper of two random endpoints.
+
+use rand::{Rng, RngExt};
+
+/// Draws before the search turns from random to complete.
+const RANDOM_DRAWS: u32 = 4;
+
+/// An endpoint's place in the router's table with its cost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Candidate {
+    pub(super) index: usize,
+    pub(super) cost: f64,
+}
+
+/// What the balance needs to know of the endpoints.
+pub(super) trait Pool {
+    /// Whether the endpoint can take the call.
+    fn is_usable(&self, index: usize) -> bool;
+    /// Share of its full load that the endpoint should get, above 0.0 and up to 1.0.
+    fn weight(&self, index: usize) -> f64;
+    /// Expected burden of one more call.
+    fn cost(&self, index: usize) -> f64;
+}
+
+/// Picks the cheaper of two random usable endpoints out of `members`.
+pub(super) fn pick_of_two(
+    pool: &impl Pool,
+    members: &[u32],
+    rng: &mut impl Rng,
+) -> Option<Candidate> {
+    let first = draw(pool, members, None, rng)?;
+    let Some(second) = draw(pool, members, Some(first), rng) else {
+        return Some(candidate(pool, first));
+    };
+    let first = candidate(pool, first);
+    let second = candidate(pool, second);
+    Some(if second.cost < first.cost {
+        second
+    } else {
+        first
+    })
+}
+
+fn candidate(pool: &impl Pool, index: usize) -> Candidate {
+    Candidate {
+        index,
+        cost: pool.cost(index),
+    }
+}
+
+/// Draws one usable endpoint other than `other`.
+///
+/// Cold endpoints are drawn in proportion to their weight. When a few draws find nothing, the members
+/// are searched in order from a random place, so that one usable endpoint is always found.
+fn draw(
+    pool: &impl Pool,
+    members: &[u32],
+    other: Option<usize>,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    if members.is_empty() {
+        return None;
+    }
+    let allowed = |index: usize| Some(index) != other && pool.is_usable(index);
+    for _ in 0..RANDOM_DRAWS {
+        let index = members[rng.random_range(0..members.len())] as usize;
+        if allowed(index) && accepts(pool.weight(index), rng) {
+            return Some(index);
+        }
+    }
+    let start = rng.random_range(0..members.len());
+    let (before, after) = members.split_at(start);
+    after
+        .iter()
+        .chain(before)
+        .map(|member| *member as usize)
+        .find(|index| allowed(*index))
+}
+
+fn accepts(weight: f64, rng: &mut impl Rng) -> bool {
+    weight >= 1.0 || rng.random::<f64>() < weight
+}
--- /dev/null
+++ b/crates/core/src/routing/entry.rs
@@ -0,0 +1,224 @@
+//! What a router knows of one endpoint.
+
+use std::time::Duration;
+
+use crate::priority::{AdmissionKey, AdmissionLevel};
+use crate::time::Timestamp;
+
+use super::endpoint::{Endpoint, EndpointState};
+use super::heard_level::HeardLevel;
+use super::hold::{Hold, HoldReason};
+use super::observation::{Observation, ReportedLoad};
+use super::reference::Reference;
+use super::settings::RouterSettings;
+use super::suspicion::Suspicion;
+use super::warm_up;
+
+/// The load that an endpoint reported last.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: ReportedLoad,
+    at: Timestamp,
+    dispatched_since: u32,
+}
+
+/// One endpoint with everything that is known of it.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) endpoint: Endpoint,
+    pub(super) local: bool,
+    pub(super) in_flight: u32,
+    pub(super) hold: Option<Hold>,
+    pub(super) ejections: u32,
+    level: HeardLevel,
+    report: Option<Report>,
+    suspicion: Suspicion,
+}
+
+/// Why an endpoint can't take a call now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Unusable {
+    /// It is leaving or ejected.
+    Unavailable(Duration),
+    /// Its connections are taken.
+    Connections(Duration),
+    /// Its admission level refuses the call.
+    Level(Duration),
+}
+
+impl Entry {
+    /// An endpoint of which nothing has been observed.
+    pub(super) fn new(endpoint: Endpoint, local: bool) -> Self {
+        Self {
+            endpoint,
+            local,
+            in_flight: 0,
+            hold: None,
+            ejections: 0,
+            level: HeardLevel::default(),
+            report: None,
+            suspicion: Suspicion::default(),
+        }
+    }
+
+    /// Takes over a changed description; a new incarnation starts without a past.
+    pub(super) fn update(&mut self, endpoint: Endpoint, local: bool) {
+        if endpoint.incarnation != self.endpoint.incarnation {
+            *self = Self::new(endpoint, local);
+            return;
+        }
+        self.endpoint = endpoint;
+        self.local = local;
+    }
+
+    /// Whether the endpoint can take a call with this key.
+    pub(super) fn check(
+        &self,
+        now: Timestamp,
+        key: AdmissionKey,
+        settings: &RouterSettings,
+    ) -> Result<(), Unusable> {
+        if self.endpoint.state == EndpointState::Leaving {
+            return Err(Unusable::Unavailable(settings.default_retry_after));
+        }
+        self.check_hold(now)?;
+        if self.in_flight >= self.endpoint.connections {
+            return Err(Unusable::Connections(settings.connection_hold));
+        }
+        let wait = self.level.wait_for(now, settings.level_reopen, key);
+        if wait > Duration::ZERO {
+            return Err(Unusable::Level(wait));
+        }
+        Ok(())
+    }
+
+    fn check_hold(&self, now: Timestamp) -> Result<(), Unusable> {
+        let Some(hold) = self.hold.filter(|hold| hold.is_active(now)) else {
+            return Ok(());
+        };
+        let wait = hold.until.saturating_since(now);
+        match hold.reason {
+            HoldReason::ConnectionLimit => Err(Unusable::Connections(wait)),
+            HoldReason::Ejected | HoldReason::Leaving => Err(Unusable::Unavailable(wait)),
+        }
+    }
+
+    /// Notes that a call was sent.
+    pub(super) fn dispatched(&mut self) {
+        self.in_flight = self.in_flight.saturating_add(1);
+        if let Some(report) = &mut self.report {
+            report.dispatched_since = report.dispatched_since.saturating_add(1);
+        }
+    }
+
+    /// Notes that a call ended.
+    pub(super) fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes in what an attempt showed.
+    pub(super) fn observe(
+        &mut self,
+        now: Timestamp,
+        observation: &Observation,
+        reference: &Reference,
+    ) {
+        let claimed = self.reported_utilisation();
+        self.suspicion.observe(now, observation, claimed, reference);
+        if self.suspicion.is_proven() {
+            self.ejections = 0;
+        }
+        if let Some(level) = observation.level {
+            self.level.hear(now, level);
+        }
+        if let Some(load) = observation.load {
+            self.report = Some(Report {
+                load,
+                at: now,
+                dispatched_since: 0,
+            });
+        }
+    }
+
+    /// Whether callers saw so many failures that the endpoint should be left alone.
+    pub(super) fn should_eject(&self) -> bool {
+        self.suspicion.should_eject()
+    }
+
+    /// Ends the count of failures that led to an ejection.
+    pub(super) fn pardon(&mut self) {
+        self.suspicion.pardon();
+    }
+
+    /// Keeps calls away; a hold that lasts longer stays.
+    pub(super) fn hold_until(&mut self, until: Timestamp, reason: HoldReason) {
+        if self.hold.is_none_or(|hold| hold.until < until) {
+            self.hold = Some(Hold { until, reason });
+        }
+    }
+
+    /// The level that the endpoint is assumed to have.
+    pub(super) fn assumed_level(
+        &self,
+        now: Timestamp,
+        settings: &RouterSettings,
+    ) -> AdmissionLevel {
+        self.level.assumed(now, settings.level_reopen)
+    }
+
+    /// Mean latency of the answers, in microseconds.
+    pub(super) const fn latency_micros(&self) -> Option<f64> {
+        self.suspicion.latency_micros()
+    }
+
+    /// Utilisation as the endpoint reported it last.
+    pub(super) fn reported_utilisation(&self) -> Option<f64> {
+        self.report.map(|report| report.load.utilisation())
+    }
+
+    /// Share of its full load that the endpoint should get.
+    pub(super) fn weight(&self, now: Timestamp, settings: &RouterSettings) -> f64 {
+        warm_up::weight(
+            now,
+            self.endpoint.started_at,
+            settings.warm_up,
+            settings.warm_up_floor,
+        )
+    }
+
+    /// How little the endpoint's reports count, 0.0 to 1.0.
+    pub(super) fn distrust(&self, now: Timestamp, settings: &RouterSettings) -> f64 {
+        self.suspicion.distrust(now, settings.distrust_threshold)
+    }
+
+    /// Expected burden of one more call here: 1.0 for an endpoint that would be filled up to its
+    /// limit and answers as fast as its siblings.
+    pub(super) fn cost(
+        &self,
+        now: Timestamp,
+        settings: &RouterSettings,
+        reference: &Reference,
+    ) -> f64 {
+        let utilisation = self.utilisation(now, settings, reference);
+        let factor = self.suspicion.cost_factor(now, reference);
+        utilisation * factor / self.weight(now, settings)
+    }
+
+    /// Utilisation with one more call, from the report as far as it is fresh and trusted.
+    fn utilisation(&self, now: Timestamp, settings: &RouterSettings, reference: &Reference) -> f64 {
+        let usual = reference.utilisation().unwrap_or(0.0);
+        let slots = f64::from(self.endpoint.slots.max(1));
+        let assumed = usual + f64::from(self.in_flight + 1) / slots;
+        let fresh = self
+            .report
+            .filter(|report| now.saturating_since(report.at) < settings.report_lifetime);
+        let Some(report) = fresh else {
+            return assumed;
+        };
+        let limit = f64::from(report.load.limit.max(1));
+        let added = f64::from(report.dispatched_since + 1) / limit;
+        let reported = report.load.utilisation() + added;
+        let distrust = self.distrust(now, settings);
+        reported + (assumed.max(reported) - reported) * distrust
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/heard_level.rs
@@ -0,0 +1,47 @@
+//! The admission level that an endpoint was last heard to have.
+
+use std::time::Duration;
+
+use crate::priority::{AdmissionKey, AdmissionLevel};
+use crate::time::Timestamp;
+
+/// A level and when it was heard. It reopens evenly with time, since an endpoint that gets no calls
+/// can't say that it has recovered.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeardLevel {
+    level: AdmissionLevel,
+    heard_at: Timestamp,
+}
+
+impl HeardLevel {
+    /// Notes a level that came with an answer.
+    pub(super) const fn hear(&mut self, now: Timestamp, level: AdmissionLevel) {
+        self.level = level;
+        self.heard_at = now;
+    }
+
+    /// The level that is assumed at `now`.
+    pub(super) fn assumed(&self, now: Timestamp, reopen: Duration) -> AdmissionLevel {
+        let age = now.saturating_since(self.heard_at).as_micros();
+        let whole = reopen.as_micros();
+        if age >= whole {
+            return AdmissionLevel::OPEN;
+        }
+        let closed = u128::from(AdmissionLevel::OPEN.number() - self.level.number());
+        let reopened = u16::try_from(closed * age / whole).unwrap_or(u16::MAX);
+        AdmissionLevel::new(self.level.number().saturating_add(reopened))
+    }
+
+    /// Time until a call with this key is assumed to be admitted.
+    pub(super) fn wait_for(&self, now: Timestamp, reopen: Duration, key: AdmissionKey) -> Duration {
+        let closed = u64::from(AdmissionLevel::OPEN.number() - self.level.number());
+        if self.level.admits(key) || closed == 0 {
+            return Duration::ZERO;
+        }
+        let missing = u64::from(key.number() - self.level.number()) + 1;
+        let whole = u64::try_from(reopen.as_micros()).unwrap_or(u64::MAX);
+        let needed = whole.saturating_mul(missing).div_ceil(closed);
+        let admitted_at = self.heard_at + Duration::from_micros(needed);
+        admitted_at.saturating_since(now)
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,1 +1,28 @@
 //! The choice of an endpoint for a call.
+//!
+//! One [`Router`] serves one daemon and one service. It prefers the daemon's own zone, compares two
+//! random endpoints by reported and observed load, and stays clear of endpoints that are leaving,
+//! full, closed to the call's priority or unreliable.
+
+mod balance;
+mod endpoint;
+mod entry;
+mod heard_level;
+mod hold;
+mod locality;
+mod observation;
+mod pick;
+mod reference;
+mod router;
+mod settings;
+mod subset;
+mod suspicion;
+mod warm_up;
+
+pub use endpoint::{Endpoint, EndpointId, EndpointState, Zone};
+pub use hold::HoldReason;
+pub use observation::{Observation, ReportedLoad};
+pub use pick::{Pick, PickRequest};
+pub use router::{EndpointView, Router};
+pub use settings::RouterSettings;
+pub use subset::{SubsetSettings, subset_size};
--- /dev/null
+++ b/crates/core/src/routing/reference.rs
@@ -0,0 +1,58 @@
+//! What is usual among a service's endpoints; single endpoints are compared with it.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// Observations after which the reference is computed anew.
+const REFRESH_AFTER_OBSERVATIONS: u32 = 32;
+/// Age at which the reference is computed anew with the next observation.
+const REFRESH_AFTER: Duration = Duration::from_millis(100);
+
+/// Median latency and median reported utilisation over the endpoints.
+///
+/// Medians, so that a minority that misreports or answers slowly doesn't shift what is usual.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reference {
+    latency_micros: Option<f64>,
+    utilisation: Option<f64>,
+    observations: u32,
+    refreshed_at: Timestamp,
+}
+
+impl Reference {
+    /// Counts an observation; true when the reference should be refreshed.
+    pub(super) fn count(&mut self, now: Timestamp) -> bool {
+        self.observations += 1;
+        self.latency_micros.is_none()
+            || self.observations >= REFRESH_AFTER_OBSERVATIONS
+            || now.saturating_since(self.refreshed_at) >= REFRESH_AFTER
+    }
+
+    /// Computes the medians anew.
+    pub(super) fn refresh(&mut self, now: Timestamp, latencies: Vec<f64>, utilisations: Vec<f64>) {
+        self.latency_micros = lower_median(latencies);
+        self.utilisation = lower_median(utilisations);
+        self.observations = 0;
+        self.refreshed_at = now;
+    }
+
+    /// Median of the endpoints' mean latencies, in microseconds.
+    pub(super) const fn latency_micros(&self) -> Option<f64> {
+        self.latency_micros
+    }
+
+    /// Median of the endpoints' reported utilisations.
+    pub(super) const fn utilisation(&self) -> Option<f64> {
+        self.utilisation
+    }
+}
+
+fn lower_median(mut values: Vec<f64>) -> Option<f64> {
+    if values.is_empty() {
+        return None;
+    }
+    let middle = (values.len() - 1) / 2;
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,353 @@
+//! The router of one daemon for one service.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::outcome::ResultCode;
+use crate::priority::{AdmissionKey, AdmissionLevel};
+use crate::time::Timestamp;
+
+use super::balance::Pool;
+use super::endpoint::{Endpoint, EndpointId, EndpointState, Zone};
+use super::entry::{Entry, Unusable};
+use super::hold::HoldReason;
+use super::locality::{self, Members};
+use super::observation::Observation;
+use super::pick::{Pick, PickRequest};
+use super::reference::Reference;
+use super::settings::RouterSettings;
+use super::subset;
+
+/// Retry-After is stretched by a random share up to this, so that callers don't return together.
+const RETRY_AFTER_SPREAD: f64 = 0.5;
+
+/// Picks endpoints of one service and learns from what happens there.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    local_zone: Zone,
+    /// Sorted by id.
+    entries: Vec<Entry>,
+    members: Members,
+    reference: Reference,
+}
+
+/// What the router makes of one endpoint, for status pages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointView {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Whether it belongs to this caller's subset.
+    pub in_subset: bool,
+    /// Calls of this daemon in flight there.
+    pub in_flight: u32,
+    /// Expected burden of one more call; 1.0 is full.
+    pub cost: f64,
+    /// How little its reports count, 0.0 to 1.0.
+    pub distrust: f64,
+    /// Share of its full load that it should get, below 1.0 while it warms up.
+    pub weight: f64,
+    /// Admission level that it is assumed to have.
+    pub level: AdmissionLevel,
+    /// Why it gets nothing at the moment.
+    pub hold: Option<HoldReason>,
+}
+
+impl Router {
+    /// A router without endpoints.
+    #[must_use]
+    pub fn new(settings: RouterSettings, local_zone: Zone) -> Self {
+        Self {
+            settings,
+            local_zone,
+            entries: Vec::new(),
+            members: Members::default(),
+            reference: Reference::default(),
+        }
+    }
+
+    /// Takes over changed settings; what was learned stays.
+    pub fn reconfigure(&mut self, settings: RouterSettings) {
+        self.settings = settings;
+        self.select_members();
+    }
+
+    /// Replaces the list of endpoints. What was learned of an endpoint stays as long as it is listed
+    /// with the same incarnation.
+    pub fn set_endpoints(&mut self, _now: Timestamp, mut endpoints: Vec<Endpoint>) {
+        endpoints.sort_by(|left, right| {
+            let incarnations = right.incarnation.cmp(&left.incarnation);
+            left.id.cmp(&right.id).then(incarnations)
+        });
+        endpoints.dedup_by(|later, earlier| later.id == earlier.id);
+        let mut known = std::mem::take(&mut self.entries).into_iter().peekable();
+        for endpoint in endpoints {
+            while known
+                .next_if(|entry| entry.endpoint.id < endpoint.id)
+                .is_some()
+            {}
+            let local = endpoint.zone == self.local_zone;
+            let entry = match known.next_if(|entry| entry.endpoint.id == endpoint.id) {
+                Some(mut entry) => {
+                    entry.update(endpoint, local);
+                    entry
+                }
+                None => Entry::new(endpoint, local),
+            };
+            self.entries.push(entry);
+        }
+        self.select_members();
+    }
+
+    /// Picks an endpoint for a call. The driver reports the use with [`Router::dispatched`].
+    pub fn pick(&self, now: Timestamp, rng: &mut impl Rng, request: &PickRequest<'_>) -> Pick {
+        let view = PoolView {
+            router: self,
+            now,
+            request,
+        };
+        match locality::pick(&view, &self.members, &self.settings, rng) {
+            Some(candidate) => Pick::Endpoint(self.entries[candidate.index].endpoint.id.clone()),
+            None => self.explain_none(now, rng, request),
+        }
+    }
+
+    /// Whether some endpoint could take the call.
+    #[must_use]
+    pub fn can_pick(&self, now: Timestamp, request: &PickRequest<'_>) -> bool {
+        let view = PoolView {
+            router: self,
+            now,
+            request,
+        };
+        self.member_indexes().any(|index| view.is_usable(index))
+    }
+
+    /// Notes that a call was sent to an endpoint.
+    pub fn dispatched(&mut self, _now: Timestamp, endpoint: &EndpointId) {
+        if let Some(entry) = self.entry_mut(endpoint) {
+            entry.dispatched();
+        }
+    }
+
+    /// Notes the end of an attempt and what it showed. Pairs with one [`Router::dispatched`].
+    pub fn observe(&mut self, now: Timestamp, endpoint: &EndpointId, observation: Observation) {
+        let Ok(index) = self.position(endpoint) else {
+            return;
+        };
+        let entry = &mut self.entries[index];
+        entry.ended();
+        entry.observe(now, &observation, &self.reference);
+        if entry.should_eject() {
+            self.eject(now, index);
+        }
+        if self.reference.count(now) {
+            self.refresh_reference(now);
+        }
+    }
+
+    /// Notes the end of an attempt that says nothing about the endpoint, such as one that the caller
+    /// cancelled. Pairs with one [`Router::dispatched`].
+    pub fn abandoned(&mut self, endpoint: &EndpointId) {
+        if let Some(entry) = self.entry_mut(endpoint) {
+            entry.ended();
+        }
+    }
+
+    /// Keeps calls away from an endpoint that refused one as leaving, until other sources confirm it
+    /// or the hold ends.
+    pub fn refused_as_leaving(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let until = now + self.settings.leaving_hold;
+        self.hold(endpoint, until, HoldReason::Leaving);
+    }
+
+    /// Keeps calls away for a moment from an endpoint that accepts no further connection.
+    pub fn connection_refused(&mut self, now: Timestamp, endpoint: &EndpointId) {
+        let until = now + self.settings.connection_hold;
+        self.hold(endpoint, until, HoldReason::ConnectionLimit);
+    }
+
+    /// What the router makes of each endpoint.
+    pub fn views(&self, now: Timestamp) -> impl Iterator<Item = EndpointView> {
+        self.entries.iter().enumerate().map(move |(index, entry)| {
+            let active = entry.hold.filter(|hold| hold.is_active(now));
+            EndpointView {
+                id: entry.endpoint.id.clone(),
+                in_subset: self.member_indexes().any(|member| member == index),
+                in_flight: entry.in_flight,
+                cost: entry.cost(now, &self.settings, &self.reference),
+                distrust: entry.distrust(now, &self.settings),
+                weight: entry.weight(now, &self.settings),
+                level: entry.assumed_level(now, &self.settings),
+                hold: active.map(|hold| hold.reason),
+            }
+        })
+    }
+
+    /// Number of endpoints listed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no endpoint is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn position(&self, endpoint: &EndpointId) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.endpoint.id.cmp(endpoint))
+    }
+
+    fn entry_mut(&mut self, endpoint: &EndpointId) -> Option<&mut Entry> {
+        let index = self.position(endpoint).ok()?;
+        Some(&mut self.entries[index])
+    }
+
+    fn member_indexes(&self) -> impl Iterator<Item = usize> {
+        let all = self.members.local.iter().chain(&self.members.remote);
+        all.map(|member| *member as usize)
+    }
+
+    /// Chooses the live endpoints that this daemon uses.
+    fn select_members(&mut self) {
+        let live: Vec<&Endpoint> = self
+            .entries
+            .iter()
+            .map(|entry| &entry.endpoint)
+            .filter(|endpoint| endpoint.state == EndpointState::Live)
+            .collect();
+        let mut chosen: Vec<EndpointId> = match &self.settings.subset {
+            Some(settings) => {
+                subset::select(settings, &live, |endpoint| endpoint.zone == self.local_zone)
+            }
+            None => live.iter().map(|endpoint| endpoint.id.clone()).collect(),
+        };
+        chosen.sort_unstable();
+        let mut members = Members::default();
+        for (index, entry) in (0_u32..).zip(&self.entries) {
+            if chosen.binary_search(&entry.endpoint.id).is_err() {
+                continue;
+            }
+            if entry.local {
+                members.local.push(index);
+            } else {
+                members.remote.push(index);
+            }
+        }
+        self.members = members;
+    }
+
+    fn refresh_reference(&mut self, now: Timestamp) {
+        let latencies = self.entries.iter().filter_map(Entry::latency_micros);
+        let utilisations = self.entries.iter().filter_map(Entry::reported_utilisation);
+        self.reference
+            .refresh(now, latencies.collect(), utilisations.collect());
+    }
+
+    fn hold(&mut self, endpoint: &EndpointId, until: Timestamp, reason: HoldReason) {
+        if let Some(entry) = self.entry_mut(endpoint) {
+            entry.hold_until(until, reason);
+        }
+    }
+
+    /// Ejects an endpoint if the bound on ejected endpoints leaves room for it.
+    fn eject(&mut self, now: Timestamp, index: usize) {
+        let members = self.member_indexes().count();
+        let ejected = self
+            .member_indexes()
+            .filter(|member| *member != index)
+            .filter(|member| self.is_ejected(now, *member))
+            .count();
+        if ejected >= self.maximum_ejected(members) {
+            return;
+        }
+        let entry = &mut self.entries[index];
+        entry.ejections = entry.ejections.saturating_add(1);
+        let time = self.settings.ejection_base.saturating_mul(entry.ejections);
+        let time = time.min(self.settings.ejection_maximum);
+        entry.hold_until(now + time, HoldReason::Ejected);
+        entry.pardon();
+    }
+
+    /// Most endpoints that may be ejected at a time; at least one of two, and never all.
+    fn maximum_ejected(&self, members: usize) -> usize {
+        let share = (members as f64 * self.settings.maximum_ejected_share).floor() as usize;
+        share.max(1).min(members.saturating_sub(1))
+    }
+
+    fn is_ejected(&self, now: Timestamp, index: usize) -> bool {
+        self.entries[index]
+            .hold
+            .is_some_and(|hold| hold.is_active(now) && hold.reason == HoldReason::Ejected)
+    }
+
+    /// Why no endpoint can take a call, and when one might.
+    fn explain_none(&self, now: Timestamp, rng: &mut impl Rng, request: &PickRequest<'_>) -> Pick {
+        let mut reason = ResultCode::NoBackend;
+        let mut wait: Option<Duration> = None;
+        for index in self.member_indexes() {
+            let Err(unusable) = self.check(now, index, request.key) else {
+                continue;
+            };
+            let (found, found_wait) = match unusable {
+                Unusable::Unavailable(wait) => (ResultCode::NoBackend, wait),
+                Unusable::Connections(wait) => (ResultCode::ConnectionLimit, wait),
+                Unusable::Level(wait) => (ResultCode::RefusedByLevel, wait),
+            };
+            reason = more_telling(reason, found);
+            wait = Some(wait.map_or(found_wait, |least| least.min(found_wait)));
+        }
+        let wait = wait.unwrap_or(self.settings.default_retry_after);
+        let spread = 1.0 + RETRY_AFTER_SPREAD * rng.random::<f64>();
+        Pick::None {
+            reason,
+            retry_after: wait.mul_f64(spread),
+        }
+    }
+
+    fn check(&self, now: Timestamp, index: usize, key: AdmissionKey) -> Result<(), Unusable> {
+        self.entries[index].check(now, key, &self.settings)
+    }
+}
+
+/// Of two reasons, the one that is closer to an endpoint that could have taken the call.
+fn more_telling(left: ResultCode, right: ResultCode) -> ResultCode {
+    let order = |code| match code {
+        ResultCode::RefusedByLevel => 2,
+        ResultCode::ConnectionLimit => 1,
+        _ => 0,
+    };
+    if order(right) > order(left) {
+        right
+    } else {
+        left
+    }
+}
+
+/// The router's endpoints as one call sees them.
+struct PoolView<'view> {
+    router: &'view Router,
+    now: Timestamp,
+    request: &'view PickRequest<'view>,
+}
+
+impl Pool for PoolView<'_> {
+    fn is_usable(&self, index: usize) -> bool {
+        let entry = &self.router.entries[index];
+        let excluded = self.request.excluded.contains(&entry.endpoint.id);
+        !excluded && self.router.check(self.now, index, self.request.key).is_ok()
+    }
+
+    fn weight(&self, index: usize) -> f64 {
+        self.router.entries[index].weight(self.now, &self.router.settings)
+    }
+
+    fn cost(&self, index: usize) -> f64 {
+        let entry = &self.router.entries[index];
+        entry.cost(self.now, &self.router.settings, &self.router.reference)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/suspicion.rs
@@ -0,0 +1,168 @@
+//! What callers observe of an endpoint, weighed against what it says of itself.
+
+use std::time::Duration;
+
+use crate::outcome::OutcomeClass;
+use crate::time::Timestamp;
+
+use super::observation::Observation;
+use super::reference::Reference;
+
+/// Weight of one observation in the moving averages.
+const OBSERVATION_WEIGHT: f64 = 0.1;
+/// Utilisation below which a report claims that there is room.
+const CLAIMS_ROOM_BELOW: f64 = 0.8;
+/// Latency, as a multiple of the siblings', that contradicts a claim of room.
+const SLOW_RATIO: f64 = 2.0;
+/// Bounds of the latency ratio in the cost.
+const LATENCY_RATIO_BOUNDS: (f64, f64) = (0.5, 16.0);
+/// Cost of an endpoint that always refuses as overloaded, as a multiple above an obliging one's.
+const OVERLOAD_PENALTY: f64 = 4.0;
+/// Cost of an endpoint that always fails, as a multiple above a working one's.
+const FAILURE_PENALTY: f64 = 16.0;
+/// Time in which an old observation loses half of its influence.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Observations before an endpoint can be ejected.
+const EJECTION_MINIMUM_OBSERVATIONS: u32 = 5;
+/// Share of failures from which an endpoint is ejected.
+const EJECTION_FAILURE_SHARE: f64 = 0.5;
+/// Observations after which earlier ejections are forgotten.
+const PROVEN_OBSERVATIONS: u32 = 50;
+/// Share of failures below which earlier ejections are forgotten.
+const PROVEN_FAILURE_SHARE: f64 = 0.05;
+
+/// Moving averages over the attempts at one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Suspicion {
+    latency_micros: Option<f64>,
+    contradicted: f64,
+    overloaded: f64,
+    failed: f64,
+    observations: u32,
+    observed_at: Timestamp,
+}
+
+impl Suspicion {
+    /// Takes in one attempt; `claimed` is the utilisation that the endpoint had reported before.
+    pub(super) fn observe(
+        &mut self,
+        now: Timestamp,
+        observation: &Observation,
+        claimed: Option<f64>,
+        reference: &Reference,
+    ) {
+        self.forget_with_time(now);
+        let contradicted = claimed.is_some_and(|claimed| claimed < CLAIMS_ROOM_BELOW)
+            && contradicts_room(observation, reference);
+        blend(&mut self.contradicted, contradicted);
+        blend(&mut self.overloaded, observation.overloaded);
+        if !observation.overloaded {
+            self.blend_failure(observation.is_failure());
+        }
+        self.blend_latency(observation);
+        self.observations = self.observations.saturating_add(1);
+    }
+
+    /// Mean latency of the answers, in microseconds.
+    pub(super) const fn latency_micros(&self) -> Option<f64> {
+        self.latency_micros
+    }
+
+    /// How little the endpoint's reports count: 0.0 trusted, 1.0 not at all.
+    pub(super) fn distrust(&self, now: Timestamp, threshold: f64) -> f64 {
+        if threshold > 1.0 {
+            return 0.0;
+        }
+        let share = self.contradicted * self.influence(now);
+        (share / threshold.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    }
+
+    /// Factor by which observed slowness, refusals and failures raise the endpoint's cost.
+    pub(super) fn cost_factor(&self, now: Timestamp, reference: &Reference) -> f64 {
+        let influence = self.influence(now);
+        let ratio = self.latency_ratio(reference);
+        let slowness = 1.0 + (ratio - 1.0) * influence;
+        let refusals = 1.0 + OVERLOAD_PENALTY * self.overloaded * influence;
+        let failures = 1.0 + FAILURE_PENALTY * self.failed * influence;
+        slowness * refusals * failures
+    }
+
+    /// Whether callers saw so many failures that the endpoint should be left alone.
+    pub(super) fn should_eject(&self) -> bool {
+        self.observations >= EJECTION_MINIMUM_OBSERVATIONS && self.failed >= EJECTION_FAILURE_SHARE
+    }
+
+    /// Whether a long run of attempts showed hardly a failure.
+    pub(super) fn is_proven(&self) -> bool {
+        self.observations >= PROVEN_OBSERVATIONS && self.failed < PROVEN_FAILURE_SHARE
+    }
+
+    /// Starts to count failures anew, after an ejection.
+    pub(super) fn pardon(&mut self) {
+        self.failed = 0.0;
+        self.observations = 0;
+    }
+
+    fn latency_ratio(&self, reference: &Reference) -> f64 {
+        let (Some(own), Some(siblings)) = (self.latency_micros, reference.latency_micros()) else {
+            return 1.0;
+        };
+        let (least, most) = LATENCY_RATIO_BOUNDS;
+        (own / siblings.max(1.0)).clamp(least, most)
+    }
+
+    fn blend_failure(&mut self, failed: bool) {
+        blend(&mut self.failed, failed);
+        if failed {
+            // Rises faster than it falls: five failures in a row reach the ejection share.
+            blend(&mut self.failed, true);
+        }
+    }
+
+    fn blend_latency(&mut self, observation: &Observation) {
+        let latency = observation.latency.as_micros() as f64;
+        match (observation.outcome, self.latency_micros) {
+            (OutcomeClass::NotRun, _) => {}
+            (OutcomeClass::Run, None) => self.latency_micros = Some(latency),
+            (OutcomeClass::Run, Some(mean)) => self.latency_micros = Some(lerp(mean, latency)),
+            // The attempt was cut short, so its latency is a lower bound.
+            (OutcomeClass::Unknown, mean) => {
+                let mean = mean.unwrap_or(latency);
+                self.latency_micros = Some(lerp(mean, latency.max(mean)));
+            }
+        }
+    }
+
+    fn forget_with_time(&mut self, now: Timestamp) {
+        let influence = self.influence(now);
+        self.contradicted *= influence;
+        self.overloaded *= influence;
+        self.failed *= influence;
+        self.observed_at = now;
+    }
+
+    /// How much the averages still say at `now`, 1.0 just after an observation.
+    fn influence(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_since(self.observed_at).as_secs_f64();
+        1.0 / (1.0 + age / HALF_LIFE.as_secs_f64())
+    }
+}
+
+fn contradicts_room(observation: &Observation, reference: &Reference) -> bool {
+    if observation.overloaded || observation.outcome == OutcomeClass::Unknown {
+        return true;
+    }
+    let latency = observation.latency.as_micros() as f64;
+    reference
+        .latency_micros()
+        .is_some_and(|siblings| latency > siblings * SLOW_RATIO)
+}
+
+fn blend(average: &mut f64, happened: bool) {
+    let value = if happened { 1.0 } else { 0.0 };
+    *average = lerp(*average, value);
+}
+
+fn lerp(average: f64, value: f64) -> f64 {
+    average + (value - average) * OBSERVATION_WEIGHT
+}
