--- a/crates/resources/src/kinds.rs
+++ b/crates/resources/src/kinds.rs
@@ -1,4 +1,4 @@
-//! The resource kinds, field by field.
+//! The resource kinds, field by field. The range of each field stands in [`crate::fields`].
 
 use std::fmt;
 
@@ -10,15 +10,15 @@
 pub struct Service {
     /// Name, unique among services; callers name it in the request's host.
     pub name: String,
-    /// Requests that one back end executes at a time; the start of the adaptive limit. 1 to 10000.
+    /// Requests that one back end executes at a time; the start of the adaptive limit.
     pub slots: u32,
-    /// Connections that one back end accepts. 1 to 100000.
+    /// Connections that one back end accepts.
     #[serde(default = "default_connections")]
     pub connections: u32,
-    /// Longest time that a call may wait in a back end's queue, in milliseconds. 0 to 60000.
+    /// Longest time that a call may wait in a back end's queue, in milliseconds.
     #[serde(default = "default_queue_wait_ms")]
     pub queue_wait_ms: u32,
-    /// Time over which a cold back end's share grows to its full size, in milliseconds. 0 to 600000.
+    /// Time over which a cold back end's share grows to its full size, in milliseconds.
     #[serde(default = "default_warm_up_ms")]
     pub warm_up_ms: u32,
     /// Services that this one calls; used for checks and plans.
@@ -52,9 +52,9 @@
     /// Prefix that the request's path must have. The longest matching prefix wins.
     #[serde(default = "default_path_prefix")]
     pub path_prefix: String,
-    /// Importance, 0 (refused last) to 7 (refused first).
+    /// Importance: 0 is refused last, the largest number first.
     pub priority: u8,
-    /// Time in which the whole answer is worth something, in milliseconds. 1 to 600000.
+    /// Time in which the whole answer is worth something, in milliseconds.
     pub deadline_ms: u32,
     /// Whether executing the request twice has the effect of executing it once.
     #[serde(default = "default_repeatable")]
@@ -81,15 +81,15 @@
 pub struct RetryBudget {
     /// Name, unique among retry budgets.
     pub name: String,
-    /// Retries in total for one originating request across its whole chain. 0 to 64.
+    /// Retries in total for one originating request across its whole chain.
     pub retries_per_request: u16,
-    /// Retries to one destination as a fraction of its successes. 0.0 to 1.0.
+    /// Retries to one destination as a fraction of its successes.
     #[serde(default = "default_ratio")]
     pub ratio: f64,
-    /// Shortest mean wait before a retry, in milliseconds. 0 to 60000.
+    /// Shortest mean wait before a retry, in milliseconds.
     #[serde(default = "default_backoff_base_ms")]
     pub backoff_base_ms: u32,
-    /// Longest mean wait before a retry, in milliseconds. 0 to 60000, not below the base.
+    /// Longest mean wait before a retry, in milliseconds; not below the base.
     #[serde(default = "default_backoff_max_ms")]
     pub backoff_max_ms: u32,
 }
@@ -114,7 +114,7 @@
     pub name: String,
     /// What leaves.
     pub target: DrainTarget,
-    /// Longest time that calls in flight may take to end, in milliseconds. 0 to 3600000.
+    /// Longest time that calls in flight may take to end, in milliseconds.
     #[serde(default = "default_drain_limit_ms")]
     pub limit_ms: u32,
 }
@@ -143,12 +143,12 @@
     pub name: String,
     /// Number that grows with each change of the members.
     pub epoch: u64,
-    /// Ids of the daemons that hold a replica; an odd number, 1 to 9, over several zones.
+    /// Ids of the daemons that hold a replica; an odd number, over several zones.
     pub replicas: Vec<String>,
-    /// Largest difference between two machines' clocks, in milliseconds. 0 to 60000.
+    /// Largest difference between two machines' clocks, in milliseconds.
     #[serde(default = "default_clock_skew_ms")]
     pub clock_skew_ms: u32,
-    /// Time that a claim is kept and a key may be repeated, in milliseconds. 1000 to 86400000.
+    /// Time that a claim is kept and a key may be repeated, in milliseconds.
     #[serde(default = "default_retention_ms")]
     pub retention_ms: u32,
 }
@@ -231,6 +231,15 @@
     pub name: String,
 }
 
+impl ResourceId {
+    /// The identity of the resource of this kind and name.
+    #[must_use]
+    pub fn new(kind: ResourceKind, name: impl Into<String>) -> Self {
+        let name = name.into();
+        Self { kind, name }
+    }
+}
+
 impl fmt::Display for ResourceId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}/{}", self.kind, self.name)
--- /dev/null
+++ b/crates/resources/src/nearest.rs
@@ -0,0 +1,37 @@
+//! The known name that is closest to a misspelt one.
+
+/// Largest edit distance at which a known name is suggested.
+const MAXIMUM_DISTANCE: usize = 3;
+
+/// The known name with the smallest edit distance to `given`, unless all of them are far away.
+#[must_use]
+pub fn nearest<'a>(given: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    known
+        .into_iter()
+        .map(|name| (edit_distance(given, name), name))
+        .filter(|(distance, name)| *distance <= MAXIMUM_DISTANCE && *distance < name.len())
+        .min()
+        .map(|(_, name)| name)
+}
+
+/// A hint to append to a message about an unknown name; empty when no known name is close.
+#[must_use]
+pub fn suggestion<'a>(given: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    nearest(given, known).map_or_else(String::new, |name| format!(", did you mean \"{name}\"?"))
+}
+
+/// Number of single-character insertions, deletions and substitutions between two texts.
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (index, left_character) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = index + 1;
+        for (column, right_character) in right.iter().enumerate() {
+            let substitution = diagonal + usize::from(left_character != *right_character);
+            diagonal = row[column + 1];
+            row[column + 1] = substitution.min(row[column] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
--- a/crates/resources/src/snapshot.rs
+++ b/crates/resources/src/snapshot.rs
@@ -8,6 +8,11 @@
     ClaimGroup, Drain, RequestKind, Resource, ResourceId, ResourceKind, RetryBudget, Service,
 };
 
+/// Name of the claim group that is in use.
+pub const CLAIM_GROUP_IN_USE: &str = "default";
+/// Name of the retry budget of request kinds that name none.
+pub const DEFAULT_RETRY_BUDGET: &str = "default";
+
 /// Revision of the platform's store; grows with every write to any object.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -83,6 +88,48 @@
         }
     }
 
+    /// The resource with this identity.
+    #[must_use]
+    pub fn get(&self, id: &ResourceId) -> Option<Resource> {
+        let name = &id.name;
+        match id.kind {
+            ResourceKind::Service => self.services.get(name).cloned().map(Resource::Service),
+            ResourceKind::RequestKind => {
+                let request_kind = self.request_kinds.get(name).cloned();
+                request_kind.map(Resource::RequestKind)
+            }
+            ResourceKind::RetryBudget => {
+                let budget = self.retry_budgets.get(name).cloned();
+                budget.map(Resource::RetryBudget)
+            }
+            ResourceKind::Drain => self.drains.get(name).cloned().map(Resource::Drain),
+            ResourceKind::ClaimGroup => {
+                let group = self.claim_groups.get(name).cloned();
+                group.map(Resource::ClaimGroup)
+            }
+        }
+    }
+
+    /// The identity of every resource, in order.
+    pub fn ids(&self) -> impl Iterator<Item = ResourceId> {
+        let names_of = |kind| match kind {
+            ResourceKind::Service => self.services.keys().collect::<Vec<_>>(),
+            ResourceKind::RequestKind => self.request_kinds.keys().collect(),
+            ResourceKind::RetryBudget => self.retry_budgets.keys().collect(),
+            ResourceKind::Drain => self.drains.keys().collect(),
+            ResourceKind::ClaimGroup => self.claim_groups.keys().collect(),
+        };
+        ResourceKind::ALL.into_iter().flat_map(move |kind| {
+            let names = names_of(kind).into_iter().cloned();
+            names.map(move |name| ResourceId { kind, name })
+        })
+    }
+
+    /// Every resource, in order of identity.
+    pub fn resources(&self) -> impl Iterator<Item = Resource> {
+        self.ids().filter_map(|id| self.get(&id))
+    }
+
     /// The request kind that a request to `service` matches: the longest path prefix wins, then a
     /// named method over any method, then the first name.
     #[must_use]
@@ -103,7 +150,8 @@
     /// The retry budget that applies to a request kind, if one is configured.
     #[must_use]
     pub fn retry_budget_for(&self, request_kind: &RequestKind) -> Option<&RetryBudget> {
-        let name = request_kind.retry_budget.as_deref().unwrap_or("default");
+        let named = request_kind.retry_budget.as_deref();
+        let name = named.unwrap_or(DEFAULT_RETRY_BUDGET);
         self.retry_budgets.get(name)
     }
 }
