Add the stand-in for the platform

Daemons, readers and tests need an object API to work against: versions, watch from a bounded log, compare-and-swap writes, status, leases, a machine list that lags, and switches for what can fail. The store is sans-I/O; salvo serves one function per call. Faults are not covered yet.

--- /dev/null
+++ b/crates/emulator/src/platform/api.rs
@@ -0,0 +1,275 @@
+//! The calls of the object API as functions of the store.
+
+use bytes::Bytes;
+use salvo::Request;
+use salvo::http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wharfquay_core::time::Timestamp;
+use wharfquay_platform::wire::{
+    ConflictAnswer, DeleteAnswer, FailureAnswer, LeaseAnswer, LeaseBody, Machine, ObjectKey,
+    OperationId, PutBody,
+};
+use wharfquay_platform::write::Keyspace as KeyspaceName;
+use wharfquay_resources::snapshot::Revision;
+
+use super::faults::FaultSwitches;
+use super::keyspace::{Put, VersionConflict};
+use super::leases::Lease;
+use super::store::Store;
+
+/// What a call consists of.
+pub(super) struct ApiRequest {
+    pub(super) now: Timestamp,
+    pub(super) path: PathParameters,
+    pub(super) query: QueryParameters,
+    pub(super) body: Bytes,
+}
+
+/// Variable parts of the path; empty where the route has none.
+#[derive(Debug, Default)]
+pub(super) struct PathParameters {
+    kind: String,
+    name: String,
+}
+
+/// Parameters of the query.
+#[derive(Debug, Default)]
+pub(super) struct QueryParameters {
+    expected_version: Option<u64>,
+    operation: Option<OperationId>,
+    author: String,
+    holder: String,
+}
+
+impl PathParameters {
+    pub(super) fn of(request: &Request) -> Self {
+        Self {
+            kind: request.param("kind").unwrap_or_default(),
+            name: request.param("name").unwrap_or_default(),
+        }
+    }
+
+    fn key(&self) -> ObjectKey {
+        ObjectKey::new(self.kind.clone(), self.name.clone())
+    }
+}
+
+impl QueryParameters {
+    pub(super) fn of(request: &Request) -> Self {
+        Self {
+            expected_version: request.query("expected_version"),
+            operation: request.query("operation"),
+            author: request.query("author").unwrap_or_default(),
+            holder: request.query("holder").unwrap_or_default(),
+        }
+    }
+}
+
+/// Status and JSON body of an answer.
+#[derive(Debug)]
+pub(super) struct ApiAnswer {
+    pub(super) status: StatusCode,
+    pub(super) body: Vec<u8>,
+}
+
+impl ApiAnswer {
+    fn json<T: Serialize>(status: StatusCode, body: &T) -> Self {
+        match serde_json::to_vec(body) {
+            Ok(body) => Self { status, body },
+            Err(error) => Self::failure(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+
+    pub(super) fn failure(status: StatusCode, error: String) -> Self {
+        let body = serde_json::to_vec(&FailureAnswer { error }).unwrap_or_default();
+        Self { status, body }
+    }
+
+    fn bad_request(error: impl ToString) -> Self {
+        Self::failure(StatusCode::BAD_REQUEST, error.to_string())
+    }
+
+    fn conflict(conflict: VersionConflict) -> Self {
+        let current = conflict.current.map(|object| *object);
+        Self::json(StatusCode::CONFLICT, &ConflictAnswer { current })
+    }
+}
+
+/// A call of the API. The error is an answer, too.
+pub(super) type ApiCall = fn(&mut Store, &ApiRequest) -> Result<ApiAnswer, ApiAnswer>;
+
+pub(super) fn list_objects(store: &mut Store, _: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    Ok(list(store, KeyspaceName::Objects))
+}
+
+pub(super) fn list_status(store: &mut Store, _: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    Ok(list(store, KeyspaceName::Status))
+}
+
+pub(super) fn get_object(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    get(store, KeyspaceName::Objects, request)
+}
+
+pub(super) fn get_status(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    get(store, KeyspaceName::Status, request)
+}
+
+pub(super) fn put_object(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    put(store, KeyspaceName::Objects, request)
+}
+
+pub(super) fn put_status(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    put(store, KeyspaceName::Status, request)
+}
+
+pub(super) fn delete_object(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    delete(store, KeyspaceName::Objects, request)
+}
+
+pub(super) fn delete_status(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    delete(store, KeyspaceName::Status, request)
+}
+
+pub(super) fn acquire_lease(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    let body: LeaseBody = parse(&request.body)?;
+    let ttl = std::time::Duration::from_millis(body.ttl_ms);
+    let name = &request.path.name;
+    let answer = match store.leases.acquire(request.now, name, &body.holder, ttl) {
+        Ok(lease) => ApiAnswer::json(StatusCode::OK, &lease_answer(request.now, lease)),
+        Err(held) => ApiAnswer::json(StatusCode::CONFLICT, &lease_answer(request.now, held)),
+    };
+    Ok(answer)
+}
+
+pub(super) fn release_lease(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    store
+        .leases
+        .release(&request.path.name, &request.query.holder);
+    Ok(done())
+}
+
+pub(super) fn list_machines(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    let machines = store.visible_machines(request.now);
+    Ok(ApiAnswer::json(StatusCode::OK, &machines))
+}
+
+pub(super) fn put_machine(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    let machine: Machine = parse(&request.body)?;
+    if machine.id != request.path.name {
+        return Err(ApiAnswer::bad_request(format!(
+            "id: given {:?}, allowed is the path's {:?}",
+            machine.id, request.path.name
+        )));
+    }
+    store.machines.put(request.now, machine);
+    Ok(done())
+}
+
+pub(super) fn delete_machine(
+    store: &mut Store,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    store.machines.remove(request.now, &request.path.name);
+    Ok(done())
+}
+
+pub(super) fn get_faults(store: &mut Store, _: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    Ok(ApiAnswer::json(StatusCode::OK, &store.faults))
+}
+
+pub(super) fn put_faults(store: &mut Store, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    let faults: FaultSwitches = parse(&request.body)?;
+    store.faults = faults;
+    Ok(done())
+}
+
+fn list(store: &Store, name: KeyspaceName) -> ApiAnswer {
+    ApiAnswer::json(StatusCode::OK, &store.readable(name).list())
+}
+
+fn get(store: &Store, name: KeyspaceName, request: &ApiRequest) -> Result<ApiAnswer, ApiAnswer> {
+    let key = request.path.key();
+    let keyspace = store.readable(name);
+    let Some(object) = keyspace.get(&key) else {
+        let error = format!("{key} doesn't exist");
+        return Err(ApiAnswer::failure(StatusCode::NOT_FOUND, error));
+    };
+    Ok(ApiAnswer::json(StatusCode::OK, object))
+}
+
+fn put(
+    store: &mut Store,
+    name: KeyspaceName,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    let body: PutBody = parse(&request.body)?;
+    let put = Put {
+        key: request.path.key(),
+        expected_version: body.expected_version,
+        operation: body.operation,
+        author: body.author,
+        spec: body.spec,
+    };
+    let object = store
+        .keyspace_mut(name)
+        .put(put)
+        .map_err(ApiAnswer::conflict)?;
+    Ok(ApiAnswer::json(StatusCode::OK, &object))
+}
+
+fn delete(
+    store: &mut Store,
+    name: KeyspaceName,
+    request: &ApiRequest,
+) -> Result<ApiAnswer, ApiAnswer> {
+    let expected = request.query.expected_version;
+    let expected = expected.ok_or_else(|| ApiAnswer::bad_request("expected_version is missing"))?;
+    let operation = request.query.operation;
+    let operation = operation.ok_or_else(|| ApiAnswer::bad_request("operation is missing"))?;
+    let key = request.path.key();
+    let version = store
+        .keyspace_mut(name)
+        .delete(&key, Revision::new(expected))
+        .map_err(ApiAnswer::conflict)?;
+    log::info!(
+        "event=delete key={key} version={} operation={operation} author={:?}",
+        version.number(),
+        request.query.author
+    );
+    Ok(ApiAnswer::json(StatusCode::OK, &DeleteAnswer { version }))
+}
+
+fn lease_answer(now: Timestamp, lease: Lease) -> LeaseAnswer {
+    let left = lease.expires_at.saturating_since(now).as_millis();
+    LeaseAnswer {
+        holder: lease.holder,
+        expires_in_ms: u64::try_from(left).unwrap_or(u64::MAX),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, ApiAnswer> {
+    serde_json::from_slice(body).map_err(ApiAnswer::bad_request)
+}
+
+fn done() -> ApiAnswer {
+    ApiAnswer {
+        status: StatusCode::OK,
+        body: b"{}".to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/platform/store.rs
@@ -0,0 +1,78 @@
+//! Everything that the stand-in keeps, without I/O.
+
+use std::borrow::Cow;
+use std::time::Duration;
+
+use wharfquay_core::time::Timestamp;
+use wharfquay_platform::wire::MachineList;
+use wharfquay_platform::write::Keyspace as KeyspaceName;
+use wharfquay_resources::snapshot::Revision;
+
+use super::faults::FaultSwitches;
+use super::keyspace::Keyspace;
+use super::leases::Leases;
+use super::machines::Machines;
+
+/// Changes that the event log remembers unless set otherwise.
+pub const DEFAULT_EVENT_LOG_CAPACITY: usize = 10_000;
+
+/// The platform's whole state.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Configuration objects.
+    pub objects: Keyspace,
+    /// Status objects; their versions are separate.
+    pub status: Keyspace,
+    /// Leases.
+    pub leases: Leases,
+    /// Machine list.
+    pub machines: Machines,
+    /// What is wrong at the moment.
+    pub faults: FaultSwitches,
+}
+
+impl Store {
+    /// An empty store that remembers `event_log_capacity` changes.
+    #[must_use]
+    pub fn new(event_log_capacity: usize) -> Self {
+        Self {
+            objects: Keyspace::new(event_log_capacity),
+            status: Keyspace::new(event_log_capacity),
+            leases: Leases::default(),
+            machines: Machines::default(),
+            faults: FaultSwitches::default(),
+        }
+    }
+
+    /// The keyspace that writes go to.
+    pub const fn keyspace_mut(&mut self, name: KeyspaceName) -> &mut Keyspace {
+        match name {
+            KeyspaceName::Objects => &mut self.objects,
+            KeyspaceName::Status => &mut self.status,
+        }
+    }
+
+    /// The keyspace that reads are answered from, which may be an older state.
+    #[must_use]
+    pub fn readable(&self, name: KeyspaceName) -> Cow<'_, Keyspace> {
+        match (name, self.faults.serve_older_version) {
+            (KeyspaceName::Status, _) => Cow::Borrowed(&self.status),
+            (KeyspaceName::Objects, None) => Cow::Borrowed(&self.objects),
+            (KeyspaceName::Objects, Some(version)) => {
+                Cow::Owned(self.objects.as_of(Revision::new(version)))
+            }
+        }
+    }
+
+    /// The machine list that readers see.
+    pub fn visible_machines(&mut self, now: Timestamp) -> MachineList {
+        let lag = Duration::from_millis(self.faults.machine_list_lag_ms);
+        self.machines.list(now, lag)
+    }
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self::new(DEFAULT_EVENT_LOG_CAPACITY)
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/platform_contract/api.rs
@@ -0,0 +1,250 @@
+//! Contract of the object API between the client and the stand-in, without faults.
+
+use std::time::Duration;
+
+use crate::support::{client_of, service_key, service_spec, start_platform};
+use wharfquay_platform::client::LeaseOutcome;
+use wharfquay_platform::conversion::{ConversionError, resource_from_object};
+use wharfquay_platform::wire::{Machine, MachineState, ObjectKey, WatchEvent};
+use wharfquay_platform::{PlatformError, WriteRequest};
+use wharfquay_resources::kinds::Resource;
+use wharfquay_resources::snapshot::Revision;
+
+const LOG_CAPACITY: usize = 100;
+
+#[tokio::test]
+async fn objects_are_written_listed_and_deleted_at_one_version_after_another() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+
+    let booking = client
+        .put(
+            service_key("booking"),
+            Revision::ZERO,
+            "ada",
+            service_spec("booking", 8),
+        )
+        .await
+        .expect("create");
+    assert_eq!(booking.version, Some(Revision::new(1)));
+    let slot = client
+        .put(
+            service_key("slot"),
+            Revision::ZERO,
+            "ada",
+            service_spec("slot", 6),
+        )
+        .await
+        .expect("create");
+    assert_eq!(slot.version, Some(Revision::new(2)));
+
+    let list = client.list().await.expect("list");
+    assert_eq!(list.version, Revision::new(2));
+    let names: Vec<&str> = list
+        .objects
+        .iter()
+        .map(|object| object.key.name.as_str())
+        .collect();
+    assert_eq!(names, ["booking", "slot"]);
+
+    let deleted = client
+        .delete(service_key("booking"), Revision::new(1), "ada o'neill & co")
+        .await
+        .expect("delete");
+    assert_eq!(deleted.version, Some(Revision::new(3)));
+    assert_eq!(
+        client.get(&service_key("booking")).await.expect("get"),
+        None
+    );
+}
+
+#[tokio::test]
+async fn the_second_of_two_writers_learns_author_and_version_of_the_first() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let key = service_key("booking");
+    let put = |author: &'static str, slots| {
+        let spec = service_spec("booking", slots);
+        client.put(key.clone(), Revision::ZERO, author, spec)
+    };
+    put("ada", 8).await.expect("first write");
+
+    let error = put("bola", 9).await.expect_err("second write");
+    let text = error.to_string();
+    assert_eq!(
+        text,
+        "6008: write of service/booking expected no object, but \"ada\" made version 1 of it"
+    );
+    let PlatformError::Conflict(conflict) = error else {
+        panic!("not a conflict: {text}");
+    };
+    assert!(!conflict.earlier_attempt_open);
+}
+
+#[tokio::test]
+async fn a_deletion_of_what_another_deleted_is_a_conflict() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let key = service_key("booking");
+    let spec = service_spec("booking", 8);
+    client
+        .put(key.clone(), Revision::ZERO, "ada", spec)
+        .await
+        .expect("create");
+    client
+        .delete(key.clone(), Revision::new(1), "ada")
+        .await
+        .expect("delete");
+    let request = WriteRequest::delete(key, Revision::new(1), "bola");
+    let error = client
+        .write_with_retry(&request)
+        .await
+        .expect_err("second delete");
+    assert_eq!(error.number(), 6008, "{error}");
+}
+
+#[tokio::test]
+async fn a_watch_sends_the_backlog_then_a_bookmark_then_what_happens() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    for name in ["a", "b"] {
+        let spec = service_spec(name, 8);
+        client
+            .put(service_key(name), Revision::ZERO, "ada", spec)
+            .await
+            .expect("create");
+    }
+    let mut watch = client.watch(Revision::new(1)).await.expect("watch");
+    let backlog = watch.next().await.expect("event").expect("no error");
+    assert!(matches!(&backlog, WatchEvent::Put { object, .. } if object.key.name == "b"));
+    let bookmark = watch.next().await.expect("event").expect("no error");
+    assert_eq!(
+        bookmark,
+        WatchEvent::Bookmark {
+            version: Revision::new(2)
+        }
+    );
+
+    client
+        .delete(service_key("a"), Revision::new(1), "ada")
+        .await
+        .expect("delete");
+    let deleted = loop {
+        match watch.next().await.expect("event").expect("no error") {
+            WatchEvent::Bookmark { .. } => {}
+            event => break event,
+        }
+    };
+    assert!(matches!(&deleted, WatchEvent::Delete { version, .. } if version.number() == 3));
+}
+
+#[tokio::test]
+async fn status_has_versions_of_its_own() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let key = service_key("booking");
+    let status = serde_json::json!({"in_force": 7});
+    let written = client
+        .put_status(key.clone(), Revision::ZERO, "reader", status.clone())
+        .await
+        .expect("status");
+    assert_eq!(written.version, Some(Revision::new(1)));
+    let read = client.get_status(&key).await.expect("get").expect("exists");
+    assert_eq!(read.spec, status);
+    assert_eq!(client.list().await.expect("list").version, Revision::ZERO);
+}
+
+#[tokio::test]
+async fn a_lease_is_held_by_one_until_it_lapses() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let long = Duration::from_secs(60);
+    let granted = client
+        .acquire_lease("reader", "a", long)
+        .await
+        .expect("lease");
+    assert!(matches!(granted, LeaseOutcome::Granted(_)));
+    let refused = client
+        .acquire_lease("reader", "b", long)
+        .await
+        .expect("lease");
+    assert!(matches!(refused, LeaseOutcome::HeldBy(held) if held.holder == "a"));
+    client.release_lease("reader", "a").await.expect("release");
+    let granted = client
+        .acquire_lease("reader", "b", long)
+        .await
+        .expect("lease");
+    assert!(matches!(granted, LeaseOutcome::Granted(_)));
+}
+
+#[tokio::test]
+async fn machines_are_listed_as_put() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let machine = Machine {
+        id: "booking-1".to_owned(),
+        zone: "ikeja".to_owned(),
+        service: Some("booking".to_owned()),
+        state: MachineState::Live,
+        call_address: "127.0.0.1:7001".parse().expect("address"),
+        control_address: "127.0.0.1:7002".parse().expect("address"),
+    };
+    client.put_machine(&machine).await.expect("put");
+    let list = client.machines().await.expect("machines");
+    assert_eq!(list.machines, [machine]);
+    client.delete_machine("booking-1").await.expect("delete");
+    assert!(
+        client
+            .machines()
+            .await
+            .expect("machines")
+            .machines
+            .is_empty()
+    );
+}
+
+#[tokio::test]
+async fn an_object_converts_to_a_resource_or_says_why_not() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let put = |key, spec| client.put(key, Revision::ZERO, "ada", spec);
+    let good = put(service_key("a"), service_spec("a", 8))
+        .await
+        .expect("put");
+    let misnamed = put(service_key("b"), service_spec("c", 8))
+        .await
+        .expect("put");
+    let unknown = put(ObjectKey::new("quota", "d"), service_spec("d", 8))
+        .await
+        .expect("put");
+    let malformed = put(service_key("e"), serde_json::json!({"name": "e"}))
+        .await
+        .expect("put");
+    let convert = |receipt: wharfquay_platform::WriteReceipt| {
+        resource_from_object(&receipt.object.expect("object"))
+    };
+    assert!(matches!(convert(good), Ok(Resource::Service(service)) if service.slots == 8));
+    assert!(matches!(
+        convert(misnamed),
+        Err(ConversionError::NameMismatch { .. })
+    ));
+    assert!(matches!(
+        convert(unknown),
+        Err(ConversionError::UnknownKind { .. })
+    ));
+    let error = convert(malformed).expect_err("no slots");
+    assert_eq!(
+        error.to_string(),
+        "6102: object service/e: spec: missing field `slots`"
+    );
+}
+
+#[tokio::test]
+async fn a_name_that_does_not_fit_a_path_is_refused_by_the_client() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    for name in ["", ".", "..", "a/b", "a b", "a?b", "ö"] {
+        let error = client.get(&service_key(name)).await.expect_err("refused");
+        assert_eq!(error.number(), 6012, "{name:?}: {error}");
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/platform_contract/main.rs
@@ -0,0 +1,4 @@
+//! Contract between the client of the platform and the stand-in, over loopback sockets.
+
+mod api;
+mod support;
