--- /dev/null
+++ b/crates/resources/src/acceptance.rs
@@ -0,0 +1,248 @@
+//! Acceptance of the platform's objects: which resources come into force and which are rejected.
+//!
+//! A rejected resource keeps its last good version in force, so that one bad write can't take away
+//! what serves traffic. The result depends only on the arguments, so that two daemons that see the
+//! same objects after the same snapshot accept the same.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::Value;
+
+use crate::kinds::{DrainTarget, Resource, ResourceId, ResourceKind};
+use crate::problem::{Finding, ProblemCode};
+use crate::snapshot::{CLAIM_GROUP_IN_USE, Revision, Snapshot};
+use crate::spec::read_object;
+use crate::validate::{KnownResources, ambiguous_match, find_errors};
+
+/// An object as the platform holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredObject {
+    /// Identity, from the object's path.
+    pub id: ResourceId,
+    /// Revision of the store at which the object was last written.
+    pub version: Revision,
+    /// The spec, not yet checked.
+    pub spec: Value,
+}
+
+/// A resource that is not in force as written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The resource.
+    pub id: ResourceId,
+    /// Version that was rejected; `None` when the deletion of the resource was.
+    pub version: Option<Revision>,
+    /// Every reason.
+    pub findings: Vec<Finding>,
+    /// Whether an earlier version stays in force.
+    pub is_last_good_in_force: bool,
+}
+
+/// What comes into force and what does not.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Acceptance {
+    /// The resources in force, at the revision of the objects.
+    pub snapshot: Snapshot,
+    /// Versions that were accepted as written.
+    pub accepted: BTreeMap<ResourceId, Revision>,
+    /// What was rejected, in order of identity.
+    pub rejections: Vec<Rejection>,
+}
+
+/// Decides which of the platform's objects at `revision` come into force after `last_accepted`.
+#[must_use]
+pub fn accept(
+    last_accepted: &Snapshot,
+    revision: Revision,
+    objects: &[StoredObject],
+) -> Acceptance {
+    let mut selection = Selection::new(last_accepted);
+    for object in objects {
+        selection.offer(object);
+    }
+    while let Some(finding) = selection.first_error() {
+        selection.resolve(&finding);
+    }
+    selection.finish(revision, objects)
+}
+
+/// The resources chosen so far.
+struct Selection<'a> {
+    last: &'a Snapshot,
+    chosen: Snapshot,
+    versions: BTreeMap<ResourceId, Revision>,
+    rejected: BTreeMap<ResourceId, Vec<Finding>>,
+    /// Resources that were already put back to their last good version.
+    restored: BTreeSet<ResourceId>,
+}
+
+impl<'a> Selection<'a> {
+    fn new(last: &'a Snapshot) -> Self {
+        Self {
+            last,
+            chosen: Snapshot::default(),
+            versions: BTreeMap::new(),
+            rejected: BTreeMap::new(),
+            restored: BTreeSet::new(),
+        }
+    }
+
+    fn offer(&mut self, object: &StoredObject) {
+        self.versions.insert(object.id.clone(), object.version);
+        match read_object(&object.id, &object.spec) {
+            Ok(resource) => self.chosen.insert(resource),
+            Err(findings) => {
+                for finding in findings {
+                    self.reject(&object.id, finding);
+                }
+                self.restore(&object.id);
+            }
+        }
+    }
+
+    /// The first error between the chosen resources.
+    fn first_error(&self) -> Option<Finding> {
+        let known = KnownResources::of(&self.chosen);
+        find_errors(&self.chosen, &known).into_iter().next()
+    }
+
+    /// Makes one error disappear. Each step restores or drops one resource, and none twice, so that
+    /// the steps end.
+    fn resolve(&mut self, finding: &Finding) {
+        let Some(id) = &finding.resource else {
+            return;
+        };
+        if self.is_changed(id) {
+            self.reject(id, finding.clone());
+            self.restore(id);
+            return;
+        }
+        if let Some((rival, finding)) = self.changed_rival(id) {
+            self.reject(&rival, finding);
+            self.restore(&rival);
+            return;
+        }
+        match self.missing_target(finding) {
+            Some(target) if self.can_restore(&target) => {
+                self.reject(&target, still_referenced(&target, id));
+                self.restore(&target);
+            }
+            _ => {
+                self.reject(id, finding.clone());
+                self.chosen.remove(id);
+            }
+        }
+    }
+
+    /// Whether the chosen resource is a newer one than the last accepted and may be put back.
+    fn is_changed(&self, id: &ResourceId) -> bool {
+        !self.restored.contains(id) && self.chosen.get(id) != self.last.get(id)
+    }
+
+    fn can_restore(&self, id: &ResourceId) -> bool {
+        !self.restored.contains(id) && self.last.get(id).is_some()
+    }
+
+    /// A newer request kind that matches the same requests as this one, and the finding about it.
+    fn changed_rival(&self, id: &ResourceId) -> Option<(ResourceId, Finding)> {
+        let Some(Resource::RequestKind(kind)) = self.chosen.get(id) else {
+            return None;
+        };
+        let rivals = self.chosen.request_kinds.values();
+        rivals
+            .filter(|rival| rival.name != kind.name && rival.matches_same_as(&kind))
+            .map(|rival| {
+                (
+                    rival,
+                    ResourceId::new(ResourceKind::RequestKind, &rival.name),
+                )
+            })
+            .find(|(_, rival_id)| self.is_changed(rival_id))
+            .map(|(rival, rival_id)| (rival_id, ambiguous_match(rival, &kind)))
+    }
+
+    /// The resource whose absence causes the error, where absence is the cause.
+    fn missing_target(&self, finding: &Finding) -> Option<ResourceId> {
+        let owner = self.chosen.get(finding.resource.as_ref()?)?;
+        let references = references_of(&owner);
+        references
+            .into_iter()
+            .find(|target| self.chosen.get(target).is_none())
+    }
+
+    /// Puts the last good version in place of the chosen one; drops it when there is none.
+    fn restore(&mut self, id: &ResourceId) {
+        self.restored.insert(id.clone());
+        self.chosen.remove(id);
+        if let Some(resource) = self.last.get(id) {
+            self.chosen.insert(resource);
+        }
+    }
+
+    fn reject(&mut self, id: &ResourceId, finding: Finding) {
+        let findings = self.rejected.entry(id.clone()).or_default();
+        if !findings.contains(&finding) {
+            findings.push(finding);
+        }
+    }
+
+    fn finish(mut self, revision: Revision, objects: &[StoredObject]) -> Acceptance {
+        self.chosen.revision = revision;
+        let accepted = objects
+            .iter()
+            .filter(|object| !self.rejected.contains_key(&object.id))
+            .map(|object| (object.id.clone(), object.version))
+            .collect();
+        let rejections = self
+            .rejected
+            .into_iter()
+            .map(|(id, findings)| Rejection {
+                version: self.versions.get(&id).copied(),
+                is_last_good_in_force: self.chosen.get(&id).is_some(),
+                id,
+                findings,
+            })
+            .collect();
+        Acceptance {
+            snapshot: self.chosen,
+            accepted,
+            rejections,
+        }
+    }
+}
+
+fn still_referenced(target: &ResourceId, user: &ResourceId) -> Finding {
+    let message = format!("deleted while {user} refers to it");
+    let allowed = "deletion after the last reference";
+    Finding::new(ProblemCode::StillReferenced, "", message, allowed).about(target)
+}
+
+/// The resources that must exist for this one to be accepted.
+fn references_of(resource: &Resource) -> Vec<ResourceId> {
+    match resource {
+        Resource::Service(service) => {
+            let calls = service.calls.iter();
+            calls
+                .map(|called| ResourceId::new(ResourceKind::Service, called))
+                .collect()
+        }
+        Resource::RequestKind(kind) => {
+            let mut targets = vec![ResourceId::new(ResourceKind::Service, &kind.service)];
+            if let Some(budget) = &kind.retry_budget {
+                targets.push(ResourceId::new(ResourceKind::RetryBudget, budget));
+            }
+            if kind.idempotency_key_required && !kind.repeatable {
+                let group = ResourceId::new(ResourceKind::ClaimGroup, CLAIM_GROUP_IN_USE);
+                targets.push(group);
+            }
+            targets
+        }
+        Resource::Drain(drain) => match &drain.target {
+            DrainTarget::Service(service) => {
+                vec![ResourceId::new(ResourceKind::Service, service)]
+            }
+            DrainTarget::Backend(_) | DrainTarget::Zone(_) => Vec::new(),
+        },
+        Resource::RetryBudget(_) | Resource::ClaimGroup(_) => Vec::new(),
+    }
+}
--- a/crates/resources/src/kinds.rs
+++ b/crates/resources/src/kinds.rs
@@ -67,6 +67,20 @@
     pub retry_budget: Option<String>,
 }
 
+impl RequestKind {
+    /// What a request must have to match: entry service, path prefix and method.
+    #[must_use]
+    pub fn match_key(&self) -> (&str, &str, Option<&str>) {
+        (&self.service, &self.path_prefix, self.method.as_deref())
+    }
+
+    /// Whether the same requests match `other`, so that the two can't be told apart.
+    #[must_use]
+    pub fn matches_same_as(&self, other: &Self) -> bool {
+        self.match_key() == other.match_key()
+    }
+}
+
 fn default_path_prefix() -> String {
     "/".to_owned()
 }
--- a/crates/resources/src/validate/mod.rs
+++ b/crates/resources/src/validate/mod.rs
@@ -3,6 +3,8 @@
 mod references;
 mod risks;
 
+pub(crate) use references::ambiguous_match;
+
 use std::collections::BTreeSet;
 
 use crate::kinds::{Resource, ResourceId, ResourceKind};
--- a/crates/resources/src/validate/references.rs
+++ b/crates/resources/src/validate/references.rs
@@ -120,29 +120,30 @@
 /// Two request kinds of one service with the same prefix and method can't be told apart.
 fn check_matches(snapshot: &Snapshot, findings: &mut Vec<Finding>) {
     let mut kinds: Vec<&RequestKind> = snapshot.request_kinds.values().collect();
-    kinds.sort_by_key(|kind| (match_key(kind), &kind.name));
+    kinds.sort_by_key(|kind| (kind.match_key(), &kind.name));
     for pair in kinds.windows(2) {
-        if match_key(pair[0]) != match_key(pair[1]) {
+        if !pair[0].matches_same_as(pair[1]) {
             continue;
         }
-        let owner = ResourceId::new(ResourceKind::RequestKind, &pair[1].name);
-        let message = format!(
-            "{} {} to \"{}\" is matched by request_kind \"{}\" too",
-            pair[1].method.as_deref().unwrap_or("every method on"),
-            pair[1].path_prefix,
-            pair[1].service,
-            pair[0].name,
-        );
-        let finding = Finding::new(
-            ProblemCode::AmbiguousMatch,
-            "path_prefix",
-            message,
-            "a combination of service, method and path_prefix that is used once",
-        );
-        findings.push(finding.about(&owner));
+        findings.push(ambiguous_match(pair[1], pair[0]));
     }
 }
 
-fn match_key(kind: &RequestKind) -> (&str, &str, Option<&str>) {
-    (&kind.service, &kind.path_prefix, kind.method.as_deref())
+/// The finding that `kind` matches the same requests as `other`.
+pub(crate) fn ambiguous_match(kind: &RequestKind, other: &RequestKind) -> Finding {
+    let owner = ResourceId::new(ResourceKind::RequestKind, &kind.name);
+    let message = format!(
+        "{} {} to \"{}\" is matched by request_kind \"{}\" too",
+        kind.method.as_deref().unwrap_or("every method on"),
+        kind.path_prefix,
+        kind.service,
+        other.name,
+    );
+    let finding = Finding::new(
+        ProblemCode::AmbiguousMatch,
+        "path_prefix",
+        message,
+        "a combination of service, method and path_prefix that is used once",
+    );
+    finding.about(&owner)
 }
