Add the back end and load stand-ins of the emulator

Cause: nothing yet executes or sends requests. Change: back end with slots, FIFO queue, connection limit, set-up time, cold start, drain, health and load endpoints, cancellation, deadline, deeper calls, execution records and run-time faults; open-loop load with impatient callers, a surge, a report per request kind and an audit against the execution records.

--- /dev/null
+++ b/crates/emulator/src/backend/endpoints.rs
@@ -0,0 +1,99 @@
+//! The endpoints beside the service itself: health, load, records, faults and drain.
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Response, StatusCode};
+use serde::Serialize;
+
+use super::body::{AnswerBody, whole};
+use super::faults::Faults;
+use super::state::BackendState;
+
+const PREFIX: &str = "/wharfquay/";
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// What the health endpoint says.
+#[derive(Clone, Debug, Serialize)]
+struct Health<'a> {
+    id: &'a str,
+    service: &'a str,
+    state: &'static str,
+}
+
+/// Answer to a request that can't be served.
+#[derive(Clone, Debug, Serialize)]
+struct Problem {
+    error: String,
+}
+
+/// Whether the path belongs to one of these endpoints.
+pub(super) fn owns(path: &str) -> bool {
+    path.starts_with(PREFIX)
+}
+
+/// Serves one of these endpoints.
+pub(super) fn serve(
+    state: &BackendState,
+    method: &Method,
+    path: &str,
+    body: &Bytes,
+) -> Response<AnswerBody> {
+    match (method.as_str(), &path[PREFIX.len()..]) {
+        ("GET", "health") => health(state),
+        ("GET", "load") => json(StatusCode::OK, &state.report().load),
+        ("GET", "executions") => json(
+            StatusCode::OK,
+            &state
+                .log
+                .report(&state.settings.id, &state.settings.service),
+        ),
+        ("GET", "faults") => json(StatusCode::OK, &state.faults()),
+        ("PUT", "faults") => put_faults(state, body),
+        ("POST", "drain") => set_leaving(state, true),
+        ("DELETE", "drain") => set_leaving(state, false),
+        _ => problem(StatusCode::NOT_FOUND, "no such endpoint"),
+    }
+}
+
+fn health(state: &BackendState) -> Response<AnswerBody> {
+    let health = Health {
+        id: &state.settings.id,
+        service: &state.settings.service,
+        state: if state.report().leaving {
+            "leaving"
+        } else {
+            "live"
+        },
+    };
+    json(StatusCode::OK, &health)
+}
+
+fn put_faults(state: &BackendState, body: &Bytes) -> Response<AnswerBody> {
+    match Faults::from_json(body) {
+        Ok(faults) => {
+            state.set_faults(faults);
+            json(StatusCode::OK, &faults)
+        }
+        Err(error) => problem(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+fn set_leaving(state: &BackendState, leaving: bool) -> Response<AnswerBody> {
+    state.set_leaving(leaving);
+    health(state)
+}
+
+fn problem(status: StatusCode, error: &str) -> Response<AnswerBody> {
+    let problem = Problem {
+        error: error.to_owned(),
+    };
+    json(status, &problem)
+}
+
+fn json<T: Serialize>(status: StatusCode, message: &T) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(message).unwrap_or_default();
+    let mut response = Response::new(whole(text.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, JSON);
+    response
+}
--- /dev/null
+++ b/crates/emulator/src/backend/faults.rs
@@ -0,0 +1,129 @@
+//! Faults of a back end that can be switched while it runs.
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+/// What the health endpoint says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HealthAnswer {
+    /// The state as it is.
+    #[default]
+    Truthful,
+    /// Live, whatever the state.
+    AlwaysLive,
+    /// Leaving, whatever the state.
+    AlwaysLeaving,
+}
+
+/// The faults in force. Shares are probabilities per request, 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Factor on the service time; 1 is normal. 0.01 to 1000.
+    pub slow: f64,
+    /// Share of answers that are cut in the middle of their body.
+    pub cut_answer: f64,
+    /// Share of requests whose connection is closed before execution.
+    pub close_before: f64,
+    /// Share of requests whose connection is closed after execution, without an answer.
+    pub close_after: f64,
+    /// Share of requests that are refused before execution.
+    pub refuse: f64,
+    /// Share of requests that are executed and never answered.
+    pub hang: f64,
+    /// What the health endpoint says.
+    pub health: HealthAnswer,
+    /// Age of what health and load endpoints say, in milliseconds. 0 to 600000.
+    pub report_lag_ms: u64,
+    /// Factor on the load that is reported; 1 is the truth. 0 to 1000.
+    pub load_factor: f64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow: 1.0,
+            cut_answer: 0.0,
+            close_before: 0.0,
+            close_after: 0.0,
+            refuse: 0.0,
+            hang: 0.0,
+            health: HealthAnswer::Truthful,
+            report_lag_ms: 0,
+            load_factor: 1.0,
+        }
+    }
+}
+
+/// Why faults can't be put in force.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum FaultError {
+    /// {0}
+    Malformed(String),
+    /// {field}: {given} is out of range (allowed: {allowed})
+    OutOfRange {
+        /// The field.
+        field: &'static str,
+        /// What was given.
+        given: f64,
+        /// The range.
+        allowed: &'static str,
+    },
+}
+
+impl std::error::Error for FaultError {}
+
+const LONGEST_LAG_MS: f64 = 600_000.0;
+
+impl Faults {
+    /// Reads faults from JSON; absent fields are without fault.
+    ///
+    /// # Errors
+    /// [`FaultError`] when the text is malformed or a value is out of range.
+    pub fn from_json(text: &[u8]) -> Result<Self, FaultError> {
+        let faults: Self = serde_json::from_slice(text)
+            .map_err(|error| FaultError::Malformed(error.to_string()))?;
+        faults.validate()?;
+        Ok(faults)
+    }
+
+    /// Checks the ranges.
+    ///
+    /// # Errors
+    /// [`FaultError::OutOfRange`] names the first field that is out of range.
+    pub fn validate(&self) -> Result<(), FaultError> {
+        check("slow", self.slow, 0.01, 1_000.0, "0.01 to 1000")?;
+        check("load_factor", self.load_factor, 0.0, 1_000.0, "0 to 1000")?;
+        let lag = self.report_lag_ms as f64;
+        check("report_lag_ms", lag, 0.0, LONGEST_LAG_MS, "0 to 600000")?;
+        let shares = [
+            ("cut_answer", self.cut_answer),
+            ("close_before", self.close_before),
+            ("close_after", self.close_after),
+            ("refuse", self.refuse),
+            ("hang", self.hang),
+        ];
+        for (field, share) in shares {
+            check(field, share, 0.0, 1.0, "0 to 1")?;
+        }
+        Ok(())
+    }
+}
+
+fn check(
+    field: &'static str,
+    given: f64,
+    lowest: f64,
+    highest: f64,
+    allowed: &'static str,
+) -> Result<(), FaultError> {
+    if (lowest..=highest).contains(&given) {
+        return Ok(());
+    }
+    Err(FaultError::OutOfRange {
+        field,
+        given,
+        allowed,
+    })
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins for the platform, back ends and callers, the simulator and its experiments.
 
+pub mod answer_body;
+pub mod arguments;
 pub mod backend;
+pub mod command;
 pub mod demo;
 pub mod experiment;
 pub mod load;
