Add the configuration reader and the leases that bound readers

A reader lists, watches from the listed version, and goes through outages, gaps, 410 and a store that answers older than before; what it delivers never goes back. After an older answer, or a silence longer than the resume limit, it lists again instead of resuming, since the store's history may have been replaced. Leases give only the right to read; nothing depends on them for safety. Ruled out: cancelling the reader task at a lapse, which could lose an event already counted as delivered; undelivered events are kept instead.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,13 +1,16 @@
 //! Client of the platform: object API, watch, status, leases and machine list.
 //!
 //! Every call has a timeout. A write whose answer is lost is recognised by the operation id that
-//! the object carries, see [`Client::write_with_retry`].
+//! the object carries, see [`Client::write_with_retry`]. [`source`] keeps one reader of the
+//! configuration going through every failure of the store.
 
 pub mod backoff;
 pub mod client;
 pub mod conversion;
 pub mod error;
+pub mod lease;
 pub mod settings;
+pub mod source;
 mod transport;
 pub mod watch;
 pub mod wire;
@@ -15,6 +18,8 @@
 
 pub use client::Client;
 pub use error::PlatformError;
+pub use lease::{ReaderLease, ReaderLeaseSettings};
 pub use settings::ClientSettings;
+pub use source::{ConfigurationSource, SourceEvent, SourceSettings};
 pub use watch::WatchStream;
 pub use write::{WriteAction, WriteReceipt, WriteRequest};
--- /dev/null
+++ b/crates/platform/src/source/task.rs
@@ -0,0 +1,270 @@
+//! The task that drives a reader with a client.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use wharfquay_core::time::Timestamp;
+
+use super::event::{SourceEffect, SourceEvent, SourceInput};
+use super::state::{ConfigurationSource, SourceSettings};
+use crate::client::Client;
+use crate::error::PlatformError;
+use crate::lease::{LeaseRequest, ReaderLease, ReaderLeaseSettings};
+use crate::watch::WatchStream;
+use crate::wire::WatchEvent;
+
+/// Events that may wait for the consumer. A consumer that falls further behind holds up the watch.
+const EVENT_CAPACITY: usize = 256;
+
+/// A reader at work; dropping it stops the reader.
+#[derive(Debug)]
+pub struct RunningSource {
+    events: mpsc::Receiver<SourceEvent>,
+    task: JoinHandle<()>,
+}
+
+impl RunningSource {
+    /// The next event. Cancel safe. `None` only after the task has ended, which it does not do by
+    /// itself.
+    pub async fn next(&mut self) -> Option<SourceEvent> {
+        self.events.recv().await
+    }
+}
+
+impl Drop for RunningSource {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a reader that reads all the time.
+#[must_use]
+pub fn spawn(client: Arc<Client>, settings: SourceSettings) -> RunningSource {
+    run(client, settings, None)
+}
+
+/// Starts a reader that reads while it holds one of its zone's leases.
+///
+/// What it has seen and delivered stays known while it doesn't read.
+#[must_use]
+pub fn spawn_leased(
+    client: Arc<Client>,
+    settings: SourceSettings,
+    lease_settings: ReaderLeaseSettings,
+) -> RunningSource {
+    run(client, settings, Some(lease_settings))
+}
+
+fn run(
+    client: Arc<Client>,
+    settings: SourceSettings,
+    lease_settings: Option<ReaderLeaseSettings>,
+) -> RunningSource {
+    let (sender, events) = mpsc::channel(EVENT_CAPACITY);
+    let clock = Clock::start();
+    let lease =
+        lease_settings.map(|settings| ReaderLease::new(settings, clock.now(), &mut rand::rng()));
+    let driver = Driver {
+        client,
+        clock,
+        source: ConfigurationSource::new(settings),
+        watch: None,
+        effects: VecDeque::new(),
+        sender,
+    };
+    let task = tokio::spawn(async move {
+        match lease {
+            None => driver.run().await,
+            Some(lease) => driver.run_leased(lease).await,
+        }
+    });
+    RunningSource { events, task }
+}
+
+/// Timestamps since the start of a task.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    fn start() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.origin.elapsed()
+    }
+
+    fn instant(&self, timestamp: Timestamp) -> Instant {
+        self.origin + Duration::from_micros(timestamp.as_micros())
+    }
+
+    /// Sleeps until a time, or for ever when there is none.
+    async fn sleep_until(&self, timestamp: Option<Timestamp>) {
+        match timestamp {
+            Some(timestamp) => tokio::time::sleep_until(self.instant(timestamp)).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// The consumer has dropped its end.
+struct ConsumerGone;
+
+/// The source, its watch and its consumer.
+struct Driver {
+    client: Arc<Client>,
+    clock: Clock,
+    source: ConfigurationSource,
+    watch: Option<WatchStream>,
+    /// Effects not yet performed.
+    effects: VecDeque<SourceEffect>,
+    sender: mpsc::Sender<SourceEvent>,
+}
+
+impl Driver {
+    async fn run(mut self) {
+        // Ends when the consumer is gone.
+        let _ = self.read().await;
+    }
+
+    /// Reads while the lease is held. A renewal without an answer can prolong reading by one call
+    /// timeout at most.
+    async fn run_leased(mut self, mut lease: ReaderLease) {
+        let client = Arc::clone(&self.client);
+        let clock = self.clock;
+        loop {
+            while !lease.may_read(clock.now()) {
+                renew(&client, &clock, &mut lease).await;
+            }
+            let kept = async {
+                while lease.may_read(clock.now()) {
+                    renew(&client, &clock, &mut lease).await;
+                }
+            };
+            tokio::select! {
+                _ = self.read() => return,
+                () = kept => self.stop(),
+            }
+        }
+    }
+
+    /// Stops reading. Events that the consumer has not taken yet are kept for it.
+    fn stop(&mut self) {
+        log::info!("event=configuration_reader_stopped reason=lease_lapsed");
+        self.source.stop();
+        self.watch = None;
+        self.effects
+            .retain(|effect| matches!(effect, SourceEffect::Emit(_)));
+    }
+
+    /// Reads until the consumer is gone. When it is cancelled, no event is lost.
+    async fn read(&mut self) -> Result<(), ConsumerGone> {
+        let first = self.source.start(self.clock.now());
+        self.effects.extend(first);
+        loop {
+            self.emit_waiting().await?;
+            match self.effects.pop_front() {
+                Some(effect) => self.perform(effect).await,
+                None => self.wait_for_input().await,
+            }
+        }
+    }
+
+    /// Hands the events at the head of the effects to the consumer.
+    async fn emit_waiting(&mut self) -> Result<(), ConsumerGone> {
+        while matches!(self.effects.front(), Some(SourceEffect::Emit(_))) {
+            let permit = self.sender.reserve().await.map_err(|_| ConsumerGone)?;
+            if let Some(SourceEffect::Emit(event)) = self.effects.pop_front() {
+                permit.send(event);
+            }
+        }
+        Ok(())
+    }
+
+    async fn perform(&mut self, effect: SourceEffect) {
+        match effect {
+            SourceEffect::Emit(_) => self.effects.push_front(effect),
+            SourceEffect::CloseWatch => self.watch = None,
+            SourceEffect::List => {
+                let input = match self.client.list().await {
+                    Ok(list) => SourceInput::Listed(list),
+                    Err(error) => SourceInput::ListFailed(error),
+                };
+                self.handle(input);
+            }
+            SourceEffect::OpenWatch { from } => {
+                let input = match self.client.watch(from).await {
+                    Ok(watch) => {
+                        self.watch = Some(watch);
+                        SourceInput::WatchOpened
+                    }
+                    Err(error) => watch_failure(error),
+                };
+                self.handle(input);
+            }
+        }
+    }
+
+    /// Waits for the next event of the watch or for the source's next step.
+    async fn wait_for_input(&mut self) {
+        let Some(watch) = &mut self.watch else {
+            self.clock.sleep_until(self.source.next_wakeup()).await;
+            let effects = self.source.advance(self.clock.now());
+            self.effects.extend(effects);
+            return;
+        };
+        let input = watch_input(watch.next().await);
+        if !matches!(input, SourceInput::WatchEvent(_)) {
+            self.watch = None;
+        }
+        self.handle(input);
+    }
+
+    fn handle(&mut self, input: SourceInput) {
+        let now = self.clock.now();
+        let effects = self.source.handle(now, input, &mut rand::rng());
+        self.effects.extend(effects);
+    }
+}
+
+fn watch_input(next: Option<Result<WatchEvent, PlatformError>>) -> SourceInput {
+    match next {
+        None => SourceInput::WatchEnded,
+        Some(Ok(event)) => SourceInput::WatchEvent(event),
+        Some(Err(error)) => watch_failure(error),
+    }
+}
+
+fn watch_failure(error: PlatformError) -> SourceInput {
+    match error {
+        PlatformError::WatchTooOld { .. } => SourceInput::WatchTooOld,
+        error => SourceInput::WatchFailed(error),
+    }
+}
+
+/// Waits until the lease needs something, and does it.
+async fn renew(client: &Client, clock: &Clock, lease: &mut ReaderLease) {
+    let Some(request) = lease.advance(clock.now()) else {
+        clock.sleep_until(lease.next_wakeup()).await;
+        return;
+    };
+    let answer = ask(client, &request).await;
+    lease.answered(clock.now(), answer, &mut rand::rng());
+}
+
+async fn ask(
+    client: &Client,
+    request: &LeaseRequest,
+) -> Result<crate::client::LeaseOutcome, PlatformError> {
+    client
+        .acquire_lease(&request.name, &request.holder, request.ttl)
+        .await
+}
