Settle lost answers by the write path, not by reads that may be old

The table of write faults showed it, seen red first: with reads answered from an older state, an update whose answer was lost was reported as a conflict although it was in force (case 'update, answer lost, reads are old'), and a deletion that never took effect would have been reported as done. A read now proves one thing only: an object with the write's operation id was written. Everything else is settled by sending the same operation again, whose conflict shows the object as it stands.

--- a/crates/emulator/tests/platform_contract/main.rs
+++ b/crates/emulator/tests/platform_contract/main.rs
@@ -2,3 +2,4 @@
 
 mod api;
 mod support;
+mod write_faults;
--- a/crates/emulator/tests/platform_contract/support.rs
+++ b/crates/emulator/tests/platform_contract/support.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use wharfquay_emulator::platform::keyspace::{Keyspace, Put};
 use wharfquay_emulator::platform::{self, PlatformSettings, RunningPlatform};
 use wharfquay_platform::backoff::Backoff;
-use wharfquay_platform::wire::ObjectKey;
+use wharfquay_platform::wire::{ObjectKey, OperationId};
 use wharfquay_platform::{Client, ClientSettings};
+use wharfquay_resources::snapshot::Revision;
 
 /// Loopback address with a free port.
 pub(crate) const LOOPBACK: SocketAddr =
@@ -52,3 +54,45 @@
 pub(crate) fn service_spec(name: &str, slots: u32) -> Value {
     json!({"name": name, "slots": slots})
 }
+
+/// Writes a service past every fault, whatever its version; returns the version written.
+pub(crate) fn overwrite(
+    platform: &RunningPlatform,
+    name: &str,
+    slots: u32,
+    author: &str,
+) -> Revision {
+    platform.with_store(|store| overwrite_in(&mut store.objects, name, slots, author))
+}
+
+/// Writes a service, whatever its version; returns the version written.
+pub(crate) fn overwrite_in(
+    keyspace: &mut Keyspace,
+    name: &str,
+    slots: u32,
+    author: &str,
+) -> Revision {
+    let key = service_key(name);
+    let current = keyspace.get(&key);
+    let put = Put {
+        expected_version: current.map_or(Revision::ZERO, |object| object.version),
+        operation: OperationId::unique(),
+        author: author.to_owned(),
+        spec: service_spec(name, slots),
+        key,
+    };
+    keyspace.put(put).expect("version is current").version
+}
+
+/// Polls until a condition holds, with a bound.
+pub(crate) async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(2);
+    const POLLS: u32 = 2_500;
+    for _ in 0..POLLS {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("{what}: not within {:?}", POLL_INTERVAL * POLLS);
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -17,7 +17,7 @@
     ConflictAnswer, DeleteAnswer, LeaseAnswer, LeaseBody, Machine, MachineList, Object, ObjectKey,
     ObjectList, PutBody,
 };
-use crate::write::{Keyspace, ReadBack, WriteAction, WriteReceipt, WriteRequest, conflict, judge};
+use crate::write::{Keyspace, WriteAction, WriteReceipt, WriteRequest, conflict};
 
 /// Longest name, in bytes.
 const MAXIMUM_NAME_BYTES: usize = 128;
@@ -129,10 +129,12 @@
     /// Makes a write, repeating it until it is known to have taken effect or to have met another
     /// version, or until the write timeout.
     ///
-    /// After an attempt without an answer the object is read back: it carries the write's operation
-    /// id if the write took effect. Otherwise the same operation is sent again, which is safe since
-    /// at most one attempt can meet the expected version. A deletion is taken as done when the
-    /// object is gone, whoever deleted it.
+    /// After an attempt without an answer the object is read back: if it carries the write's
+    /// operation id, the write took effect. Otherwise the same operation is sent again, which is
+    /// safe since at most one attempt can meet the expected version; a conflict then shows the
+    /// object as it stands. A read that shows anything else proves nothing, since it may be
+    /// answered from an older state. A deletion is taken as done when the object is gone after an
+    /// attempt without an answer, whoever deleted it.
     pub async fn write_with_retry(
         &self,
         request: &WriteRequest,
@@ -156,8 +158,8 @@
             open |= error.leaves_write_open();
             let delay = self.settings().backoff.delay(attempts, &mut rand::rng());
             tokio::time::sleep(delay).await;
-            if open && let Some(receipt) = self.read_back(request).await? {
-                return Ok(with_attempts(receipt, attempts));
+            if open && let Some(object) = self.read_back(request).await? {
+                return Ok(with_attempts(recognised(Some(object)), attempts));
             }
             if Instant::now() >= give_up_at {
                 return Err(given_up(request, attempts, open, error));
@@ -273,22 +275,13 @@
         Err(answer.failure())
     }
 
-    /// Reads the object back after an attempt without an answer.
-    ///
-    /// Returns the receipt if the write took effect, `None` if it should be sent again.
-    async fn read_back(
-        &self,
-        request: &WriteRequest,
-    ) -> Result<Option<WriteReceipt>, PlatformError> {
-        let current = match self.get_in(request.keyspace, &request.key).await {
-            Ok(current) => current,
-            Err(error) if error.is_transient() => return Ok(None),
-            Err(error) => return Err(error),
-        };
-        match judge(request, current.as_ref()) {
-            ReadBack::Applied => Ok(Some(recognised(current))),
-            ReadBack::NotYetApplied => Ok(None),
-            ReadBack::Replaced => Err(conflict(request, current, true)),
+    /// Reads the object back after an attempt without an answer; returns it if it carries the
+    /// write's operation id.
+    async fn read_back(&self, request: &WriteRequest) -> Result<Option<Object>, PlatformError> {
+        match self.get_in(request.keyspace, &request.key).await {
+            Ok(current) => Ok(current.filter(|object| request.made(Some(object)))),
+            Err(error) if error.is_transient() => Ok(None),
+            Err(error) => Err(error),
         }
     }
 }
@@ -323,10 +316,10 @@
     answer: &Answer,
 ) -> Result<WriteReceipt, PlatformError> {
     let current = answer.json::<ConflictAnswer>()?.current;
-    match &current {
-        Some(object) if object.operation == request.operation => Ok(recognised(current)),
-        _ => Err(conflict(request, current, false)),
+    if request.made(current.as_ref()) {
+        return Ok(recognised(current));
     }
+    Err(conflict(request, current, false))
 }
 
 /// A conflict after an attempt without an answer may be with that very attempt.
@@ -335,7 +328,7 @@
     current: Option<Object>,
     open: bool,
 ) -> Result<WriteReceipt, PlatformError> {
-    if open && judge(request, current.as_ref()) == ReadBack::Applied {
+    if open && request.explains_conflict(current.as_ref()) {
         return Ok(recognised(current));
     }
     Err(conflict(request, current, open))
--- a/crates/platform/src/write.rs
+++ b/crates/platform/src/write.rs
@@ -106,39 +106,24 @@
     pub recognised: bool,
 }
 
-/// What reading the object back says about a write whose answer was lost.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ReadBack {
-    /// The object carries the write's operation id, or is gone as the write wanted.
-    Applied,
-    /// The object still has the expected version. A delayed attempt may yet arrive; sending the
-    /// same operation again is safe.
-    NotYetApplied,
-    /// Another write replaced the expected version.
-    Replaced,
-}
-
-/// Judges a write by the object as it stands.
-#[must_use]
-pub fn judge(request: &WriteRequest, current: Option<&Object>) -> ReadBack {
-    let Some(current) = current else {
-        return judge_missing(request);
-    };
-    if current.operation == request.operation {
-        return ReadBack::Applied;
-    }
-    if current.version == request.expected_version {
-        return ReadBack::NotYetApplied;
+impl WriteRequest {
+    /// Whether an object carries this write's operation id.
+    #[must_use]
+    pub fn made(&self, current: Option<&Object>) -> bool {
+        current.is_some_and(|object| object.operation == self.operation)
     }
-    ReadBack::Replaced
-}
 
-/// An object that doesn't exist satisfies a deletion, whoever made it.
-fn judge_missing(request: &WriteRequest) -> ReadBack {
-    match (&request.action, request.expected_version) {
-        (WriteAction::Delete, _) => ReadBack::Applied,
-        (WriteAction::Put(_), Revision::ZERO) => ReadBack::NotYetApplied,
-        (WriteAction::Put(_), _) => ReadBack::Replaced,
+    /// Whether the object that a conflict shows is the work of an earlier attempt of this write.
+    ///
+    /// An object that doesn't exist satisfies a deletion, whoever made it. This holds only for the
+    /// answer to a write: a plain read may be answered from an older state, in which the object is
+    /// not created yet.
+    #[must_use]
+    pub fn explains_conflict(&self, current: Option<&Object>) -> bool {
+        match (&self.action, current) {
+            (WriteAction::Delete, None) => true,
+            _ => self.made(current),
+        }
     }
 }
 
