Add a result code for a refusal by the back end itself

Cause: a back end that sheds load before execution can prove it on its 503, and no code said so. Ruled out: RefusedQueueFull, which the back end's daemon says of its own queue. Change: 3013 RefusedByBackend, not run; the retry decision offers such a call to a sibling.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -120,6 +120,8 @@
     NotReady = 3011, NotRun, 503;
     /// The caller gave up before the call was dispatched.
     CancelledBeforeDispatch = 3012, NotRun, 499;
+    /// The back end itself refused the call before it executed anything of it.
+    RefusedByBackend = 3013, NotRun, 503;
 
     /// The deadline passed after dispatch and before a whole answer.
     DeadlineAfterDispatch = 4001, Unknown, 504;
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -153,7 +153,8 @@
         | ResultCode::ConnectionLimit
         | ResultCode::ConnectFailed
         | ResultCode::ClaimUnavailable
-        | ResultCode::NotReady => Ok(Kind::Offer),
+        | ResultCode::NotReady
+        | ResultCode::RefusedByBackend => Ok(Kind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
         ResultCode::ConnectionLost | ResultCode::MalformedAnswer => repeat(question),
         ResultCode::ClaimUncertain => Err(GiveUpReason::NotRepeatable),
