--- /dev/null
+++ b/crates/daemon/src/answer.rs
@@ -0,0 +1,106 @@
+//! Answers: the result code and outcome on each, refusals, and the metadata between daemons.
+
+use std::time::Duration;
+
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Response, StatusCode};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_protocol::answer::WireAnswer;
+use wharfquay_protocol::headers as names;
+
+use crate::body::AnswerBody;
+
+/// Milliseconds until a refused caller should come back; the precise form of `Retry-After`.
+pub const RETRY_AFTER_MS: header::HeaderName =
+    header::HeaderName::from_static("wharfquay-retry-after-ms");
+
+const MILLIS_PER_SECOND: u128 = 1_000;
+
+/// An answer that the system gives in place of a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// What happened.
+    pub code: ResultCode,
+    /// When the caller should come back; meaningful where the code wants it.
+    pub retry_after: Duration,
+}
+
+impl Failure {
+    /// A failure after which the caller need not wait.
+    #[must_use]
+    pub const fn new(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    /// A failure after which the caller should wait.
+    #[must_use]
+    pub const fn with_retry_after(code: ResultCode, retry_after: Duration) -> Self {
+        Self { code, retry_after }
+    }
+
+    /// The answer that tells of this failure.
+    #[must_use]
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let status = StatusCode::from_u16(self.code.http_status());
+        let text = format!("result={} name={}\n", self.code.number(), self.code.name());
+        let mut response = Response::new(AnswerBody::own(text));
+        *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; charset=utf-8"),
+        );
+        set_result(headers, self.code);
+        if self.code.wants_retry_after() {
+            set_retry_after(headers, self.retry_after);
+        }
+        response
+    }
+}
+
+/// Writes the result code and its outcome class.
+pub(crate) fn set_result(headers: &mut HeaderMap, code: ResultCode) {
+    let outcome = HeaderValue::from_static(code.outcome().as_str());
+    headers.insert(names::RESULT, HeaderValue::from(code.number()));
+    headers.insert(names::OUTCOME, outcome);
+}
+
+/// Reads the result code that another daemon wrote.
+pub(crate) fn result(headers: &HeaderMap) -> Option<ResultCode> {
+    let text = headers.get(names::RESULT)?.to_str().ok()?;
+    ResultCode::from_number(text.parse().ok()?)
+}
+
+fn set_retry_after(headers: &mut HeaderMap, retry_after: Duration) {
+    let millis = retry_after.as_millis().max(1);
+    let seconds = millis.div_ceil(MILLIS_PER_SECOND);
+    let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+    let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
+    headers.insert(RETRY_AFTER_MS, HeaderValue::from(millis));
+    headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+}
+
+/// Reads when a refused caller should come back; zero where the answer does not say.
+pub(crate) fn retry_after(headers: &HeaderMap) -> Duration {
+    let millis = headers
+        .get(RETRY_AFTER_MS)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    Duration::from_millis(millis.unwrap_or_default())
+}
+
+/// Writes the metadata for the daemon that sent the call.
+pub(crate) fn set_metadata(headers: &mut HeaderMap, metadata: &WireAnswer) {
+    if let Ok(value) = HeaderValue::from_str(&metadata.encode()) {
+        headers.insert(names::ANSWER, value);
+    }
+}
+
+/// Takes the metadata of the answering daemon out of the headers.
+pub(crate) fn take_metadata(headers: &mut HeaderMap) -> Option<WireAnswer> {
+    let value = headers.remove(names::ANSWER)?;
+    WireAnswer::decode(value.as_bytes()).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/body.rs
@@ -0,0 +1,226 @@
+//! Message bodies as they pass through the daemon.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep};
+
+/// Largest request body that is held in memory so that the call can be tried again, in bytes.
+pub const MAX_HELD_BODY: usize = 64 * 1024;
+
+/// Why a body ended before it was whole.
+#[derive(Debug, Display)]
+pub enum BodyError {
+    /// the sender's stream failed: {0}
+    Stream(hyper::Error),
+    /// the deadline passed before the body was whole
+    DeadlinePassed,
+}
+
+impl std::error::Error for BodyError {}
+
+/// The body of a request on its way to a back end.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// The whole body, in memory.
+    Held(Option<Bytes>),
+    /// The first bytes of a body, and the stream that brings the rest.
+    Streamed {
+        /// What was read already.
+        prefix: Option<Bytes>,
+        /// What is still to come.
+        rest: Incoming,
+    },
+}
+
+impl RequestBody {
+    /// A body in memory.
+    #[must_use]
+    pub fn held(bytes: Bytes) -> Self {
+        Self::Held((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Held(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Streamed { prefix, rest } => {
+                if let Some(bytes) = prefix.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                let frame = ready!(Pin::new(rest).poll_frame(context));
+                Poll::Ready(frame.map(|result| result.map_err(BodyError::Stream)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Held(bytes) => bytes.is_none(),
+            Self::Streamed { prefix, rest } => prefix.is_none() && rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Held(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
+            Self::Streamed { prefix, rest } => {
+                let prefix = length(prefix.as_ref());
+                let rest = rest.size_hint();
+                let mut hint = SizeHint::new();
+                hint.set_lower(prefix + rest.lower());
+                if let Some(upper) = rest.upper() {
+                    hint.set_upper(prefix + upper);
+                }
+                hint
+            }
+        }
+    }
+}
+
+fn length(bytes: Option<&Bytes>) -> u64 {
+    bytes.map_or(0, |bytes| bytes.len() as u64)
+}
+
+/// How the body of a relayed answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Every byte was passed on.
+    Complete,
+    /// The sender broke off, or the deadline passed.
+    Failed,
+    /// The receiver lost interest.
+    Abandoned,
+}
+
+/// Learns how the body of an answer ended.
+pub trait BodyObserver: Send {
+    /// Called exactly once.
+    fn ended(self: Box<Self>, end: BodyEnd);
+}
+
+/// The body of an answer on its way to a caller. A stream that breaks off, or whose deadline passes,
+/// ends in an error, so that the receiver never takes a part for the whole.
+pub struct AnswerBody {
+    source: Source,
+}
+
+enum Source {
+    Own(Option<Bytes>),
+    Relayed(Relayed),
+}
+
+struct Relayed {
+    incoming: Incoming,
+    deadline: Pin<Box<Sleep>>,
+    observers: Vec<Box<dyn BodyObserver>>,
+}
+
+impl AnswerBody {
+    /// A body that the daemon itself wrote.
+    #[must_use]
+    pub fn own(text: String) -> Self {
+        let bytes = (!text.is_empty()).then(|| Bytes::from(text));
+        Self {
+            source: Source::Own(bytes),
+        }
+    }
+
+    /// A body that is passed on as it comes, until `deadline`.
+    #[must_use]
+    pub fn relayed(incoming: Incoming, deadline: Instant) -> Self {
+        Self {
+            source: Source::Relayed(Relayed {
+                incoming,
+                deadline: Box::pin(tokio::time::sleep_until(deadline)),
+                observers: Vec::new(),
+            }),
+        }
+    }
+
+    /// Lets `observer` learn how the body ends; a body in memory ends at once.
+    pub fn observe(&mut self, observer: Box<dyn BodyObserver>) {
+        match &mut self.source {
+            Source::Own(_) => observer.ended(BodyEnd::Complete),
+            Source::Relayed(relayed) => relayed.observers.push(observer),
+        }
+    }
+}
+
+impl Relayed {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(error))) => {
+                self.end(BodyEnd::Failed);
+                Poll::Ready(Some(Err(BodyError::Stream(error))))
+            }
+            Poll::Ready(None) => {
+                self.end(BodyEnd::Complete);
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                ready!(self.deadline.as_mut().poll(context));
+                self.end(BodyEnd::Failed);
+                Poll::Ready(Some(Err(BodyError::DeadlinePassed)))
+            }
+        }
+    }
+
+    fn end(&mut self, end: BodyEnd) {
+        for observer in self.observers.drain(..) {
+            observer.ended(end);
+        }
+    }
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        let whole = self.incoming.is_end_stream();
+        self.end(if whole {
+            BodyEnd::Complete
+        } else {
+            BodyEnd::Abandoned
+        });
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut self.source {
+            Source::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Source::Relayed(relayed) => relayed.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Own(bytes) => bytes.is_none(),
+            Source::Relayed(relayed) => relayed.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Own(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
+            Source::Relayed(relayed) => relayed.incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,79 @@
+//! The control side: the configuration in force and the endpoints of each service.
+//!
+//! The rest of the daemon sees [`ControlView`] only, whatever fills it.
+
+mod configuration;
+mod endpoints;
+mod machines;
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wharfquay_core::routing::EndpointId;
+use wharfquay_platform::Client;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::settings::Settings;
+
+pub use endpoints::{EndpointRecord, EndpointTable};
+
+/// What the rest of the daemon sees of the control side.
+#[derive(Clone, Debug)]
+pub struct ControlView {
+    /// The configuration in force; its revision is zero before the first one.
+    pub snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// The endpoints of each service.
+    pub endpoints: watch::Receiver<Arc<EndpointTable>>,
+    /// Whether this daemon's own back end is leaving.
+    pub leaving: watch::Receiver<bool>,
+}
+
+/// Starts the tasks that keep the view up to date until `stop`.
+#[must_use]
+pub fn start(
+    settings: &Settings,
+    client: Arc<Client>,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) -> ControlView {
+    let (snapshot_sender, snapshot) = watch::channel(Arc::new(Snapshot::default()));
+    let (endpoints_sender, endpoints) = watch::channel(Arc::new(EndpointTable::default()));
+    let (leaving_sender, leaving) = watch::channel(false);
+    let reader = configuration::Reader::new(Arc::clone(&client), snapshot_sender);
+    let poller = machines::Poller {
+        client,
+        interval: std::time::Duration::from_millis(settings.platform.poll_interval_ms),
+        own_id: EndpointId::from(settings.id.as_str()),
+        own_zone: settings.zone.clone(),
+        own_service: settings
+            .backend
+            .as_ref()
+            .map(|backend| backend.service.clone()),
+        snapshot: snapshot.clone(),
+        endpoints: endpoints_sender,
+        leaving: leaving_sender,
+    };
+    spawn_until(tasks, stop, reader.run());
+    spawn_until(tasks, stop, poller.run());
+    ControlView {
+        snapshot,
+        endpoints,
+        leaving,
+    }
+}
+
+fn spawn_until(
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+    task: impl Future<Output = ()> + Send + 'static,
+) {
+    let stop = stop.clone();
+    tasks.spawn(async move {
+        tokio::select! {
+            () = task => {}
+            () = stop.cancelled() => {}
+        }
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,372 @@
+//! Putting a daemon together: listeners, control, and the orderly stop.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use displaydoc::Display;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use salvo::conn::tcp::TcpAcceptor;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wharfquay_core::admission::AdmissionSettings;
+use wharfquay_core::routing::Zone;
+use wharfquay_platform::{Client, ClientSettings};
+
+use crate::admin::AdminState;
+use crate::backend_pool::BackendPool;
+use crate::body::AnswerBody;
+use crate::clock::Clock;
+use crate::control;
+use crate::edge::EdgeHandler;
+use crate::inbound::gate::AdmissionGate;
+use crate::inbound::{InboundHandler, LocalBackend};
+use crate::listener::BoundListener;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::outbound::routes::RouteTable;
+use crate::outbound::{Forwarder, OutboundHandler};
+use crate::peers::PeerPool;
+use crate::scopes::ScopeTable;
+use crate::server::{self, Protocols};
+use crate::settings::{BackendSettings, ListenSettings, Settings};
+
+/// How often a stop looks whether the last call has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+/// Time for connections to close once no call is in flight.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+/// Connections to the back end before the configuration says how many.
+const FIRST_CONNECTION_LIMIT: usize = 16;
+
+/// Why a daemon can't start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// {field}: can't listen on {address}: {source}
+    Listen {
+        /// The settings field that names the address.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system reported.
+        source: io::Error,
+    },
+}
+
+impl std::error::Error for StartError {}
+
+/// Addresses that a daemon listens on, with the ports that the operating system chose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub edge: Option<SocketAddr>,
+    /// For other daemons.
+    pub inbound: Option<SocketAddr>,
+    /// For the local back end's own calls.
+    pub outbound: Option<SocketAddr>,
+    /// For operators.
+    pub admin: Option<SocketAddr>,
+}
+
+/// Starts daemons.
+#[derive(Debug)]
+pub struct Daemon;
+
+impl Daemon {
+    /// Binds the listeners and starts to serve.
+    ///
+    /// # Errors
+    /// [`StartError`] names the settings field and the address that can't be used.
+    pub async fn start(settings: Settings) -> Result<RunningDaemon, StartError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses();
+        let tasks = TaskTracker::new();
+        let stop = CancellationToken::new();
+        let node = build_node(settings, &tasks, &stop);
+        let backend = node.settings.backend.as_ref();
+        let backend = backend.map(|backend| build_backend(&node, backend));
+        let running = RunningDaemon {
+            addresses,
+            node,
+            backend,
+            tasks,
+            stop,
+        };
+        running.spawn_updates();
+        running.spawn_listeners(listeners);
+        running.log_start();
+        Ok(running)
+    }
+}
+
+struct Listeners {
+    edge: Option<BoundListener>,
+    inbound: Option<BoundListener>,
+    outbound: Option<BoundListener>,
+    admin: BoundListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        Ok(Self {
+            edge: bind_optional("edge.listen", settings.edge).await?,
+            inbound: bind_optional("inbound.listen", settings.inbound).await?,
+            outbound: bind_optional("outbound.listen", settings.outbound).await?,
+            admin: bind("admin.listen", settings.admin.listen).await?,
+        })
+    }
+
+    fn addresses(&self) -> Addresses {
+        let address = |bound: &Option<BoundListener>| bound.as_ref().map(|bound| bound.address);
+        Addresses {
+            edge: address(&self.edge),
+            inbound: address(&self.inbound),
+            outbound: address(&self.outbound),
+            admin: Some(self.admin.address),
+        }
+    }
+}
+
+async fn bind_optional(
+    field: &'static str,
+    settings: Option<ListenSettings>,
+) -> Result<Option<BoundListener>, StartError> {
+    match settings {
+        Some(settings) => bind(field, settings.listen).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+async fn bind(field: &'static str, address: SocketAddr) -> Result<BoundListener, StartError> {
+    BoundListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen {
+            field,
+            address,
+            source,
+        })
+}
+
+fn build_node(settings: Settings, tasks: &TaskTracker, stop: &CancellationToken) -> Arc<Node> {
+    let clock = Clock::start();
+    let metrics = Arc::new(Metrics::default());
+    let platform = &settings.platform;
+    let client_settings = ClientSettings {
+        call_timeout: Duration::from_millis(platform.request_timeout_ms),
+        ..ClientSettings::default()
+    };
+    let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
+    let control = control::start(&settings, client, tasks, stop);
+    let routes = RouteTable::new(Zone::from(settings.zone.as_str()));
+    let limits = settings.limits;
+    let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
+    let forwarder = Forwarder::new(clock, routes, peers, Arc::clone(&metrics));
+    Arc::new(Node {
+        settings,
+        clock,
+        control,
+        forwarder,
+        scopes: Arc::new(ScopeTable::default()),
+        metrics,
+        stopping: AtomicBool::new(false),
+        in_flight: Arc::default(),
+    })
+}
+
+fn build_backend(node: &Node, settings: &BackendSettings) -> Arc<LocalBackend> {
+    let connect_timeout = node.settings.limits.connect_timeout();
+    let limit = FIRST_CONNECTION_LIMIT;
+    Arc::new(LocalBackend {
+        service: settings.service.clone(),
+        gate: AdmissionGate::new(AdmissionSettings::default(), node.clock),
+        pool: BackendPool::new(settings.address, limit, connect_timeout),
+    })
+}
+
+/// A daemon that serves.
+#[derive(Debug)]
+pub struct RunningDaemon {
+    addresses: Addresses,
+    node: Arc<Node>,
+    backend: Option<Arc<LocalBackend>>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+impl RunningDaemon {
+    /// The addresses that it listens on.
+    #[must_use]
+    pub const fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// The counters.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.node.metrics
+    }
+
+    /// Refuses new work, waits for the calls in flight up to the configured limit and ends.
+    pub async fn shutdown(self) {
+        self.node.stopping.store(true, Ordering::Relaxed);
+        if let Some(backend) = &self.backend {
+            backend.gate.begin_drain();
+        }
+        let in_flight = self.node.calls_in_flight();
+        log::info!("event=stopping calls_in_flight={in_flight}");
+        let left = self.drain().await;
+        self.stop.cancel();
+        self.tasks.close();
+        let _ = tokio::time::timeout(CLOSE_GRACE, self.tasks.wait()).await;
+        log::info!("event=stopped calls_cut={left}");
+    }
+
+    /// Waits for the calls in flight; gives how many were left at the limit.
+    async fn drain(&self) -> usize {
+        let limit = Instant::now() + self.node.settings.limits.drain_limit();
+        while self.node.calls_in_flight() > 0 && Instant::now() < limit {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        self.node.calls_in_flight()
+    }
+
+    fn log_start(&self) {
+        let settings = &self.node.settings;
+        let show = |address: Option<SocketAddr>| {
+            address.map_or_else(|| "none".to_owned(), |address| address.to_string())
+        };
+        log::info!(
+            "event=started id={} zone={} edge={} inbound={} outbound={} admin={}",
+            settings.id,
+            settings.zone,
+            show(self.addresses.edge),
+            show(self.addresses.inbound),
+            show(self.addresses.outbound),
+            show(self.addresses.admin),
+        );
+    }
+
+    /// Applies each new configuration and endpoint table.
+    fn spawn_updates(&self) {
+        let node = Arc::clone(&self.node);
+        let backend = self.backend.clone();
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            let updates = apply_updates(&node, backend.as_deref());
+            tokio::select! {
+                () = updates => {}
+                () = stop.cancelled() => {}
+            }
+        });
+        if let Some(backend) = self.backend.clone() {
+            let stop = self.stop.clone();
+            self.tasks.spawn(async move {
+                tokio::select! {
+                    () = backend.gate.run_timer() => {}
+                    () = stop.cancelled() => {}
+                }
+            });
+        }
+    }
+
+    fn spawn_listeners(&self, listeners: Listeners) {
+        if let Some(listener) = listeners.edge {
+            let handler = EdgeHandler::new(Arc::clone(&self.node));
+            self.spawn_listener(listener, Protocols::Any, move |request| {
+                let handler = handler.clone();
+                async move { handler.handle(request).await }
+            });
+        }
+        if let (Some(listener), Some(backend)) = (listeners.inbound, &self.backend) {
+            let handler = InboundHandler::new(Arc::clone(&self.node), Arc::clone(backend));
+            self.spawn_listener(listener, Protocols::Http2, move |request| {
+                let handler = handler.clone();
+                async move { handler.handle(request).await }
+            });
+        }
+        if let (Some(listener), Some(backend)) = (listeners.outbound, &self.backend) {
+            let gate = Arc::clone(&backend.gate);
+            let handler = OutboundHandler::new(Arc::clone(&self.node), gate);
+            self.spawn_listener(listener, Protocols::Any, move |request| {
+                let handler = handler.clone();
+                async move { handler.handle(request).await }
+            });
+        }
+        self.spawn_admin(listeners.admin);
+    }
+
+    fn spawn_listener<H, F>(&self, bound: BoundListener, protocols: Protocols, handle: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    {
+        let builder = server::builder(protocols, &self.node.settings.limits);
+        let tasks = self.tasks.clone();
+        let stop = self.stop.clone();
+        let metrics = Arc::clone(&self.node.metrics);
+        self.tasks.spawn(async move {
+            let serve = |stream| {
+                let connection =
+                    server::serve(builder.clone(), stream, stop.clone(), handle.clone());
+                tasks.spawn(connection);
+            };
+            bound.accept_until(stop.clone(), &metrics, serve).await;
+        });
+    }
+
+    fn spawn_admin(&self, bound: BoundListener) {
+        let state = AdminState {
+            node: Arc::clone(&self.node),
+            backend: self.backend.clone(),
+        };
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            let acceptor = match TcpAcceptor::try_from(bound.listener) {
+                Ok(acceptor) => acceptor,
+                Err(error) => {
+                    log::error!("event=admin_failed error=\"{error}\"");
+                    return;
+                }
+            };
+            let server = salvo::Server::new(acceptor);
+            tokio::select! {
+                ended = server.try_serve(state.router()) => {
+                    if let Err(error) = ended {
+                        log::error!("event=admin_failed error=\"{error}\"");
+                    }
+                }
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn apply_updates(node: &Node, backend: Option<&LocalBackend>) {
+    let mut snapshot = node.control.snapshot.clone();
+    let mut endpoints = node.control.endpoints.clone();
+    let mut configured = None;
+    loop {
+        let current = snapshot.borrow_and_update().clone();
+        let table = endpoints.borrow_and_update().clone();
+        node.forwarder
+            .routes()
+            .update(node.clock.now(), &current, &table);
+        let service = backend.and_then(|backend| current.services.get(&backend.service));
+        if let (Some(backend), Some(service)) = (backend, service)
+            && configured.as_ref() != Some(service)
+        {
+            backend.configure(service);
+            configured = Some(service.clone());
+        }
+        let changed = tokio::select! {
+            changed = snapshot.changed() => changed,
+            changed = endpoints.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/mod.rs
@@ -0,0 +1,128 @@
+//! The edge: requests of callers, which become originating requests here.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use uuid::Uuid;
+use wharfquay_core::call::{
+    AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
+};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
+use wharfquay_core::retry::Ledger;
+use wharfquay_protocol::headers as names;
+use wharfquay_resources::kinds::RequestKind;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::answer::Failure;
+use crate::body::AnswerBody;
+use crate::metrics::Side;
+use crate::node::Node;
+use crate::outbound::call::{OutgoingCall, RequestHead, RetryAccount, backoff_for};
+use crate::request::{check_head_size, service_name};
+
+/// Retry-After of a refusal because this edge is being stopped.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Version of the UUIDs that idempotency keys are.
+const KEY_VERSION: usize = 7;
+
+/// Serves callers.
+#[derive(Clone, Debug)]
+pub(crate) struct EdgeHandler {
+    node: Arc<Node>,
+}
+
+impl EdgeHandler {
+    pub(crate) const fn new(node: Arc<Node>) -> Self {
+        Self { node }
+    }
+
+    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let call = self.node.begin_call();
+        let result = self.answer(request).await;
+        let mut response = self.node.finish(Side::Edge, result);
+        response.body_mut().observe(Box::new(call));
+        response
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
+        check_head_size(&request, self.node.settings.limits.header_bytes)?;
+        if self.node.is_stopping() {
+            let code = ResultCode::Draining;
+            return Err(Failure::with_retry_after(code, STOPPING_RETRY_AFTER));
+        }
+        let snapshot = self.node.configuration()?;
+        let service = service_name(&request)?;
+        let kind = snapshot
+            .match_request(&service, request.method().as_str(), request.uri().path())
+            .ok_or_else(|| Failure::new(ResultCode::UnknownService))?;
+        let context = self.context(&snapshot, kind, request.headers())?;
+        let account = RetryAccount {
+            ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
+            backoff: backoff_for(&snapshot, &context.request_kind),
+        };
+        let (head, body) = RequestHead::split(request);
+        let call = OutgoingCall {
+            service,
+            context,
+            head,
+            account,
+        };
+        self.node.forwarder.forward(&call, body).await
+    }
+
+    fn context(
+        &self,
+        snapshot: &Snapshot,
+        kind: &RequestKind,
+        headers: &HeaderMap,
+    ) -> Result<CallContext, Failure> {
+        let idempotency_key = idempotency_key(headers)?;
+        if idempotency_key.is_none() && kind.idempotency_key_required && !kind.repeatable {
+            return Err(Failure::new(ResultCode::MissingIdempotencyKey));
+        }
+        let budget = snapshot.retry_budget_for(kind);
+        let retries = budget.map_or(0, |budget| budget.retries_per_request);
+        Ok(CallContext {
+            origin: OriginId::from_u128(Uuid::now_v7().as_u128()),
+            attempt: AttemptId::new(0),
+            request_kind: kind.name.clone(),
+            priority: Priority::new(kind.priority).unwrap_or(Priority::LOWEST),
+            deadline: self.node.clock.now() + lifetime(kind, headers)?,
+            allowance: RetryAllowance::new(retries),
+            repeatability: if kind.repeatable {
+                Repeatability::Repeatable
+            } else {
+                Repeatability::AtMostOnce
+            },
+            idempotency_key,
+            depth: 0,
+        })
+    }
+}
+
+/// Time in which the answer is worth something: what the caller says, bounded by the request kind.
+fn lifetime(kind: &RequestKind, headers: &HeaderMap) -> Result<Duration, Failure> {
+    let longest = u64::from(kind.deadline_ms);
+    let millis = match headers.get(names::DEADLINE) {
+        None => longest,
+        Some(value) => {
+            let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+            let given: u64 = millis.ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
+            given.min(longest)
+        }
+    };
+    Ok(Duration::from_millis(millis))
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Failure> {
+    let Some(value) = headers.get(names::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    let key = parsed.filter(|key: &Uuid| key.get_version_num() == KEY_VERSION);
+    let key = key.ok_or_else(|| Failure::new(ResultCode::InvalidIdempotencyKey))?;
+    Ok(Some(IdempotencyKey::from_u128(key.as_u128())))
+}
--- /dev/null
+++ b/crates/daemon/src/inbound/gate.rs
@@ -0,0 +1,248 @@
+//! Drives the admission controller: callers wait here until their call is dispatched or refused.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::{Notify, oneshot};
+use wharfquay_core::admission::{
+    AdmissionController, AdmissionEffect, AdmissionSettings, CallTicket, Cancellation, Completion,
+    Load, OfferedCall,
+};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
+use wharfquay_core::time::Timestamp;
+
+use crate::answer::Failure;
+use crate::clock::Clock;
+use crate::sync::lock;
+
+type Verdict = Result<(), Failure>;
+
+/// Admission to the local back end.
+#[derive(Debug)]
+pub(crate) struct AdmissionGate {
+    clock: Clock,
+    state: Mutex<GateState>,
+    next_ticket: AtomicU64,
+    timer_changed: Notify,
+}
+
+#[derive(Debug)]
+struct GateState {
+    controller: AdmissionController,
+    waiting: HashMap<CallTicket, oneshot::Sender<Verdict>>,
+}
+
+impl GateState {
+    fn apply(&mut self, effects: Vec<AdmissionEffect>) {
+        for effect in effects {
+            let (ticket, verdict) = match effect {
+                AdmissionEffect::Dispatch(ticket) => (ticket, Ok(())),
+                AdmissionEffect::Refuse {
+                    ticket,
+                    code,
+                    retry_after,
+                } => (ticket, Err(Failure::with_retry_after(code, retry_after))),
+            };
+            if let Some(waiter) = self.waiting.remove(&ticket) {
+                // A waiter that is gone settles its ticket when it is dropped.
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+}
+
+/// Load and level of the local back end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct GateReport {
+    /// Calls in execution, limit and queue.
+    pub(crate) load: Load,
+    /// Admission level in force.
+    pub(crate) level: AdmissionLevel,
+}
+
+impl AdmissionGate {
+    /// A gate without calls.
+    #[must_use]
+    pub(crate) fn new(settings: AdmissionSettings, clock: Clock) -> Arc<Self> {
+        let controller = AdmissionController::new(settings, clock.now());
+        Arc::new(Self {
+            clock,
+            state: Mutex::new(GateState {
+                controller,
+                waiting: HashMap::new(),
+            }),
+            next_ticket: AtomicU64::new(1),
+            timer_changed: Notify::new(),
+        })
+    }
+
+    /// Waits until the call may be handed to the back end. Dropping the future withdraws the call.
+    ///
+    /// # Errors
+    /// The refusal, in which case the call was not run.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        key: AdmissionKey,
+        deadline: Timestamp,
+    ) -> Result<Permit, Failure> {
+        let ticket = CallTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let (sender, verdict) = oneshot::channel();
+        let mut permit = Permit {
+            gate: Arc::clone(self),
+            ticket,
+            state: PermitState::Offered,
+        };
+        self.with_state(|state, now| {
+            state.waiting.insert(ticket, sender);
+            let call = OfferedCall {
+                ticket,
+                key,
+                deadline,
+            };
+            state.controller.offer(now, call)
+        });
+        match verdict.await {
+            Ok(Ok(())) => {
+                permit.state = PermitState::Dispatched;
+                Ok(permit)
+            }
+            Ok(Err(failure)) => {
+                permit.state = PermitState::Settled;
+                Err(failure)
+            }
+            Err(_) => Err(Failure::new(ResultCode::RefusedQueueFull)),
+        }
+    }
+
+    /// Puts new settings in force.
+    pub(crate) fn reconfigure(&self, settings: AdmissionSettings) {
+        self.with_state(|state, now| state.controller.reconfigure(now, settings));
+    }
+
+    /// Refuses every waiting call and every call from now on.
+    pub(crate) fn begin_drain(&self) {
+        self.with_state(|state, now| state.controller.begin_drain(now));
+    }
+
+    /// Load and level now.
+    #[must_use]
+    pub(crate) fn report(&self) -> GateReport {
+        let state = lock(&self.state);
+        GateReport {
+            load: state.controller.load(),
+            level: state.controller.level(),
+        }
+    }
+
+    /// Notes that the execution behind `ticket` waits for a call of its own.
+    pub(crate) fn downstream_started(&self, ticket: CallTicket) {
+        let now = self.clock.now();
+        lock(&self.state).controller.downstream_started(now, ticket);
+    }
+
+    /// Notes the end of that call.
+    pub(crate) fn downstream_ended(&self, ticket: CallTicket) {
+        let now = self.clock.now();
+        lock(&self.state).controller.downstream_ended(now, ticket);
+    }
+
+    /// Runs the controller's timer; never returns.
+    pub(crate) async fn run_timer(&self) {
+        loop {
+            let wakeup = lock(&self.state).controller.next_wakeup();
+            match wakeup {
+                Some(wakeup) => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(wakeup)) => {}
+                    () = self.timer_changed.notified() => continue,
+                },
+                None => {
+                    self.timer_changed.notified().await;
+                    continue;
+                }
+            }
+            self.with_state(|state, now| state.controller.advance(now));
+        }
+    }
+
+    fn with_state(&self, input: impl FnOnce(&mut GateState, Timestamp) -> Vec<AdmissionEffect>) {
+        let mut state = lock(&self.state);
+        let before = state.controller.next_wakeup();
+        let effects = input(&mut state, self.clock.now());
+        state.apply(effects);
+        let after = state.controller.next_wakeup();
+        drop(state);
+        let earlier = match (before, after) {
+            (Some(before), Some(after)) => after < before,
+            (None, after) => after.is_some(),
+            (Some(_), None) => false,
+        };
+        if earlier {
+            self.timer_changed.notify_one();
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PermitState {
+    Offered,
+    Dispatched,
+    Settled,
+}
+
+/// A call's place: waiting, or in execution. Dropping it withdraws the call or reports the
+/// execution as cancelled.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    gate: Arc<AdmissionGate>,
+    ticket: CallTicket,
+    state: PermitState,
+}
+
+impl Permit {
+    /// The call, as admission knows it.
+    #[must_use]
+    pub(crate) const fn ticket(&self) -> CallTicket {
+        self.ticket
+    }
+
+    /// Reports how the execution ended.
+    pub(crate) fn complete(mut self, completion: Completion) {
+        self.settle(completion);
+    }
+
+    fn settle(&mut self, completion: Completion) {
+        if self.state == PermitState::Settled {
+            return;
+        }
+        self.state = PermitState::Settled;
+        let ticket = self.ticket;
+        self.gate
+            .with_state(|state, now| state.controller.complete(now, ticket, completion));
+    }
+
+    /// The controller owns the race between a dispatch and a withdrawal.
+    fn withdraw(&mut self) {
+        let ticket = self.ticket;
+        let mut dispatched = false;
+        self.gate.with_state(|state, now| {
+            state.waiting.remove(&ticket);
+            dispatched = state.controller.cancel(now, ticket) == Cancellation::AlreadyDispatched;
+            Vec::new()
+        });
+        if dispatched {
+            self.settle(Completion::Cancelled);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        match self.state {
+            PermitState::Offered => self.withdraw(),
+            PermitState::Dispatched => self.settle(Completion::Cancelled),
+            PermitState::Settled => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/inbound/handler.rs
@@ -0,0 +1,232 @@
+//! Admission of a call, its execution at the local back end, and the answer with its metadata.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use wharfquay_core::admission::{AdmissionSettings, Completion};
+use wharfquay_core::call::{CallContext, RetryAllowance};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_protocol::answer::WireAnswer;
+use wharfquay_protocol::context::WireContext;
+use wharfquay_protocol::headers as names;
+use wharfquay_resources::kinds::Service;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::answer::{Failure, set_metadata, set_result};
+use crate::backend_pool::BackendPool;
+use crate::body::{AnswerBody, BodyEnd, BodyObserver};
+use crate::headers::{remove_hop_by_hop, remove_internal_answer};
+use crate::inbound::dispatch::{self, Answered};
+use crate::inbound::gate::{AdmissionGate, Permit};
+use crate::metrics::Side;
+use crate::node::Node;
+use crate::scopes::OpenScope;
+
+/// Retry-After of a refusal because this daemon leaves or is not ready.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// The back end beside this daemon.
+#[derive(Debug)]
+pub(crate) struct LocalBackend {
+    pub(crate) service: String,
+    pub(crate) gate: Arc<AdmissionGate>,
+    pub(crate) pool: Arc<BackendPool>,
+}
+
+impl LocalBackend {
+    /// Takes over what the configuration says of the service.
+    pub(crate) fn configure(&self, service: &Service) {
+        self.gate.reconfigure(admission_settings(service));
+        self.pool.set_limit(service.connections as usize);
+    }
+}
+
+/// Admission settings that follow from a service resource.
+pub(crate) fn admission_settings(service: &Service) -> AdmissionSettings {
+    AdmissionSettings {
+        initial_limit: service.slots,
+        maximum_limit: service.connections.max(1),
+        maximum_queue_wait: Duration::from_millis(u64::from(service.queue_wait_ms)),
+        ..AdmissionSettings::default()
+    }
+}
+
+/// Serves the calls of other daemons.
+#[derive(Clone, Debug)]
+pub(crate) struct InboundHandler {
+    node: Arc<Node>,
+    backend: Arc<LocalBackend>,
+}
+
+impl InboundHandler {
+    pub(crate) const fn new(node: Arc<Node>, backend: Arc<LocalBackend>) -> Self {
+        Self { node, backend }
+    }
+
+    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let call = self.node.begin_call();
+        let result = match self.read_context(&request) {
+            Ok(context) => self.execute(context, request).await,
+            Err(failure) => Err(failure),
+        };
+        let mut response = self.node.finish(Side::Inbound, result);
+        response.body_mut().observe(Box::new(call));
+        response
+    }
+
+    fn read_context(&self, request: &Request<Incoming>) -> Result<CallContext, Failure> {
+        let now = self.node.clock.now();
+        let value = request.headers().get(names::CONTEXT);
+        let wire = value.and_then(|value| WireContext::decode(value.as_bytes()).ok());
+        let context = wire.and_then(|wire| wire.into_context(now).ok());
+        context.ok_or_else(|| Failure::new(ResultCode::InvalidContext))
+    }
+
+    async fn execute(
+        &self,
+        context: CallContext,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let kind = context.request_kind.clone();
+        let allowance = context.allowance;
+        let result = self.admit_and_dispatch(context, request).await;
+        let (mut response, returned) = match result {
+            Ok(accepted) => self.relay(accepted),
+            Err(rejected) => (
+                rejected.failure.into_response(),
+                rejected.returned.unwrap_or(allowance),
+            ),
+        };
+        let metadata = self.metadata(&kind, returned);
+        set_metadata(response.headers_mut(), &metadata);
+        Ok(response)
+    }
+
+    async fn admit_and_dispatch(
+        &self,
+        context: CallContext,
+        request: Request<Incoming>,
+    ) -> Result<Execution, Rejected> {
+        self.check_open()?;
+        let key = context.admission_key();
+        let deadline = context.deadline;
+        let permit = self.backend.gate.enter(key, deadline).await?;
+        let scope = self.node.scopes.open(context, permit.ticket());
+        let deadline = self.node.clock.instant(deadline);
+        let dispatched = dispatch::execute(&self.backend, &scope, request, deadline).await;
+        match dispatched {
+            Ok(answered) => Ok(Execution {
+                answered,
+                scope,
+                permit,
+                deadline,
+            }),
+            Err(failure) => {
+                let returned = Some(scope.scope().close_ledger());
+                permit.complete(completion_of(failure.code));
+                Err(Rejected { failure, returned })
+            }
+        }
+    }
+
+    fn check_open(&self) -> Result<(), Failure> {
+        let refuse = |code| Err(Failure::with_retry_after(code, UNAVAILABLE_RETRY_AFTER));
+        if self.node.is_stopping() || *self.node.control.leaving.borrow() {
+            return refuse(ResultCode::Draining);
+        }
+        let snapshot = self.node.configuration()?;
+        if !snapshot.services.contains_key(&self.backend.service) {
+            return refuse(ResultCode::NotReady);
+        }
+        Ok(())
+    }
+
+    fn relay(&self, execution: Execution) -> (Response<AnswerBody>, RetryAllowance) {
+        let returned = execution.scope.scope().close_ledger();
+        let (mut parts, incoming) = execution.answered.response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        remove_internal_answer(&mut parts.headers);
+        set_result(&mut parts.headers, ResultCode::Answered);
+        let mut body = AnswerBody::relayed(incoming, execution.deadline);
+        body.observe(Box::new(execution.answered.lease));
+        body.observe(Box::new(Closing {
+            _scope: execution.scope,
+            permit: execution.permit,
+        }));
+        (Response::from_parts(parts, body), returned)
+    }
+
+    fn metadata(&self, request_kind: &str, returned: RetryAllowance) -> WireAnswer {
+        let report = self.backend.gate.report();
+        let snapshot = self.node.control.snapshot.borrow().clone();
+        let below = self.level_below(&snapshot, request_kind);
+        WireAnswer {
+            returned,
+            level: report.level,
+            folded_level: report.level.fold(below),
+            in_flight: report.load.in_flight,
+            limit: report.load.limit,
+            queued: report.load.queued,
+        }
+    }
+
+    fn level_below(
+        &self,
+        snapshot: &Snapshot,
+        request_kind: &str,
+    ) -> wharfquay_core::priority::AdmissionLevel {
+        let service = snapshot.services.get(&self.backend.service);
+        let calls = service.into_iter().flat_map(|service| &service.calls);
+        self.node.forwarder.folded_level(calls, request_kind)
+    }
+}
+
+/// A call that the back end answered, up to the head of the answer.
+struct Execution {
+    answered: Answered,
+    scope: OpenScope,
+    permit: Permit,
+    deadline: tokio::time::Instant,
+}
+
+/// A call that has no answer of the back end.
+struct Rejected {
+    failure: Failure,
+    /// What the call's account hands back; all of it when none was opened.
+    returned: Option<RetryAllowance>,
+}
+
+impl From<Failure> for Rejected {
+    fn from(failure: Failure) -> Self {
+        Self {
+            failure,
+            returned: None,
+        }
+    }
+}
+
+/// Ends the execution with the body of its answer.
+struct Closing {
+    _scope: OpenScope,
+    permit: Permit,
+}
+
+impl BodyObserver for Closing {
+    fn ended(self: Box<Self>, end: BodyEnd) {
+        let completion = match end {
+            BodyEnd::Complete => Completion::Succeeded,
+            BodyEnd::Failed => Completion::Failed,
+            BodyEnd::Abandoned => Completion::Cancelled,
+        };
+        self.permit.complete(completion);
+    }
+}
+
+const fn completion_of(code: ResultCode) -> Completion {
+    match code {
+        ResultCode::DeadlineUnreachable => Completion::Cancelled,
+        _ => Completion::Failed,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,29 @@
 //! The daemon: inbound, outbound, control and admin sides round the decision logic.
+//!
+//! Every decision is taken by `wharfquay_core`; this crate turns sockets and timers into its inputs
+//! and carries out its effects.
+
+mod admin;
+pub mod answer;
+pub mod backend_pool;
+pub mod body;
+pub mod clock;
+mod connect;
+pub mod control;
+pub mod daemon;
+mod edge;
+mod headers;
+mod inbound;
+mod listener;
+pub mod logging;
+pub mod metrics;
+mod node;
+mod outbound;
+pub mod peers;
+mod request;
+pub mod scopes;
+mod server;
+pub mod settings;
+mod sync;
+
+pub use daemon::{Addresses, Daemon, RunningDaemon, StartError};
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,103 @@
+//! What the sides of one daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use http::Response;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_resources::snapshot::{Revision, Snapshot};
+
+use crate::answer::{Failure, result};
+use crate::body::{AnswerBody, BodyEnd, BodyObserver};
+use crate::clock::Clock;
+use crate::control::ControlView;
+use crate::metrics::{Metrics, Side};
+use crate::outbound::Forwarder;
+use crate::scopes::ScopeTable;
+use crate::settings::Settings;
+
+/// What the sides of one daemon share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) control: ControlView,
+    pub(crate) forwarder: Forwarder,
+    pub(crate) scopes: Arc<ScopeTable>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) in_flight: Arc<AtomicUsize>,
+}
+
+impl Node {
+    /// The configuration in force.
+    ///
+    /// # Errors
+    /// [`ResultCode::NotReady`] before the first one was adopted.
+    pub(crate) fn configuration(&self) -> Result<Arc<Snapshot>, Failure> {
+        let snapshot = self.control.snapshot.borrow().clone();
+        if snapshot.revision == Revision::ZERO {
+            return Err(Failure::new(ResultCode::NotReady));
+        }
+        Ok(snapshot)
+    }
+
+    /// Whether a stop was asked for.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call until the returned value is dropped.
+    pub(crate) fn begin_call(&self) -> CallInFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        CallInFlight(Arc::clone(&self.in_flight))
+    }
+
+    /// Calls that have not ended.
+    pub(crate) fn calls_in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Turns the end of a call into its answer and counts it.
+    pub(crate) fn finish(
+        &self,
+        side: Side,
+        ended: Result<Response<AnswerBody>, Failure>,
+    ) -> Response<AnswerBody> {
+        let mut response = ended.unwrap_or_else(Failure::into_response);
+        let code = result(response.headers()).unwrap_or(ResultCode::MalformedAnswer);
+        self.metrics.call_ended(side, code);
+        if code == ResultCode::Answered {
+            let observer = CutCounter(Arc::clone(&self.metrics));
+            response.body_mut().observe(Box::new(observer));
+        }
+        response
+    }
+}
+
+/// A call that has not ended; a stop waits for it.
+#[derive(Debug)]
+pub(crate) struct CallInFlight(Arc<AtomicUsize>);
+
+impl Drop for CallInFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl BodyObserver for CallInFlight {
+    /// The drop that follows ends the call.
+    fn ended(self: Box<Self>, _end: BodyEnd) {}
+}
+
+/// Counts answers that broke off.
+#[derive(Debug)]
+struct CutCounter(Arc<Metrics>);
+
+impl BodyObserver for CutCounter {
+    fn ended(self: Box<Self>, end: BodyEnd) {
+        if end == BodyEnd::Failed {
+            self.0.body_cut();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/outbound/call.rs
@@ -0,0 +1,135 @@
+//! A call on its way out of this daemon: its head, its body and its account of retries.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use wharfquay_core::call::CallContext;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::retry::{Backoff, Ledger};
+use wharfquay_resources::kinds::RetryBudget;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::answer::Failure;
+use crate::body::{MAX_HELD_BODY, RequestBody};
+use crate::headers::{remove_hop_by_hop, remove_internal_request};
+
+/// The head of a request, without what ends at this hop.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+}
+
+impl RequestHead {
+    /// Takes a request apart and removes the headers that must not cross this hop.
+    pub(crate) fn split(request: Request<Incoming>) -> (Self, Incoming) {
+        let (parts, body) = request.into_parts();
+        let mut headers = parts.headers;
+        remove_hop_by_hop(&mut headers);
+        remove_internal_request(&mut headers);
+        headers.remove(http::header::HOST);
+        let path = parts.uri.path_and_query().cloned();
+        let head = Self {
+            method: parts.method,
+            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+            headers,
+        };
+        (head, body)
+    }
+}
+
+/// How the retries of a call are spaced and accounted for.
+#[derive(Clone, Debug)]
+pub(crate) struct RetryAccount {
+    /// The ledger that pays; shared by all calls of a scope.
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    /// Waits before retries.
+    pub(crate) backoff: Backoff,
+}
+
+/// A call to a service.
+#[derive(Debug)]
+pub(crate) struct OutgoingCall {
+    pub(crate) service: String,
+    pub(crate) context: CallContext,
+    pub(crate) head: RequestHead,
+    pub(crate) account: RetryAccount,
+}
+
+/// The backoff of the retry budget that applies to the request kind of a call.
+pub(crate) fn backoff_for(snapshot: &Snapshot, request_kind: &str) -> Backoff {
+    let budget = snapshot
+        .request_kinds
+        .get(request_kind)
+        .and_then(|kind| snapshot.retry_budget_for(kind));
+    budget.map_or_else(Backoff::default, backoff_of)
+}
+
+fn backoff_of(budget: &RetryBudget) -> Backoff {
+    Backoff {
+        base: Duration::from_millis(u64::from(budget.backoff_base_ms)),
+        maximum: Duration::from_millis(u64::from(budget.backoff_max_ms)),
+    }
+}
+
+/// The body of a call: in memory, so that it can be sent again, or a stream that is sent once.
+#[derive(Debug)]
+pub(crate) enum CallBody {
+    Held(Bytes),
+    Stream(Option<RequestBody>),
+}
+
+impl CallBody {
+    /// Reads a body that is small enough to be held; a larger one stays a stream.
+    ///
+    /// # Errors
+    /// [`ResultCode::MalformedRequest`] when the sender broke off.
+    pub(crate) async fn read(mut incoming: Incoming) -> Result<Self, Failure> {
+        if incoming.is_end_stream() {
+            return Ok(Self::Held(Bytes::new()));
+        }
+        if incoming.size_hint().lower() > MAX_HELD_BODY as u64 {
+            return Ok(Self::stream(Bytes::new(), incoming));
+        }
+        let mut held = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            let frame = frame.map_err(|_| Failure::new(ResultCode::MalformedRequest))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            held.extend_from_slice(&data);
+            if held.len() > MAX_HELD_BODY {
+                return Ok(Self::stream(held.freeze(), incoming));
+            }
+        }
+        Ok(Self::Held(held.freeze()))
+    }
+
+    fn stream(prefix: Bytes, rest: Incoming) -> Self {
+        let prefix = (!prefix.is_empty()).then_some(prefix);
+        Self::Stream(Some(RequestBody::Streamed { prefix, rest }))
+    }
+
+    /// The body for one attempt; `None` once a stream was used up.
+    pub(crate) fn for_attempt(&mut self) -> Option<RequestBody> {
+        match self {
+            Self::Held(bytes) => Some(RequestBody::held(bytes.clone())),
+            Self::Stream(body) => body.take(),
+        }
+    }
+
+    /// Whether another attempt could send the body.
+    pub(crate) const fn can_repeat(&self) -> bool {
+        match self {
+            Self::Held(_) => true,
+            Self::Stream(body) => body.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/outbound/forward.rs
@@ -0,0 +1,268 @@
+//! The way of a call to a service: early refusal, choice of an endpoint, attempts and retries.
+
+use std::sync::{Arc, Mutex};
+
+use http::Response;
+use hyper::body::Incoming;
+use wharfquay_core::admission::PathLevels;
+use wharfquay_core::call::Repeatability;
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::priority::AdmissionLevel;
+use wharfquay_core::retry::{FailureLocation, RetryDecision, RetryQuestion};
+use wharfquay_core::routing::EndpointId;
+
+use crate::answer::{Failure, set_result};
+use crate::body::AnswerBody;
+use crate::clock::Clock;
+use crate::headers::remove_hop_by_hop;
+use crate::metrics::Metrics;
+use crate::outbound::attempt::{self, Flight};
+use crate::outbound::call::{CallBody, OutgoingCall};
+use crate::outbound::routes::{Route, RouteTable, Target};
+use crate::peers::PeerPool;
+use crate::sync::lock;
+
+/// Parts into which a hop divides an allowance: one for the call below and one that stays here.
+const ALLOWANCE_PARTS: usize = 2;
+
+/// Sends calls to services.
+#[derive(Debug)]
+pub(crate) struct Forwarder {
+    clock: Clock,
+    routes: RouteTable,
+    peers: PeerPool,
+    levels: Mutex<PathLevels>,
+    metrics: Arc<Metrics>,
+}
+
+/// What the attempts of one call have shown so far.
+#[derive(Debug, Default)]
+struct Attempts {
+    tried: Vec<EndpointId>,
+    retries: u32,
+    /// Result of an attempt that may have run.
+    uncertain: Option<Failure>,
+}
+
+impl Attempts {
+    fn note(&mut self, target: Target, failure: Failure) {
+        self.tried.push(target.id);
+        if failure.code.outcome() == OutcomeClass::Unknown {
+            self.uncertain = Some(failure);
+        }
+    }
+
+    /// The failure to report: "not run" only if that holds for every attempt.
+    fn conclude(&self, last: Failure) -> Failure {
+        match self.uncertain {
+            Some(uncertain) if last.code.outcome() == OutcomeClass::NotRun => {
+                Failure::with_retry_after(uncertain.code, last.retry_after)
+            }
+            _ => last,
+        }
+    }
+}
+
+impl Forwarder {
+    pub(crate) fn new(
+        clock: Clock,
+        routes: RouteTable,
+        peers: PeerPool,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            clock,
+            routes,
+            peers,
+            levels: Mutex::default(),
+            metrics,
+        }
+    }
+
+    pub(crate) const fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    pub(crate) const fn peers(&self) -> &PeerPool {
+        &self.peers
+    }
+
+    /// Strictest level heard for a request kind towards any of `services`.
+    pub(crate) fn folded_level<'a>(
+        &self,
+        services: impl Iterator<Item = &'a String>,
+        request_kind: &str,
+    ) -> AdmissionLevel {
+        let now = self.clock.now();
+        let levels = lock(&self.levels);
+        services
+            .map(|service| levels.level(now, service, request_kind))
+            .fold(AdmissionLevel::OPEN, AdmissionLevel::fold)
+    }
+
+    /// Takes a call to a back end of its service and gives the whole answer, or the failure in its
+    /// place.
+    ///
+    /// # Errors
+    /// The failure to report to the caller.
+    pub(crate) async fn forward(
+        &self,
+        call: &OutgoingCall,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let route = self.routes.get(&call.service);
+        let route = route.ok_or_else(|| Failure::new(ResultCode::UnknownService))?;
+        self.check_level(call)?;
+        let deadline = self.clock.instant(call.context.deadline);
+        let body = tokio::time::timeout_at(deadline, CallBody::read(body)).await;
+        let body = body.map_err(|_| Failure::new(ResultCode::DeadlineUnreachable))??;
+        self.run(call, body, &route).await
+    }
+
+    async fn run(
+        &self,
+        call: &OutgoingCall,
+        mut body: CallBody,
+        route: &Arc<Route>,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let mut attempts = Attempts::default();
+        loop {
+            let target = self
+                .pick(call, route, &attempts)
+                .map_err(|failure| attempts.conclude(failure))?;
+            let failure = match self.attempt(call, &mut body, route, &target).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            attempts.note(target, failure);
+            let decision = self.decide(call, &body, route, &attempts, failure);
+            let RetryDecision::Retry { after } = decision else {
+                return Err(attempts.conclude(failure));
+            };
+            attempts.retries += 1;
+            self.metrics.retried();
+            if !after.is_zero() {
+                tokio::time::sleep(after).await;
+            }
+        }
+    }
+
+    fn check_level(&self, call: &OutgoingCall) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let key = call.context.admission_key();
+        let kind = &call.context.request_kind;
+        let admitted = lock(&self.levels).admits(now, &call.service, kind, key);
+        admitted.map_err(|refusal| {
+            Failure::with_retry_after(ResultCode::RefusedByLevel, refusal.retry_after)
+        })
+    }
+
+    /// Picks an endpoint that was not tried; after an uncertain attempt also one that was.
+    fn pick(
+        &self,
+        call: &OutgoingCall,
+        route: &Route,
+        attempts: &Attempts,
+    ) -> Result<Target, Failure> {
+        let now = self.clock.now();
+        if call.context.remaining(now).is_zero() {
+            return Err(Failure::new(ResultCode::DeadlineUnreachable));
+        }
+        let key = call.context.admission_key();
+        let picked = route.pick(now, key, &attempts.tried);
+        if picked.is_err() && attempts.uncertain.is_some() {
+            return route.pick(now, key, &[]);
+        }
+        picked
+    }
+
+    async fn attempt(
+        &self,
+        call: &OutgoingCall,
+        body: &mut CallBody,
+        route: &Arc<Route>,
+        target: &Target,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let mut flight = Flight::new(route, target, self.clock);
+        let body = body
+            .for_attempt()
+            .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
+        let grant = lock(&call.account.ledger).grant(ALLOWANCE_PARTS);
+        let allowance = grant.allowance();
+        let end = attempt::send(&self.peers, &self.clock, call, target, allowance, body).await;
+        match end.metadata {
+            Some(metadata) => {
+                lock(&call.account.ledger).settle(grant, metadata.returned);
+                self.heard_level(call, metadata.folded_level);
+            }
+            None => {
+                lock(&call.account.ledger).lose(grant);
+            }
+        }
+        flight.heard(end.metadata);
+        match end.result {
+            Ok(response) => Ok(self.relay(call, response, flight)),
+            Err(failure) => {
+                flight.failed(failure.code);
+                Err(failure)
+            }
+        }
+    }
+
+    fn relay(
+        &self,
+        call: &OutgoingCall,
+        response: Response<Incoming>,
+        flight: Flight,
+    ) -> Response<AnswerBody> {
+        let (mut parts, incoming) = response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        set_result(&mut parts.headers, ResultCode::Answered);
+        let deadline = self.clock.instant(call.context.deadline);
+        let mut body = AnswerBody::relayed(incoming, deadline);
+        body.observe(Box::new(flight));
+        Response::from_parts(parts, body)
+    }
+
+    fn heard_level(&self, call: &OutgoingCall, folded: AdmissionLevel) {
+        let now = self.clock.now();
+        let kind = &call.context.request_kind;
+        lock(&self.levels).observe(now, &call.service, kind, folded);
+    }
+
+    fn decide(
+        &self,
+        call: &OutgoingCall,
+        body: &CallBody,
+        route: &Route,
+        attempts: &Attempts,
+        failure: Failure,
+    ) -> RetryDecision {
+        let now = self.clock.now();
+        let key = call.context.admission_key();
+        let mut ledger = lock(&call.account.ledger);
+        let backoff = &call.account.backoff;
+        let question = RetryQuestion {
+            now,
+            deadline: call.context.deadline,
+            code: failure.code,
+            location: FailureLocation::ThisHop,
+            repeatability: effective_repeatability(call, body),
+            sibling_available: body.can_repeat() && route.can_pick(now, key, &attempts.tried),
+            allowance: ledger.remaining(),
+            budget_available: true,
+            backoff: backoff.delay(attempts.retries, &mut rand::rng()),
+            expected_latency: std::time::Duration::ZERO,
+        };
+        route.authorize(&question, &mut ledger)
+    }
+}
+
+/// A body that can't be sent again makes a call unrepeatable.
+const fn effective_repeatability(call: &OutgoingCall, body: &CallBody) -> Repeatability {
+    if body.can_repeat() {
+        call.context.repeatability
+    } else {
+        Repeatability::AtMostOnce
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/outbound/handler.rs
@@ -0,0 +1,155 @@
+//! Calls of the local back end: what they inherit from the call that the back end is executing.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use uuid::Uuid;
+use wharfquay_core::admission::CallTicket;
+use wharfquay_core::call::{AttemptId, CallContext, OriginId, Repeatability, RetryAllowance};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
+use wharfquay_core::retry::Ledger;
+use wharfquay_protocol::headers as names;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::answer::Failure;
+use crate::body::{AnswerBody, BodyEnd, BodyObserver};
+use crate::inbound::gate::AdmissionGate;
+use crate::metrics::Side;
+use crate::node::Node;
+use crate::outbound::call::{OutgoingCall, RequestHead, RetryAccount, backoff_for};
+use crate::request::service_name;
+use crate::scopes::{Scope, ScopeId};
+
+/// Deadline of a call that belongs to no scope and matches no request kind.
+const UNSCOPED_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Serves the local back end's own calls.
+#[derive(Clone, Debug)]
+pub(crate) struct OutboundHandler {
+    node: Arc<Node>,
+    gate: Arc<AdmissionGate>,
+}
+
+impl OutboundHandler {
+    pub(crate) const fn new(node: Arc<Node>, gate: Arc<AdmissionGate>) -> Self {
+        Self { node, gate }
+    }
+
+    pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let result = self.answer(request).await;
+        self.node.finish(Side::Outbound, result)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
+        let snapshot = self.node.configuration()?;
+        let scope = self.scope(request.headers())?;
+        let service = service_name(&request)?;
+        let Some(scope) = scope else {
+            let context = self.unscoped_context(&snapshot, &service, &request);
+            let ledger = Arc::new(Mutex::new(Ledger::new(RetryAllowance::NONE)));
+            return self
+                .forward(&snapshot, service, context, ledger, request)
+                .await;
+        };
+        let waiting = DownstreamWait::start(&self.gate, scope.ticket);
+        let context = scope.context.clone();
+        let ledger = Arc::clone(&scope.ledger);
+        let forwarded = self.forward(&snapshot, service, context, ledger, request);
+        let mut response = forwarded.await?;
+        response.body_mut().observe(Box::new(waiting));
+        Ok(response)
+    }
+
+    async fn forward(
+        &self,
+        snapshot: &Snapshot,
+        service: String,
+        context: CallContext,
+        ledger: Arc<Mutex<Ledger>>,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let backoff = backoff_for(snapshot, &context.request_kind);
+        let (head, body) = RequestHead::split(request);
+        let call = OutgoingCall {
+            service,
+            context,
+            head,
+            account: RetryAccount { ledger, backoff },
+        };
+        self.node.forwarder.forward(&call, body).await
+    }
+
+    /// The scope that the call names; none when it names none.
+    fn scope(&self, headers: &HeaderMap) -> Result<Option<Arc<Scope>>, Failure> {
+        let Some(value) = headers.get(names::SCOPE) else {
+            return Ok(None);
+        };
+        let id = value.to_str().ok().and_then(|text| text.parse().ok());
+        let scope = id.and_then(|id: ScopeId| self.node.scopes.get(id));
+        scope
+            .map(Some)
+            .ok_or_else(|| Failure::new(ResultCode::InvalidContext))
+    }
+
+    /// The context of a call that the back end makes on its own account: of the lowest importance
+    /// and without retries.
+    fn unscoped_context(
+        &self,
+        snapshot: &Snapshot,
+        service: &str,
+        request: &Request<Incoming>,
+    ) -> CallContext {
+        let path = request.uri().path();
+        let kind = snapshot.match_request(service, request.method().as_str(), path);
+        let lifetime = kind.map_or(UNSCOPED_DEADLINE, |kind| {
+            Duration::from_millis(u64::from(kind.deadline_ms))
+        });
+        let repeatable = kind.is_some_and(|kind| kind.repeatable);
+        CallContext {
+            origin: OriginId::from_u128(Uuid::now_v7().as_u128()),
+            attempt: AttemptId::new(0),
+            request_kind: kind.map(|kind| kind.name.clone()).unwrap_or_default(),
+            priority: Priority::LOWEST,
+            deadline: self.node.clock.now() + lifetime,
+            allowance: RetryAllowance::NONE,
+            repeatability: if repeatable {
+                Repeatability::Repeatable
+            } else {
+                Repeatability::AtMostOnce
+            },
+            idempotency_key: None,
+            depth: 0,
+        }
+    }
+}
+
+/// The time for which an execution waits for one of its own calls.
+#[derive(Debug)]
+struct DownstreamWait {
+    gate: Arc<AdmissionGate>,
+    ticket: CallTicket,
+}
+
+impl DownstreamWait {
+    fn start(gate: &Arc<AdmissionGate>, ticket: CallTicket) -> Self {
+        gate.downstream_started(ticket);
+        Self {
+            gate: Arc::clone(gate),
+            ticket,
+        }
+    }
+}
+
+impl Drop for DownstreamWait {
+    fn drop(&mut self) {
+        self.gate.downstream_ended(self.ticket);
+    }
+}
+
+impl BodyObserver for DownstreamWait {
+    /// The drop that follows ends the wait.
+    fn ended(self: Box<Self>, _end: BodyEnd) {}
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,210 @@
+//! Connections to other daemons: one multiplexed HTTP/2 connection for each peer.
+//!
+//! Dropping the future of a request, or the body of its answer, resets the stream; that reset is the
+//! cancellation that the peer sees.
+
+use std::collections::HashMap;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::time::Instant;
+
+use crate::body::RequestBody;
+use crate::connect::connect;
+use crate::sync::lock;
+
+const STREAM_WINDOW: u32 = 1024 * 1024;
+const CONNECTION_WINDOW: u32 = 8 * 1024 * 1024;
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(5);
+const FIRST_BACKOFF: Duration = Duration::from_millis(5);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Why a peer gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// No connection could be opened, so the peer saw nothing of the request.
+    ConnectFailed,
+    /// The peer proved that it did not process the request.
+    Unprocessed,
+    /// The connection was lost after the request was sent.
+    Lost,
+}
+
+/// Connections to every peer that was called.
+#[derive(Debug)]
+pub struct PeerPool {
+    peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
+    connect_timeout: Duration,
+    header_bytes: u32,
+}
+
+impl PeerPool {
+    /// A pool without connections.
+    #[must_use]
+    pub fn new(connect_timeout: Duration, header_bytes: u32) -> Self {
+        Self {
+            peers: Mutex::default(),
+            connect_timeout,
+            header_bytes,
+        }
+    }
+
+    /// Sends a request to the daemon at `address` and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`PeerError`] says whether the peer may have processed the request.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let peer = self.peer(address);
+        let mut sender = peer.sender(self).await.ok_or(PeerError::ConnectFailed)?;
+        let answer = sender.try_send_request(request).await;
+        answer.map_err(|mut failed| {
+            if failed.take_message().is_some() {
+                return PeerError::Unprocessed;
+            }
+            classify(failed.error())
+        })
+    }
+
+    /// Number of peers with a usable connection.
+    #[must_use]
+    pub fn connected(&self) -> usize {
+        let peers = lock(&self.peers);
+        peers.values().filter(|peer| peer.open().is_some()).count()
+    }
+
+    /// Forgets peers whose connection is closed and that `keep` does not name.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.peers).retain(|address, peer| keep(address) || peer.open().is_some());
+    }
+
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        let mut peers = lock(&self.peers);
+        let peer = peers
+            .entry(address)
+            .or_insert_with(|| Arc::new(Peer::new(address)));
+        Arc::clone(peer)
+    }
+}
+
+/// One peer and its connection.
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    connection: Mutex<Option<SendRequest<RequestBody>>>,
+    connecting: tokio::sync::Mutex<Backoff>,
+}
+
+/// When the next connection may be tried.
+#[derive(Debug, Default)]
+struct Backoff {
+    failures: u32,
+    not_before: Option<Instant>,
+}
+
+impl Backoff {
+    fn allows(&self, now: Instant) -> bool {
+        self.not_before.is_none_or(|earliest| now >= earliest)
+    }
+
+    fn failed(&mut self, now: Instant) {
+        let factor = 1_u32 << self.failures.min(16);
+        let longest = FIRST_BACKOFF.saturating_mul(factor).min(LONGEST_BACKOFF);
+        self.failures = self.failures.saturating_add(1);
+        self.not_before = Some(now + longest.mul_f64(rand::random_range(0.5..=1.0)));
+    }
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connection: Mutex::default(),
+            connecting: tokio::sync::Mutex::default(),
+        }
+    }
+
+    fn open(&self) -> Option<SendRequest<RequestBody>> {
+        let connection = lock(&self.connection);
+        connection
+            .as_ref()
+            .filter(|sender| !sender.is_closed())
+            .cloned()
+    }
+
+    async fn sender(&self, pool: &PeerPool) -> Option<SendRequest<RequestBody>> {
+        if let Some(sender) = self.open() {
+            return Some(sender);
+        }
+        let mut backoff = self.connecting.lock().await;
+        if let Some(sender) = self.open() {
+            return Some(sender);
+        }
+        if !backoff.allows(Instant::now()) {
+            return None;
+        }
+        match self.connect(pool).await {
+            Ok(sender) => {
+                *backoff = Backoff::default();
+                *lock(&self.connection) = Some(sender.clone());
+                Some(sender)
+            }
+            Err(error) => {
+                backoff.failed(Instant::now());
+                log::warn!(
+                    "event=peer_connect_failed peer={} error=\"{error}\"",
+                    self.address
+                );
+                None
+            }
+        }
+    }
+
+    async fn connect(
+        &self,
+        pool: &PeerPool,
+    ) -> Result<SendRequest<RequestBody>, Box<dyn Error + Send + Sync>> {
+        let stream = connect(self.address, pool.connect_timeout).await?;
+        let handshake = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_header_list_size(pool.header_bytes)
+            .keep_alive_interval(KEEP_ALIVE_INTERVAL)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = tokio::time::timeout(pool.connect_timeout, handshake).await??;
+        let address = self.address;
+        tokio::spawn(async move {
+            let ended = connection.await;
+            let error = ended.err().map(|error| error.to_string());
+            let error = error.unwrap_or_default();
+            log::debug!("event=peer_connection_closed peer={address} error=\"{error}\"");
+        });
+        log::debug!("event=peer_connected peer={address}");
+        Ok(sender)
+    }
+}
+
+/// Only a stream that the peer refused is proof that it was not processed.
+fn classify(error: &hyper::Error) -> PeerError {
+    let cause = error.source().and_then(|source| source.downcast_ref());
+    let refused = cause.is_some_and(|cause: &h2::Error| {
+        cause.is_remote() && cause.is_reset() && cause.reason() == Some(h2::Reason::REFUSED_STREAM)
+    });
+    if refused {
+        PeerError::Unprocessed
+    } else {
+        PeerError::Lost
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/server.rs
@@ -0,0 +1,86 @@
+//! Serving HTTP on an accepted connection.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::AnswerBody;
+use crate::settings::LimitSettings;
+
+const STREAM_WINDOW: u32 = 1024 * 1024;
+const CONNECTION_WINDOW: u32 = 8 * 1024 * 1024;
+/// Longest time that a caller may take to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Heads up to this many times the limit are read, so that the refusal can carry a result code.
+const HEAD_SLACK: u32 = 4;
+/// Cancelled streams that may wait to be noticed; callers that give up together are no attack.
+const PENDING_RESETS: usize = 1_024;
+
+/// Which protocols a listener speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Protocols {
+    /// HTTP/1.1 and HTTP/2, told apart by the first bytes.
+    Any,
+    /// HTTP/2 only.
+    Http2,
+}
+
+/// Builds the server of one listener.
+pub(crate) fn builder(
+    protocols: Protocols,
+    limits: &LimitSettings,
+) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    if protocols == Protocols::Http2 {
+        builder = builder.http2_only();
+    }
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size((limits.header_bytes * HEAD_SLACK) as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(limits.streams_per_peer)
+        .max_pending_accept_reset_streams(PENDING_RESETS)
+        .max_header_list_size(limits.header_bytes * HEAD_SLACK);
+    builder
+}
+
+/// Serves one connection until it ends; after `stop` no further request is taken from it.
+pub(crate) async fn serve<H, F>(
+    builder: auto::Builder<TokioExecutor>,
+    stream: TcpStream,
+    stop: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=connection_ended error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,147 @@
+//! Settings of one daemon: typed fields with units, ranges and defaults.
+
+mod load;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+pub use load::{SettingsError, load, parse};
+
+/// Settings of one daemon, read once at its start.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this daemon, unique in the deployment; the machine list uses the same. 1 to 128
+    /// characters.
+    pub id: String,
+    /// Zone that this daemon runs in. 1 to 128 characters.
+    pub zone: String,
+    /// The back end beside this daemon; absent at an edge.
+    pub backend: Option<BackendSettings>,
+    /// Listener for callers; only at an edge.
+    pub edge: Option<ListenSettings>,
+    /// Listener for other daemons; needed beside a back end.
+    pub inbound: Option<ListenSettings>,
+    /// Listener for the local back end's own calls.
+    pub outbound: Option<ListenSettings>,
+    /// Listener for health, readiness, metrics and status.
+    pub admin: ListenSettings,
+    /// Listener for control messages of other daemons.
+    pub control: Option<ListenSettings>,
+    /// The platform's object API.
+    pub platform: PlatformSettings,
+    /// Logging.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Bounds on what one process accepts and waits for.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// The back end beside the daemon.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendSettings {
+    /// Service that the back end belongs to. 1 to 128 characters.
+    pub service: String,
+    /// Address at which the back end accepts HTTP/1.1, as ip:port.
+    #[serde(deserialize_with = "load::socket_address")]
+    pub address: SocketAddr,
+}
+
+/// Where a listener is bound.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Address to bind, as ip:port; port 0 lets the operating system choose.
+    #[serde(deserialize_with = "load::socket_address")]
+    pub listen: SocketAddr,
+}
+
+/// The platform's object API.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Addresses of the object API, as ip:port, tried in turn. 1 to 16 entries.
+    #[serde(deserialize_with = "load::socket_addresses")]
+    pub addresses: Vec<SocketAddr>,
+    /// Time between two reads of the machine list, in milliseconds. 50 to 60000, default 500.
+    #[serde(default = "default_poll_interval_ms")]
+    pub poll_interval_ms: u64,
+    /// Longest time to wait for one answer, in milliseconds. 50 to 60000, default 2000.
+    #[serde(default = "default_request_timeout_ms")]
+    pub request_timeout_ms: u64,
+}
+
+const fn default_poll_interval_ms() -> u64 {
+    500
+}
+
+const fn default_request_timeout_ms() -> u64 {
+    2_000
+}
+
+/// Logging.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// Least severe level that is written: `off`, `error`, `warn`, `info`, `debug` or `trace`.
+    /// Default `info`.
+    #[serde(default = "default_log_level")]
+    pub level: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: default_log_level(),
+        }
+    }
+}
+
+/// Bounds on what one process accepts and waits for.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Largest request head, in bytes. 8192 to 1048576, default 32768.
+    pub header_bytes: u32,
+    /// Longest time to open a connection to a back end or a peer, in milliseconds. 1 to 60000,
+    /// default 1000.
+    pub connect_timeout_ms: u64,
+    /// Longest time that calls in flight may take to end after a stop was asked for, in
+    /// milliseconds. 0 to 3600000, default 30000.
+    pub drain_limit_ms: u64,
+    /// Calls that one peer may have in flight at this daemon. 1 to 100000, default 4096.
+    pub streams_per_peer: u32,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            header_bytes: 32_768,
+            connect_timeout_ms: 1_000,
+            drain_limit_ms: 30_000,
+            streams_per_peer: 4_096,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Longest time to open a connection.
+    #[must_use]
+    pub const fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_timeout_ms)
+    }
+
+    /// Longest time that calls in flight may take to end.
+    #[must_use]
+    pub const fn drain_limit(&self) -> Duration {
+        Duration::from_millis(self.drain_limit_ms)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/backend.rs
@@ -0,0 +1,238 @@
+//! A back end that behaves as a test asks, chosen by the path of the request.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::body::TestBody;
+use super::client;
+
+/// Content of one piece of a long answer.
+pub const PIECE: &str = "0123456789abcdef";
+
+/// What the back end does with a request, from the first part of its path.
+#[derive(Debug, Default)]
+struct Record {
+    executions: HashMap<String, usize>,
+    cancelled: usize,
+    headers: Vec<HeaderMap>,
+}
+
+/// A back end on loopback.
+#[derive(Clone, Debug)]
+pub struct BackendStub {
+    pub address: SocketAddr,
+    /// Where it makes its own calls.
+    outbound: Arc<Mutex<Option<SocketAddr>>>,
+    record: Arc<Mutex<Record>>,
+    connections: Arc<AtomicUsize>,
+    failures_left: Arc<AtomicUsize>,
+}
+
+impl BackendStub {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stub = Self {
+            address: listener.local_addr().unwrap(),
+            outbound: Arc::default(),
+            record: Arc::default(),
+            connections: Arc::default(),
+            failures_left: Arc::default(),
+        };
+        let served = stub.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                served.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(served.clone().serve(stream));
+            }
+        });
+        stub
+    }
+
+    /// Tells where the back end's own calls go.
+    pub fn set_outbound(&self, address: SocketAddr) {
+        *self.outbound.lock().unwrap() = Some(address);
+    }
+
+    /// Lets the next requests for `/flaky` fail.
+    pub fn fail_next(&self, count: usize) {
+        self.failures_left.store(count, Ordering::Relaxed);
+    }
+
+    /// How often a path was executed.
+    pub fn executions(&self, path: &str) -> usize {
+        let record = self.record.lock().unwrap();
+        record.executions.get(path).copied().unwrap_or_default()
+    }
+
+    /// Executions whose caller went away.
+    pub fn cancelled(&self) -> usize {
+        self.record.lock().unwrap().cancelled
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Headers of the last request.
+    pub fn last_headers(&self) -> HeaderMap {
+        let record = self.record.lock().unwrap();
+        record.headers.last().cloned().unwrap_or_default()
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        if serves_raw(&stream).await {
+            return super::raw::serve(stream, &self).await;
+        }
+        let service = service_fn(move |request| {
+            let stub = self.clone();
+            async move { stub.execute(request).await }
+        });
+        let _ = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    pub(super) fn note_execution(&self, path: &str) {
+        let mut record = self.record.lock().unwrap();
+        *record.executions.entry(path.to_owned()).or_default() += 1;
+    }
+
+    async fn execute(self, request: Request<Incoming>) -> Result<Response<TestBody>, io::Error> {
+        let path = request.uri().path().to_owned();
+        self.record
+            .lock()
+            .unwrap()
+            .headers
+            .push(request.headers().clone());
+        if path == "/refuse" {
+            return Ok(refusal());
+        }
+        self.note_execution(&path);
+        let mut guard = CancelGuard(Some(Arc::clone(&self.record)));
+        let answer = self.behave(&path, request).await;
+        guard.0 = None;
+        answer
+    }
+
+    async fn behave(
+        &self,
+        path: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<TestBody>, io::Error> {
+        let mut parts = path.trim_start_matches('/').split('/');
+        match parts.next().unwrap_or_default() {
+            "echo" => {
+                let (parts, body) = request.into_parts();
+                let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+                let text = format!("{} {} ", parts.method, parts.uri);
+                Ok(Response::new(TestBody::of([
+                    Ok(Bytes::from(text)),
+                    Ok(body),
+                ])))
+            }
+            "status" => {
+                let status = parts.next().and_then(|status| status.parse().ok());
+                let mut response = Response::new(TestBody::whole("own status"));
+                *response.status_mut() = status.unwrap_or(StatusCode::OK);
+                Ok(response)
+            }
+            "long" => Ok(Response::new(long(64, None))),
+            "cut" => Ok(Response::new(long(4, Some("cut")))),
+            "drop" => {
+                let _ = request.into_body().collect().await;
+                Err(io::Error::other("connection dropped"))
+            }
+            "flaky" => self.flaky(),
+            "slow" => {
+                let millis = parts.next().and_then(|millis| millis.parse().ok());
+                tokio::time::sleep(Duration::from_millis(millis.unwrap_or(100))).await;
+                Ok(Response::new(TestBody::whole("slow answer")))
+            }
+            "call" => self.call(parts.collect(), request).await,
+            _ => Ok(Response::new(TestBody::whole(format!("answer to {path}")))),
+        }
+    }
+
+    fn flaky(&self) -> Result<Response<TestBody>, io::Error> {
+        let left = &self.failures_left;
+        let failed = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+            left.checked_sub(1)
+        });
+        match failed {
+            Ok(_) => Err(io::Error::other("connection dropped")),
+            Err(_) => Ok(Response::new(TestBody::whole("answer at last"))),
+        }
+    }
+
+    /// `/call/SERVICE/REST` calls `/REST` of SERVICE and passes its answer on.
+    async fn call(
+        &self,
+        parts: Vec<&str>,
+        request: Request<Incoming>,
+    ) -> Result<Response<TestBody>, io::Error> {
+        let outbound = self.outbound.lock().unwrap().expect("no outbound address");
+        let (service, rest) = parts.split_first().expect("no service in the path");
+        let mut call = client::Call::get(service, &format!("/{}", rest.join("/")));
+        call.method = request.method().clone();
+        if let Some(scope) = request.headers().get("wharfquay-scope") {
+            let scope = scope.to_str().unwrap();
+            call = call.header("wharfquay-scope", scope);
+        }
+        let answer = client::send(outbound, call).await?;
+        let mut response = Response::new(TestBody::whole(answer.body?));
+        *response.status_mut() = answer.status;
+        Ok(response)
+    }
+}
+
+struct CancelGuard(Option<Arc<Mutex<Record>>>);
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some(record) = self.0.take() {
+            record.lock().unwrap().cancelled += 1;
+        }
+    }
+}
+
+fn refusal() -> Response<TestBody> {
+    let mut response = Response::new(TestBody::whole("refused"));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert("wharfquay-refused", "before-execution".parse().unwrap());
+    response
+}
+
+fn long(pieces: usize, cut: Option<&str>) -> TestBody {
+    let pieces = (0..pieces).map(|_| Ok(Bytes::from_static(PIECE.as_bytes())));
+    let cut = cut.map(|reason| Err(io::Error::other(reason.to_owned())));
+    TestBody::of(pieces.chain(cut))
+}
+
+/// Whether the request on this connection is for a path under `/raw`.
+async fn serves_raw(stream: &TcpStream) -> bool {
+    let mut start = [0_u8; 9];
+    let mut seen = 0;
+    while seen < start.len() {
+        match stream.peek(&mut start).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) if count == seen => tokio::task::yield_now().await,
+            Ok(count) => seen = count,
+        }
+    }
+    start.starts_with(b"GET /raw/") || start.starts_with(b"POST /raw")
+}
--- /dev/null
+++ b/crates/daemon/tests/support/platform.rs
@@ -0,0 +1,117 @@
+//! A minimal platform: a fixed list of objects and machines that a test can change.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use wharfquay_platform::conversion::spec_of;
+use wharfquay_resources::kinds::Resource;
+
+use super::body::{Feed, TestBody};
+
+const OPERATION: &str = "018f3a5e-0000-7000-8000-000000000000";
+
+#[derive(Debug)]
+struct State {
+    version: u64,
+    objects: Vec<Value>,
+    machines: Vec<Value>,
+    watches: Vec<Feed>,
+}
+
+/// A platform on loopback.
+#[derive(Clone, Debug)]
+pub struct PlatformStub {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl PlatformStub {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State {
+            version: 0,
+            objects: Vec::new(),
+            machines: Vec::new(),
+            watches: Vec::new(),
+        }));
+        let served = Arc::clone(&state);
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let state = Arc::clone(&served);
+                let service = service_fn(move |request| {
+                    let answer = answer(&state, &request);
+                    async move { Ok::<_, Infallible>(answer) }
+                });
+                tokio::spawn(async move {
+                    let _ = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Self { address, state }
+    }
+
+    /// Writes a resource.
+    pub fn put(&self, resource: &Resource) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let id = resource.id();
+        let object = json!({
+            "kind": id.kind.as_str(),
+            "name": id.name,
+            "version": state.version,
+            "operation": OPERATION,
+            "author": "test",
+            "spec": spec_of(resource).unwrap(),
+        });
+        let event = json!({"type": "put", "version": state.version, "object": object.clone()});
+        state.objects.push(object);
+        let line = format!("{event}\n");
+        state
+            .watches
+            .retain(|feed| feed.send(Ok(line.clone().into())).is_ok());
+    }
+
+    /// Lists a machine, or changes its entry.
+    pub fn put_machine(&self, machine: Value) {
+        let mut state = self.state.lock().unwrap();
+        state.machines.retain(|known| known["id"] != machine["id"]);
+        state.machines.push(machine);
+    }
+}
+
+fn answer(state: &Mutex<State>, request: &Request<Incoming>) -> Response<TestBody> {
+    let mut state = state.lock().unwrap();
+    match request.uri().path() {
+        "/v1/objects" => whole(&json!({"version": state.version, "objects": state.objects})),
+        "/v1/machines" => whole(&json!({"version": state.version, "machines": state.machines})),
+        "/v1/watch" => watch(&mut state),
+        _ => {
+            let mut response = whole(&json!({"error": "no such path"}));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            response
+        }
+    }
+}
+
+fn whole(value: &Value) -> Response<TestBody> {
+    Response::new(TestBody::whole(value.to_string()))
+}
+
+fn watch(state: &mut State) -> Response<TestBody> {
+    let (feed, body) = TestBody::channel();
+    let bookmark = json!({"type": "bookmark", "version": state.version});
+    feed.send(Ok(format!("{bookmark}\n").into())).unwrap();
+    state.watches.push(feed);
+    Response::new(body)
+}
