--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -98,13 +98,16 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let elapsed = now.saturating_since(self.refilled_at);
-        if elapsed == Duration::ZERO {
+        let elapsed = now.saturating_since(self.refilled_at).as_micros();
+        let rate = u128::from(self.parts_per_second);
+        let grown = elapsed * rate / MICROS_PER_SECOND;
+        if grown == 0 {
+            // The time counts with the next refill, so that frequent questions lose nothing.
             return;
         }
-        let grown = elapsed.as_micros() * u128::from(self.parts_per_second) / MICROS_PER_SECOND;
         self.add(u64::try_from(grown).unwrap_or(u64::MAX));
-        self.refilled_at = now;
+        let counted = (grown * MICROS_PER_SECOND).div_ceil(rate);
+        self.refilled_at = self.refilled_at + micros(counted);
     }
 
     fn add(&mut self, parts: u64) {
@@ -112,6 +115,10 @@
     }
 }
 
+fn micros(count: u128) -> Duration {
+    Duration::from_micros(u64::try_from(count).unwrap_or(u64::MAX))
+}
+
 /// Converts tokens to token parts.
 fn parts(tokens: f64) -> u64 {
     (tokens * PARTS_PER_TOKEN as f64).round() as u64
