--- /dev/null
+++ b/crates/membership/src/gossip/sync.rs
@@ -0,0 +1,358 @@
+//! Anti-entropy: two daemons compare digests and exchange the records in which they differ.
+//!
+//! The one that opens sends a digest per zone. The other answers with the digests of the buckets of
+//! a zone that differs, then the first sends what it knows of the differing buckets, and the other
+//! sends newer records and names those it wants.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, RngExt};
+use wharfquay_core::time::Timestamp;
+
+use crate::counters::Counters;
+use crate::member::{Claim, Liveness, Member, MemberId, ZoneName};
+use crate::message::{Body, Header, SummaryEntry, Update, ZoneDigest};
+use crate::table::{BUCKETS, ZoneTable, bucket_of};
+
+use super::{Gossip, Outgoing, jitter};
+
+/// Longest time that a starting daemon spends on filling its table before it acts as joined.
+pub(super) const JOIN_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two exchanges of a joining daemon.
+const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two contacts to a seed or to a member that is held to be dead.
+pub(super) const REJOIN_INTERVAL: Duration = Duration::from_secs(30);
+/// Zones that one answer to a digest takes up.
+const ZONES_PER_EXCHANGE: usize = 3;
+/// Buckets that one exchange takes up in a running daemon.
+const BUCKETS_PER_EXCHANGE: usize = 4;
+
+impl Gossip {
+    /// Opens an exchange inside the zone, or with a seed while this daemon joins.
+    pub(super) fn run_table_sync(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if now < self.next_table_sync {
+            return;
+        }
+        let waited = now >= self.join_deadline && self.table.live_count() > 1;
+        if self.seeds.is_empty() || waited {
+            self.joined = true;
+        }
+        let interval = if self.joined {
+            self.settings.table_sync_interval.mul_f64(0.75)
+                + jitter(self.settings.table_sync_interval.mul_f64(0.5), rng)
+        } else {
+            JOIN_INTERVAL
+        };
+        self.next_table_sync = now + interval;
+        let partner = self.sync_partner(rng);
+        if let Some(to) = partner {
+            out.push(self.table_digest(to));
+        }
+    }
+
+    fn sync_partner(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        const SEED_CHANCE: f64 = 0.3;
+        let peer = self
+            .random_peer(rng)
+            .map(|member| member.profile.control_address);
+        if self.joined {
+            return peer;
+        }
+        if peer.is_none() || rng.random_bool(SEED_CHANCE) {
+            return self.random_seed(rng).or(peer);
+        }
+        peer
+    }
+
+    fn random_seed(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let own = self.me.profile.control_address;
+        let others: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .map(|seed| seed.control_address)
+            .filter(|address| *address != own)
+            .collect();
+        others.choose(rng).copied()
+    }
+
+    /// A delegate opens an exchange with another zone.
+    pub(super) fn run_zone_sync(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if now < self.next_zone_sync {
+            return;
+        }
+        self.next_zone_sync = now + self.settings.zone_sync_interval;
+        if self.delegate_rank().is_none() {
+            return;
+        }
+        let Some(zone) = self.random_zone(rng).cloned() else {
+            return;
+        };
+        if let Some(contact) = self.contact_in(&zone, rng) {
+            out.push(self.table_digest(contact.profile.control_address));
+        }
+    }
+
+    /// Contacts a seed and a member that is held to be dead, so that the two sides of a healed cut
+    /// find each other.
+    pub(super) fn run_rejoin(
+        &mut self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if now < self.next_rejoin {
+            return;
+        }
+        self.next_rejoin = now + REJOIN_INTERVAL.mul_f64(0.5) + jitter(REJOIN_INTERVAL, rng);
+        let zone = &self.me.profile.zone;
+        let dead = self.random_member(zone, rng, |member| !member.is_live());
+        let dead = dead.map(|member| member.profile.control_address);
+        for to in dead.into_iter().chain(self.random_seed(rng)) {
+            out.push(self.table_digest(to));
+        }
+    }
+
+    fn table_digest(&self, to: SocketAddr) -> Outgoing {
+        let zones = self.table.zones().map(|(zone, table)| ZoneDigest {
+            zone: zone.clone(),
+            digest: table.digest(),
+        });
+        let mut outgoing = Outgoing::routine(to, Body::TableDigest(zones.collect()));
+        outgoing.updates.push(Update::of(&self.me));
+        if !self.joined {
+            outgoing.class = super::TrafficClass::Urgent;
+        }
+        outgoing
+    }
+
+    /// Answers a digest with the bucket digests of zones that differ.
+    pub(crate) fn on_table_digest(
+        &mut self,
+        header: &Header,
+        digests: &[ZoneDigest],
+        reply_to: SocketAddr,
+        rng: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if digests.is_empty() {
+            self.joined = true;
+            return;
+        }
+        let theirs: BTreeMap<&ZoneName, u64> = digests
+            .iter()
+            .map(|entry| (&entry.zone, entry.digest))
+            .collect();
+        let mut differing = self.differing_zones(&theirs);
+        if differing.is_empty() {
+            out.push(Outgoing::routine(reply_to, Body::TableDigest(Vec::new())));
+            return;
+        }
+        differing.shuffle(rng);
+        differing.sort_by_key(|zone| *zone != header.zone);
+        for zone in differing.into_iter().take(ZONES_PER_EXCHANGE) {
+            let buckets = self.buckets(&zone).to_vec();
+            out.push(Outgoing::routine(
+                reply_to,
+                Body::BucketDigests { zone, buckets },
+            ));
+        }
+    }
+
+    fn differing_zones(&self, theirs: &BTreeMap<&ZoneName, u64>) -> Vec<ZoneName> {
+        let empty = ZoneTable::default().digest();
+        let known = self
+            .table
+            .zones()
+            .filter(|(zone, table)| theirs.get(zone).copied().unwrap_or(empty) != table.digest())
+            .map(|(zone, _)| zone.clone());
+        let unknown = theirs
+            .iter()
+            .filter(|(zone, digest)| self.table.zone(zone).is_none() && **digest != empty)
+            .map(|(zone, _)| (*zone).clone());
+        known.chain(unknown).collect()
+    }
+
+    fn buckets(&self, zone: &ZoneName) -> [u64; BUCKETS] {
+        self.table
+            .zone(zone)
+            .map_or([0; BUCKETS], |table| *table.bucket_digests())
+    }
+
+    /// Answers bucket digests with what this daemon knows of the buckets that differ.
+    pub(crate) fn on_bucket_digests(
+        &mut self,
+        zone: &ZoneName,
+        theirs: &[u64],
+        reply_to: SocketAddr,
+        rng: &mut impl Rng,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let mine = self.buckets(zone);
+        let mut differing: Vec<u8> = (0u8..)
+            .zip(mine.iter().zip(theirs))
+            .filter(|(_, (mine, theirs))| mine != theirs)
+            .map(|(bucket, _)| bucket)
+            .collect();
+        differing.shuffle(rng);
+        if self.joined {
+            differing.truncate(BUCKETS_PER_EXCHANGE);
+        }
+        if differing.is_empty() {
+            return;
+        }
+        let table = self.table.zone(zone);
+        let entries = table.map_or_else(Vec::new, |table| {
+            let summaries = differing.iter().map(|&bucket| table.summary(bucket));
+            summaries.flatten().collect()
+        });
+        let body = Body::BucketSummary {
+            zone: zone.clone(),
+            buckets: differing,
+            entries,
+        };
+        out.push(Outgoing::routine(reply_to, body));
+    }
+
+    /// Answers a summary with newer records, and names the records that this daemon wants.
+    pub(crate) fn on_bucket_summary(
+        &mut self,
+        zone: &ZoneName,
+        buckets: &[u8],
+        entries: &[SummaryEntry],
+        reply_to: SocketAddr,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let theirs: BTreeMap<&MemberId, Claim> = entries
+            .iter()
+            .map(|entry| (&entry.id, claim_of(entry)))
+            .collect();
+        let records = self.records_newer_than(zone, buckets, &theirs);
+        let wanted = self.wanted(zone, &theirs);
+        if records.is_empty() && wanted.is_empty() {
+            return;
+        }
+        let body = Body::Records {
+            zone: zone.clone(),
+            records,
+            wanted,
+        };
+        out.push(Outgoing::routine(reply_to, body));
+    }
+
+    fn records_newer_than(
+        &self,
+        zone: &ZoneName,
+        buckets: &[u8],
+        theirs: &BTreeMap<&MemberId, Claim>,
+    ) -> Vec<Update> {
+        let Some(table) = self.table.zone(zone) else {
+            return Vec::new();
+        };
+        let in_buckets = |member: &&Member| {
+            let bucket = bucket_of(&member.profile.id);
+            buckets.iter().any(|&wanted| usize::from(wanted) == bucket)
+        };
+        table
+            .members()
+            .iter()
+            .filter(in_buckets)
+            .filter(|member| match theirs.get(&member.profile.id) {
+                Some(claim) => differs(claim.merge(member.claim()), *claim),
+                None => member.is_live(),
+            })
+            .map(Update::of)
+            .collect()
+    }
+
+    fn wanted(&self, zone: &ZoneName, theirs: &BTreeMap<&MemberId, Claim>) -> Vec<MemberId> {
+        theirs
+            .iter()
+            .filter(|(id, claim)| match self.table.get(zone, id) {
+                Some(member) => differs(member.claim().merge(**claim), member.claim()),
+                None => true,
+            })
+            .map(|(id, _)| (*id).clone())
+            .collect()
+    }
+
+    /// Merges records, and answers with the wanted ones and those that are newer here.
+    #[expect(clippy::too_many_arguments, reason = "one message with its context")]
+    pub(crate) fn on_records(
+        &mut self,
+        now: Timestamp,
+        header: &Header,
+        zone: &ZoneName,
+        records: &[Update],
+        wanted: &[MemberId],
+        reply_to: SocketAddr,
+        counters: &mut Counters,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let mut answer: Vec<Update> = wanted
+            .iter()
+            .filter_map(|id| self.table.get(zone, id))
+            .map(Update::of)
+            .collect();
+        for record in records {
+            self.learn(now, header, record, counters);
+            let known = self.table.get(&record.zone, &record.id);
+            if let Some(member) = known.filter(|member| differs(member.claim(), record.claim())) {
+                answer.push(Update::of(member));
+            }
+        }
+        if answer.is_empty() {
+            return;
+        }
+        let body = Body::Records {
+            zone: zone.clone(),
+            records: answer,
+            wanted: Vec::new(),
+        };
+        out.push(Outgoing::routine(reply_to, body));
+    }
+
+    /// Merges a record. News from another zone is passed on; what came from the own zone by
+    /// anti-entropy reaches the rest of the zone the same way.
+    fn learn(&mut self, now: Timestamp, header: &Header, record: &Update, counters: &mut Counters) {
+        let from_own_zone = header.zone == self.me.profile.zone;
+        let about_me = record.id == self.me.profile.id;
+        if about_me || (self.joined && !from_own_zone) {
+            self.apply(now, record, &header.zone, counters);
+            return;
+        }
+        if matches!(
+            self.table.merge(record),
+            crate::table::Merge::Changed { .. }
+        ) {
+            self.after_change(now, &record.zone, &record.id);
+        }
+    }
+}
+
+const fn claim_of(entry: &SummaryEntry) -> Claim {
+    Claim {
+        incarnation: entry.incarnation,
+        liveness: Liveness::Alive,
+        leaving: entry.leaving,
+    }
+}
+
+/// Whether two claims differ in what the digests cover, or in death.
+const fn differs(one: Claim, other: Claim) -> bool {
+    let dead = matches!(one.liveness, Liveness::Dead) != matches!(other.liveness, Liveness::Dead);
+    let process = one.incarnation.process() != other.incarnation.process();
+    dead || process || one.leaving != other.leaving
+}
