Add a simulator of the control plane

Cause: membership and relay must be proved under faults and their slopes measured, with thousands of daemons in one process. Change: seeded event queue that encodes and decodes every message, network with latency, loss, cuts, a store with faults, kills, freezes and restarts with empty memory. Delegates exchange with the other zones in turn instead of by chance, share what they heard, and the limit of silence grows with the number of zones.

--- /dev/null
+++ b/crates/emulator/src/simulator/control/mod.rs
@@ -0,0 +1,392 @@
+//! A seeded simulation of the control plane alone: thousands of daemons' membership and
+//! configuration relay in one process, on a virtual clock, with the messages encoded and decoded as
+//! on the network.
+
+mod daemon;
+mod faults;
+pub mod network;
+pub mod observations;
+pub mod store;
+pub mod topology;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use wharfquay_core::time::Timestamp;
+use wharfquay_membership::gossip::Seed;
+use wharfquay_membership::member::{Incarnation, Liveness, Member};
+use wharfquay_membership::node::{Channel, Effect, Node};
+use wharfquay_membership::settings::Settings;
+use wharfquay_membership::table::MemberTable;
+
+use daemon::SimulatedDaemon;
+use network::Network;
+use observations::{Observations, record};
+use store::Store;
+use topology::{Topology, control_address, daemon_at};
+
+/// Size of a change's payload, in bytes: one resource with its identity.
+pub const CHANGE_BYTES: usize = 300;
+/// Wall clock of the simulation's start, in milliseconds since the Unix epoch.
+const WALL_CLOCK_START_MS: u64 = 1_700_000_000_000;
+/// Seeds that the settings file of a daemon names.
+const SEEDS: usize = 4;
+/// Time between two attempts of a reader whose store does not answer.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+/// What happens at a point of the virtual time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A daemon's timer.
+    Wake(usize),
+    /// A message arrives.
+    Deliver {
+        to: usize,
+        from: usize,
+        bytes: Vec<u8>,
+    },
+    /// The answer of a list arrives at a reader.
+    StoreList { reader: usize, process: u32 },
+    /// An event of a watch arrives at a reader.
+    StoreWatch { reader: usize, process: u32 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scheduled {
+    at: Timestamp,
+    sequence: u64,
+    event: Event,
+}
+
+/// The simulation.
+pub struct ControlSimulation {
+    now: Timestamp,
+    sequence: u64,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    settings: Settings,
+    topology: Topology,
+    daemons: Vec<SimulatedDaemon>,
+    random: Pcg64Mcg,
+    /// The links.
+    pub network: Network,
+    /// The platform's store.
+    pub store: Store,
+    /// What has been recorded.
+    pub observations: Observations,
+}
+
+impl ControlSimulation {
+    /// A deployment in which no daemon runs yet.
+    #[must_use]
+    pub fn new(topology: Topology, settings: Settings, seed: u64) -> Self {
+        let store = Store::new(topology.resources(), CHANGE_BYTES);
+        let daemons = (0..topology.daemons)
+            .map(|index| SimulatedDaemon::new(seed, index))
+            .collect();
+        Self {
+            now: Timestamp::ZERO,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            settings,
+            topology,
+            daemons,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            network: Network::default(),
+            store,
+            observations: Observations::default(),
+        }
+    }
+
+    /// Starts every daemon with an empty memory, at most `spread` apart.
+    pub fn start_cold(&mut self, spread: Duration) {
+        for index in 0..self.daemons.len() {
+            let delay = random_delay(spread, &mut self.random);
+            self.daemons[index].starts_at = Some(self.now + delay);
+            self.schedule(self.now + delay, Event::Wake(index));
+        }
+    }
+
+    /// Starts every daemon with a full member table and the store's first revision.
+    pub fn start_warm(&mut self) {
+        let mut table = MemberTable::new(self.settings.delegates);
+        let incarnation = Incarnation::started_at(self.wall_clock_ms());
+        table.extend((0..self.daemons.len()).map(|index| Member {
+            profile: Arc::new(self.topology.profile(index)),
+            incarnation,
+            liveness: Liveness::Alive,
+            leaving: false,
+        }));
+        let snapshot = self.store.snapshot();
+        for index in 0..self.daemons.len() {
+            self.start(index);
+            let now = self.now;
+            let daemon = &mut self.daemons[index];
+            let Some(node) = daemon.node.as_mut() else {
+                continue;
+            };
+            node.preload(table.clone(), now, &mut daemon.random);
+            node.preload_configuration(now, snapshot.clone());
+            daemon.in_force = snapshot.revision;
+            daemon.highest_in_force = snapshot.revision;
+        }
+    }
+
+    /// The virtual time.
+    #[must_use]
+    pub const fn now(&self) -> Timestamp {
+        self.now
+    }
+
+    /// The shape of the deployment.
+    #[must_use]
+    pub const fn topology(&self) -> &Topology {
+        &self.topology
+    }
+
+    /// The control plane of a daemon that runs.
+    #[must_use]
+    pub fn node(&self, daemon: usize) -> Option<&Node> {
+        self.daemons[daemon].node.as_ref()
+    }
+
+    /// Revision in force at a daemon; zero when it does not run.
+    #[must_use]
+    pub fn in_force(&self, daemon: usize) -> u64 {
+        self.daemons[daemon].in_force
+    }
+
+    /// The daemons that run.
+    pub fn running(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.daemons.len()).filter(|&index| self.daemons[index].node.is_some())
+    }
+
+    /// Bytes that a daemon sent and received since it was created, over all its processes.
+    #[must_use]
+    pub fn traffic(&self, daemon: usize) -> daemon::Traffic {
+        self.daemons[daemon].traffic()
+    }
+
+    /// Accepts a change in the store and tells the readers that watch.
+    pub fn accept_change(&mut self) -> u64 {
+        let revision = self.store.accept(self.now);
+        let at = self.now + self.store.answer_time();
+        for reader in self.store.watchers() {
+            let process = self.daemons[reader].process;
+            self.schedule(at, Event::StoreWatch { reader, process });
+        }
+        revision
+    }
+
+    /// Runs until the virtual time `until`.
+    pub fn run_until(&mut self, until: Timestamp) {
+        while let Some(Reverse(next)) = self.events.peek() {
+            if next.at > until {
+                break;
+            }
+            let Some(Reverse(scheduled)) = self.events.pop() else {
+                break;
+            };
+            self.now = scheduled.at;
+            self.handle(scheduled.event);
+        }
+        self.now = until;
+    }
+
+    /// Runs for some time.
+    pub fn run_for(&mut self, duration: Duration) {
+        self.run_until(self.now + duration);
+    }
+
+    /// Runs until a condition holds, looking every 10 ms, at most for `limit`; returns whether it
+    /// came to hold.
+    pub fn run_until_holds(
+        &mut self,
+        limit: Duration,
+        mut holds: impl FnMut(&Self) -> bool,
+    ) -> bool {
+        const STEP: Duration = Duration::from_millis(10);
+        let end = self.now + limit;
+        while self.now < end {
+            if holds(self) {
+                return true;
+            }
+            self.run_for(STEP);
+        }
+        holds(self)
+    }
+
+    fn schedule(&mut self, at: Timestamp, event: Event) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.events.push(Reverse(Scheduled {
+            at,
+            sequence,
+            event,
+        }));
+    }
+
+    const fn wall_clock_ms(&self) -> u64 {
+        WALL_CLOCK_START_MS + self.now.as_micros() / 1_000
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Wake(index) => self.wake(index),
+            Event::Deliver { to, from, bytes } => self.deliver(to, from, bytes),
+            Event::StoreList { reader, process } => self.store_list(reader, process),
+            Event::StoreWatch { reader, process } => self.store_watch(reader, process),
+        }
+    }
+
+    fn wake(&mut self, index: usize) {
+        if self.daemons[index]
+            .starts_at
+            .is_some_and(|at| at <= self.now)
+        {
+            self.daemons[index].starts_at = None;
+            self.start(index);
+            return;
+        }
+        if self.daemons[index].wakes_at != Some(self.now) {
+            return;
+        }
+        self.daemons[index].wakes_at = None;
+        self.thaw_if_due(index);
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        let Some(node) = daemon.node.as_mut() else {
+            return;
+        };
+        if daemon.frozen_until.is_some_and(|until| until > now) {
+            return;
+        }
+        let effects = node.advance(now, &mut daemon.random);
+        self.apply(index, effects);
+    }
+
+    fn deliver(&mut self, to: usize, from: usize, bytes: Vec<u8>) {
+        let now = self.now;
+        let daemon = &mut self.daemons[to];
+        if daemon.frozen_until.is_some_and(|until| until > now) {
+            daemon.keep_for_later(from, bytes);
+            return;
+        }
+        let Some(node) = daemon.node.as_mut() else {
+            return;
+        };
+        let effects = node.receive(now, control_address(from), &bytes, &mut daemon.random);
+        self.apply(to, effects);
+    }
+
+    /// Does what a daemon's control plane asks for, and sets its timer.
+    fn apply(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            self.apply_one(index, effect);
+        }
+        self.set_timer(index);
+    }
+
+    fn apply_one(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, channel, bytes } => self.transmit(index, to, channel, bytes),
+            Effect::MembersChanged => self.note_departures(index),
+            Effect::DeclaredDead(id) => self.note_death(index, &id),
+            Effect::AdoptSnapshot(snapshot) => self.put_in_force(index, snapshot.revision),
+            Effect::AdoptDelta(delta) => self.put_in_force(index, delta.revision),
+            Effect::Ready(revision) => self.note_ready(index, revision),
+            Effect::Read(true) | Effect::ReadSnapshot => self.list_store(index),
+            Effect::Read(false) => self.store.unwatch(index),
+            Effect::StoreOlder { .. } => self.observations.older_store_reports += 1,
+            Effect::Compact(revision) => self.compact(index, revision),
+            Effect::Dropped { .. } => {}
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: SocketAddr, channel: Channel, bytes: Vec<u8>) {
+        let Some(to) = daemon_at(to).filter(|&to| to < self.daemons.len()) else {
+            return;
+        };
+        let length = bytes.len();
+        let transit =
+            self.network
+                .transit(&self.topology, from, to, channel, length, &mut self.random);
+        match transit {
+            Some(transit) => {
+                let at = self.now + transit;
+                self.schedule(at, Event::Deliver { to, from, bytes });
+            }
+            None => self.observations.lost_messages += 1,
+        }
+    }
+
+    fn set_timer(&mut self, index: usize) {
+        let Some(next) = self.daemons[index].node.as_ref().map(Node::next_wakeup) else {
+            return;
+        };
+        let at = next.max(self.now + Duration::from_micros(1));
+        let sooner = self.daemons[index]
+            .wakes_at
+            .is_none_or(|set| at < set || set < self.now);
+        if sooner {
+            self.daemons[index].wakes_at = Some(at);
+            self.schedule(at, Event::Wake(index));
+        }
+    }
+
+    fn put_in_force(&mut self, index: usize, revision: u64) {
+        let daemon = &mut self.daemons[index];
+        if revision <= daemon.in_force {
+            self.observations.reverted += 1;
+        }
+        let held = daemon.in_force;
+        daemon.in_force = revision;
+        daemon.highest_in_force = daemon.highest_in_force.max(revision);
+        for change in self.store.changes_between(held, revision) {
+            // A daemon that started later was not there to receive the change.
+            if change.at >= daemon.started_at {
+                let time = self.now.saturating_since(change.at);
+                record(&mut self.observations.in_force, time);
+            }
+        }
+    }
+
+    fn note_ready(&mut self, index: usize, revision: u64) {
+        let daemon = &mut self.daemons[index];
+        if revision < daemon.highest_in_force {
+            self.observations.ready_with_older += 1;
+        }
+        let time = self.now.saturating_since(daemon.started_at);
+        record(&mut self.observations.ready, time);
+    }
+
+    fn compact(&mut self, index: usize, revision: u64) {
+        let payload = self.store.snapshot_at(revision).payload;
+        if let Some(node) = self.daemons[index].node.as_mut() {
+            node.compacted(revision, payload);
+        }
+    }
+
+    fn seeds_of(&self, index: usize) -> Vec<Seed> {
+        let count = self.daemons.len();
+        // Spread over the deployment, so that they lie in several zones.
+        let step = (count / SEEDS).max(1);
+        (0..SEEDS)
+            .map(|place| (index + 1 + place * (step + 1)) % count)
+            .filter(|&seed| seed != index)
+            .map(|seed| Seed {
+                control_address: control_address(seed),
+            })
+            .collect()
+    }
+}
+
+/// A delay from zero to `spread` by chance.
+fn random_delay(spread: Duration, random: &mut Pcg64Mcg) -> Duration {
+    use rand::RngExt;
+    spread.mul_f64(random.random::<f64>())
+}
--- a/crates/emulator/src/simulator/mod.rs
+++ b/crates/emulator/src/simulator/mod.rs
@@ -1,1 +1,3 @@
 //! Deterministic simulation of a whole deployment on a virtual clock.
+
+pub mod control;
--- a/crates/membership/src/gossip/mod.rs
+++ b/crates/membership/src/gossip/mod.rs
@@ -26,6 +26,10 @@
 const PICK_TRIES: usize = 16;
 /// Transmissions of a report beyond the logarithm of the zone's size.
 const EXTRA_TRANSMISSIONS: u32 = 4;
+/// Cycles through all zones after which one that was not heard of counts as unreachable.
+const SILENT_CYCLES: f64 = 1.25;
+/// Bound of the random zone with which a delegate's exchanges begin.
+const MAX_FIRST_TURN: usize = 1_024;
 
 /// Which messages give way to which under the byte budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,8 +94,10 @@
     suspicions: BTreeMap<MemberId, Timestamp>,
     tombstones: VecDeque<(Timestamp, ZoneName, MemberId)>,
     zone_heard: BTreeMap<ZoneName, Timestamp>,
+    zone_turn: usize,
     sequence: u32,
     failed_probes: u32,
+    declared_dead: Vec<MemberId>,
     joined: bool,
     changed: bool,
     join_deadline: Timestamp,
@@ -124,8 +130,10 @@
             suspicions: BTreeMap::new(),
             tombstones: VecDeque::new(),
             zone_heard: BTreeMap::new(),
+            zone_turn: rng.random_range(0..MAX_FIRST_TURN),
             sequence: 0,
             failed_probes: 0,
+            declared_dead: Vec::new(),
             joined: false,
             changed: true,
             join_deadline: now + sync::JOIN_LIMIT,
@@ -177,14 +185,24 @@
         delegates.iter().position(|id| *id == self.me.profile.id)
     }
 
-    /// Whether a zone was heard of within the limit of silence; the own zone always is.
+    /// Whether a zone was heard of within the limit of silence, which grows with the number of zones;
+    /// the own zone always is.
     #[must_use]
     pub fn is_zone_reachable(&self, now: Timestamp, zone: &ZoneName) -> bool {
+        let zones = u32::try_from(self.zone_heard.len()).unwrap_or(u32::MAX);
+        let cycle = self.settings.zone_sync_interval.mul_f64(SILENT_CYCLES) * zones;
+        let limit = self.settings.zone_silence.max(cycle);
         *zone == self.me.profile.zone
             || self
                 .zone_heard
                 .get(zone)
-                .is_some_and(|&heard| now.saturating_since(heard) < self.settings.zone_silence)
+                .is_some_and(|&heard| now.saturating_since(heard) < limit)
+    }
+
+    /// Notes that another daemon of the own zone heard of a zone at `at`.
+    pub(crate) fn heard_of_zone(&mut self, zone: &ZoneName, at: Timestamp) {
+        let heard = self.zone_heard.entry(zone.clone()).or_insert(at);
+        *heard = at.max(*heard);
     }
 
     /// Puts other seeds in place: the settings file's and the machine list's.
@@ -207,6 +225,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Members that this daemon declared dead since the last call.
+    pub fn take_declared_dead(&mut self) -> Vec<MemberId> {
+        std::mem::take(&mut self.declared_dead)
+    }
+
     /// Takes notice of a message's sender. Returns whether its updates may be believed: a sender
     /// that is held to be dead is only told so, since it may be the one that hears nothing.
     pub fn heard(&mut self, now: Timestamp, header: &Header, out: &mut Vec<Outgoing>) -> bool {
--- a/crates/membership/src/gossip/probe.rs
+++ b/crates/membership/src/gossip/probe.rs
@@ -197,6 +197,7 @@
             };
             counters.declared_dead += 1;
             self.claim(now, &id, incarnation, Liveness::Dead);
+            self.declared_dead.push(id);
         }
     }
 
--- a/crates/membership/src/gossip/sync.rs
+++ b/crates/membership/src/gossip/sync.rs
@@ -97,7 +97,7 @@
         if self.delegate_rank().is_none() {
             return;
         }
-        let Some(zone) = self.random_zone(rng).cloned() else {
+        let Some(zone) = self.next_zone() else {
             return;
         };
         if let Some(contact) = self.contact_in(&zone, rng) {
@@ -105,6 +105,14 @@
         }
     }
 
+    /// The other zones in turn.
+    fn next_zone(&mut self) -> Option<ZoneName> {
+        self.zone_turn = self.zone_turn.wrapping_add(1);
+        let zones = self.other_zones();
+        let turn = self.zone_turn.checked_rem(zones.len())?;
+        Some(zones[turn].clone())
+    }
+
     /// Contacts a seed and a member that is held to be dead, so that the two sides of a healed cut
     /// find each other.
     pub(super) fn run_rejoin(
--- a/crates/membership/src/node/mod.rs
+++ b/crates/membership/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use wharfquay_core::time::Timestamp;
@@ -14,8 +15,8 @@
 use crate::budget::ByteBudget;
 use crate::counters::Counters;
 use crate::gossip::{Gossip, Outgoing, Seed};
-use crate::member::{Incarnation, Liveness, Member, MemberProfile, ZoneName};
-use crate::message::{Body, Delta, Message, Payload, Snapshot, ZoneReport};
+use crate::member::{Incarnation, Liveness, Member, MemberId, MemberProfile, ZoneName};
+use crate::message::{Body, Changes, Delta, Message, Payload, Snapshot, ZoneReport};
 use crate::relay::report::delegate_for;
 use crate::relay::{Relay, RelayEffect, StoreReport};
 use crate::settings::Settings;
@@ -44,6 +45,8 @@
     },
     /// The member table changed: read [`Node::table`].
     MembersChanged,
+    /// This daemon declared a member dead after a suspicion; for the log.
+    DeclaredDead(MemberId),
     /// Put a whole configuration in force.
     AdoptSnapshot(Snapshot),
     /// Apply a delta to the configuration in force.
@@ -145,6 +148,16 @@
         self.gossip.preload(table, now, rng);
     }
 
+    /// Takes a configuration before anything runs, as if a peer had sent it. Nothing is passed on.
+    pub fn preload_configuration(&mut self, now: Timestamp, snapshot: Snapshot) {
+        let from = self.me().profile.id.clone();
+        let changes = Changes {
+            snapshot: Some(snapshot),
+            deltas: Vec::new(),
+        };
+        self.relay.on_changes(now, &from, &changes);
+    }
+
     /// What is known of all members.
     #[must_use]
     pub const fn table(&self) -> &MemberTable {
@@ -310,15 +323,19 @@
                 self.reply_changes(reply_to, changes, out);
             }
             Body::Ask => out.push(Outgoing::urgent(reply_to, Body::Holding)),
-            Body::ZoneReports(reports) => {
-                for report in reports {
-                    self.relay.reports_mut().received(now, report.clone());
-                }
-            }
+            Body::ZoneReports(reports) => self.take_reports(now, reports),
             _ => self.take_gossip(now, reply_to, message, rng, out),
         }
     }
 
+    fn take_reports(&mut self, now: Timestamp, reports: &[ZoneReport]) {
+        for report in reports {
+            let counted_at = now - Duration::from_millis(report.age_ms);
+            self.gossip.heard_of_zone(&report.zone, counted_at);
+            self.relay.reports_mut().received(now, report.clone());
+        }
+    }
+
     fn take_gossip(
         &mut self,
         now: Timestamp,
@@ -371,11 +388,7 @@
         }
     }
 
-    fn delegate_of(
-        &self,
-        zone: &ZoneName,
-        member: &crate::member::MemberId,
-    ) -> Option<&crate::member::MemberId> {
+    fn delegate_of(&self, zone: &ZoneName, member: &MemberId) -> Option<&MemberId> {
         delegate_for(member, self.table().zone(zone)?.delegates())
     }
 
--- a/crates/membership/src/node/send.rs
+++ b/crates/membership/src/node/send.rs
@@ -132,6 +132,8 @@
         for outgoing in out {
             self.send(now, outgoing, effects);
         }
+        let declared = self.gossip.take_declared_dead();
+        effects.extend(declared.into_iter().map(Effect::DeclaredDead));
         if self.gossip.take_changed() {
             effects.push(Effect::MembersChanged);
         }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -29,7 +29,7 @@
     pub zone_sync_interval: Duration,
     /// Delegates in each zone.
     pub delegates: usize,
-    /// Silence after which another zone counts as unreachable.
+    /// Shortest silence after which another zone counts as unreachable.
     pub zone_silence: Duration,
     /// Bound on the readers of the store in the whole deployment.
     pub readers: usize,
