--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -12,12 +12,12 @@
 /// Usage of the command.
 pub const USAGE: &str = "\
 wharfquay-emulator backend --scenario NAME|FILE --service NAME --id ID --listen IP:PORT
-    [--outbound IP:PORT] [--queue-limit N] [--seed N]
+    [--outbound IP:PORT] [--queue-limit N] [--seed N] [--warm]
     [--slow FACTOR] [--cut-answer SHARE] [--close-before SHARE] [--close-after SHARE]
     [--refuse SHARE] [--hang SHARE] [--report-lag-ms N] [--load-factor F]
     [--health truthful|always_live|always_leaving]
 
-Serves the steps of one service. SHARE is a probability from 0 to 1.
+Serves the steps of one service, slower at first unless --warm is given. SHARE is a probability from 0 to 1.
 Endpoints: GET /wharfquay/health, /wharfquay/load, /wharfquay/executions,
 GET and PUT /wharfquay/faults, POST and DELETE /wharfquay/drain.
 
@@ -38,6 +38,7 @@
     outbound: Option<SocketAddr>,
     queue_limit: Option<usize>,
     seed: Option<u64>,
+    warm: bool,
     faults: Faults,
 }
 
@@ -77,6 +78,7 @@
             given.queue_limit = Some(arguments::value(parser, "queue-limit", "0 or more")?);
         }
         "seed" => given.seed = Some(arguments::value(parser, "seed", "0 to 2^64-1")?),
+        "warm" => given.warm = true,
         _ => return Ok(false),
     }
     Ok(true)
@@ -134,6 +136,7 @@
     settings.listen = given.listen.ok_or(ArgumentError::Missing("listen"))?;
     settings.outbound = given.outbound;
     settings.faults = given.faults;
+    settings.warm = given.warm;
     if let Some(limit) = given.queue_limit {
         settings.queue_limit = limit;
     }
--- a/crates/emulator/src/backend/server.rs
+++ b/crates/emulator/src/backend/server.rs
@@ -67,6 +67,7 @@
             source,
         })?;
         let state = Arc::new(BackendState::new(settings, model));
+        state.sample_report(REPORT_HISTORY);
         let stop = CancellationToken::new();
         let accepting = tokio::spawn(accept(listener, Arc::clone(&state), stop.clone()));
         let sampling = tokio::spawn(sample_reports(Arc::clone(&state), stop.clone()));
--- a/crates/emulator/src/backend/state.rs
+++ b/crates/emulator/src/backend/state.rs
@@ -30,6 +30,8 @@
     pub listen: SocketAddr,
     /// Where its deeper calls go; may be set after the start.
     pub outbound: Option<SocketAddr>,
+    /// Whether it starts at full speed, as if its cold start were over.
+    pub warm: bool,
     /// Requests that wait for a slot before others are refused.
     pub queue_limit: usize,
     /// Seed of service times and faults.
@@ -48,6 +50,7 @@
             id: id.to_owned(),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             outbound: None,
+            warm: false,
             queue_limit: DEFAULT_QUEUE_LIMIT,
             seed: 1,
             faults: Faults::default(),
@@ -149,8 +152,12 @@
 
     /// Factor on the work that is due to cold start and to the slow fault.
     pub(super) fn work_factor(&self) -> f64 {
+        let slow = self.faults().slow;
+        if self.settings.warm {
+            return slow;
+        }
         let cold_start = Duration::from_millis(self.model.cold_start_ms);
-        super::speed::cold_factor(self.started.elapsed(), cold_start) * self.faults().slow
+        slow * super::speed::cold_factor(self.started.elapsed(), cold_start)
     }
 
     /// What health and load endpoints say, with lag and lies.
--- a/crates/emulator/src/command.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -1,5 +1,7 @@
 //! The commands of `wharfquay-emulator`.
 
+mod platform;
+
 use std::fmt::Display;
 use std::process::ExitCode;
 
@@ -21,6 +23,7 @@
 Commands:
   backend    stand-in for a back end
   load       stand-in for callers
+  platform   stand-in for the platform
 
 wharfquay-emulator COMMAND --help tells more.
 ";
@@ -47,6 +50,10 @@
             Ok(arguments) => run_load(arguments).await,
             Err(status) => status,
         },
+        "platform" => match settle(platform::parse_arguments(parser), platform::USAGE) {
+            Ok(arguments) => platform::run(arguments).await,
+            Err(status) => status,
+        },
         other => bad_use(&format!("unknown command \"{other}\""), USAGE),
     }
 }
--- /dev/null
+++ b/crates/emulator/src/command/platform.rs
@@ -0,0 +1,82 @@
+//! The platform stand-in as a process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use wharfquay_resources::kinds::Resource;
+use wharfquay_resources::parse::{SourceFile, parse};
+
+use super::{bad_use, wait_for_end};
+use crate::arguments::{self, ArgumentError, Command};
+use crate::platform::{PlatformSettings, start};
+
+/// Usage of the command.
+pub(super) const USAGE: &str = "\
+wharfquay-emulator platform --listen IP:PORT [--load FILE.resources.toml]…
+
+Serves the object API, leases and the machine list from memory. PUT /v1/faults switches faults.
+
+Example:
+  wharfquay-emulator platform --listen 127.0.0.1:7100 --load scenarios/lagos.resources.toml
+";
+
+/// What the command line asks for.
+pub(super) struct PlatformArguments {
+    listen: SocketAddr,
+    files: Vec<PathBuf>,
+}
+
+pub(super) fn parse_arguments(
+    mut parser: lexopt::Parser,
+) -> Result<Command<PlatformArguments>, ArgumentError> {
+    let mut listen = None;
+    let mut files = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long("listen") => {
+                listen = Some(arguments::value(&mut parser, "listen", "ip:port")?);
+            }
+            Arg::Long("load") => files.push(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let listen = listen.ok_or(ArgumentError::Missing("listen"))?;
+    Ok(Command::Run(PlatformArguments { listen, files }))
+}
+
+pub(super) async fn run(arguments: PlatformArguments) -> ExitCode {
+    let resources = match load_resources(&arguments.files) {
+        Ok(resources) => resources,
+        Err(message) => return bad_use(&message, USAGE),
+    };
+    let settings = PlatformSettings {
+        resources,
+        ..PlatformSettings::new(arguments.listen)
+    };
+    let platform = match start(settings).await {
+        Ok(platform) => platform,
+        Err(error) => return bad_use(&error, USAGE),
+    };
+    wait_for_end().await;
+    platform.shutdown().await;
+    ExitCode::SUCCESS
+}
+
+/// The resources of all files, or every problem in them.
+fn load_resources(files: &[PathBuf]) -> Result<Vec<Resource>, String> {
+    let mut sources = Vec::with_capacity(files.len());
+    for file in files {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|error| format!("{name}: {error}"))?;
+        sources.push(SourceFile { name, text });
+    }
+    let parsed = parse(&sources);
+    if parsed.has_errors() {
+        let problems = parsed.problems.iter().map(ToString::to_string);
+        return Err(problems.collect::<Vec<_>>().join("\n"));
+    }
+    Ok(parsed.resources)
+}
--- a/crates/emulator/src/demo/mod.rs
+++ b/crates/emulator/src/demo/mod.rs
@@ -1,1 +1,3 @@
 //! A whole deployment on loopback in one process.
+
+pub mod layout;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod experiment;
 pub mod load;
 pub mod platform;
+pub mod readiness;
 pub mod scenario;
 pub mod simulator;
