--- a/crates/core/src/routing/balance.rs
+++ b/crates/core/src/routing/balance.rs
@@ -28,7 +28,7 @@
     members: &[u32],
     rng: &mut impl Rng,
 ) -> Option<Candidate> {
-    let first = draw(pool, members, None, rng)?;
+    let first = draw(pool, members, None, rng).or_else(|| search(pool, members, rng))?;
     let Some(second) = draw(pool, members, Some(first), rng) else {
         return Some(candidate(pool, first));
     };
@@ -48,10 +48,7 @@
     }
 }
 
-/// Draws one usable endpoint other than `other`.
-///
-/// Cold endpoints are drawn in proportion to their weight. When a few draws find nothing, the members
-/// are searched in order from a random place, so that one usable endpoint is always found.
+/// Draws one usable endpoint other than `other`; cold endpoints in proportion to their weight.
 fn draw(
     pool: &impl Pool,
     members: &[u32],
@@ -61,22 +58,34 @@
     if members.is_empty() {
         return None;
     }
-    let allowed = |index: usize| Some(index) != other && pool.is_usable(index);
     for _ in 0..RANDOM_DRAWS {
         let index = members[rng.random_range(0..members.len())] as usize;
-        if allowed(index) && accepts(pool.weight(index), rng) {
+        let allowed = Some(index) != other && pool.is_usable(index);
+        if allowed && accepts(pool.weight(index), rng) {
             return Some(index);
         }
     }
+    None
+}
+
+/// Searches all members from a random place, so that a usable endpoint is found if there is one.
+fn search(pool: &impl Pool, members: &[u32], rng: &mut impl Rng) -> Option<usize> {
+    if members.is_empty() {
+        return None;
+    }
     let start = rng.random_range(0..members.len());
     let (before, after) = members.split_at(start);
-    after
-        .iter()
-        .chain(before)
+    let from_start = after.iter().chain(before);
+    from_start
         .map(|member| *member as usize)
-        .find(|index| allowed(*index))
+        .find(|index| pool.is_usable(*index))
 }
 
+/// Whether an endpoint that was drawn is considered.
+///
+/// A cold endpoint has little to do and mostly wins its comparison, which doubles its share; so at
+/// low weights half of the weight is enough.
 fn accepts(weight: f64, rng: &mut impl Rng) -> bool {
-    weight >= 1.0 || rng.random::<f64>() < weight
+    let probability = weight * (1.0 + weight) / 2.0;
+    weight >= 1.0 || rng.random::<f64>() < probability
 }
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -5,7 +5,7 @@
 use crate::priority::{AdmissionKey, AdmissionLevel};
 use crate::time::Timestamp;
 
-use super::endpoint::{Endpoint, EndpointState};
+use super::endpoint::Endpoint;
 use super::heard_level::HeardLevel;
 use super::hold::{Hold, HoldReason};
 use super::observation::{Observation, ReportedLoad};
@@ -35,10 +35,19 @@
     suspicion: Suspicion,
 }
 
+/// Whether ejected endpoints may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EjectedUse {
+    /// Only others.
+    Avoid,
+    /// They too: better a doubtful endpoint than none.
+    Accept,
+}
+
 /// Why an endpoint can't take a call now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unusable {
-    /// It is leaving or ejected.
+    /// It refused as leaving, or it is ejected.
     Unavailable(Duration),
     /// Its connections are taken.
     Connections(Duration),
@@ -71,17 +80,15 @@
         self.local = local;
     }
 
-    /// Whether the endpoint can take a call with this key.
+    /// Whether the endpoint, which must be live, can take a call with this key.
     pub(super) fn check(
         &self,
         now: Timestamp,
         key: AdmissionKey,
+        ejected: EjectedUse,
         settings: &RouterSettings,
     ) -> Result<(), Unusable> {
-        if self.endpoint.state == EndpointState::Leaving {
-            return Err(Unusable::Unavailable(settings.default_retry_after));
-        }
-        self.check_hold(now)?;
+        self.check_hold(now, ejected)?;
         if self.in_flight >= self.endpoint.connections {
             return Err(Unusable::Connections(settings.connection_hold));
         }
@@ -92,13 +99,14 @@
         Ok(())
     }
 
-    fn check_hold(&self, now: Timestamp) -> Result<(), Unusable> {
+    fn check_hold(&self, now: Timestamp, ejected: EjectedUse) -> Result<(), Unusable> {
         let Some(hold) = self.hold.filter(|hold| hold.is_active(now)) else {
             return Ok(());
         };
         let wait = hold.until.saturating_since(now);
         match hold.reason {
             HoldReason::ConnectionLimit => Err(Unusable::Connections(wait)),
+            HoldReason::Ejected if ejected == EjectedUse::Accept => Ok(()),
             HoldReason::Ejected | HoldReason::Leaving => Err(Unusable::Unavailable(wait)),
         }
     }
@@ -200,20 +208,19 @@
         reference: &Reference,
     ) -> f64 {
         let utilisation = self.utilisation(now, settings, reference);
-        let factor = self.suspicion.cost_factor(now, reference);
-        utilisation * factor / self.weight(now, settings)
+        utilisation * self.suspicion.cost_factor(now, reference)
     }
 
     /// Utilisation with one more call, from the report as far as it is fresh and trusted.
     fn utilisation(&self, now: Timestamp, settings: &RouterSettings, reference: &Reference) -> f64 {
-        let usual = reference.utilisation().unwrap_or(0.0);
-        let slots = f64::from(self.endpoint.slots.max(1));
-        let assumed = usual + f64::from(self.in_flight + 1) / slots;
+        let own = f64::from(self.in_flight + 1) / f64::from(self.endpoint.slots.max(1));
+        let assumed = reference.utilisation().unwrap_or(0.0) + own;
         let fresh = self
             .report
             .filter(|report| now.saturating_since(report.at) < settings.report_lifetime);
         let Some(report) = fresh else {
-            return assumed;
+            // One call at a time finds out how loaded the endpoint is.
+            return if self.in_flight == 0 { own } else { assumed };
         };
         let limit = f64::from(report.load.limit.max(1));
         let added = f64::from(report.dispatched_since + 1) / limit;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -5,12 +5,12 @@
 use rand::{Rng, RngExt};
 
 use crate::outcome::ResultCode;
-use crate::priority::{AdmissionKey, AdmissionLevel};
+use crate::priority::AdmissionLevel;
 use crate::time::Timestamp;
 
 use super::balance::Pool;
 use super::endpoint::{Endpoint, EndpointId, EndpointState, Zone};
-use super::entry::{Entry, Unusable};
+use super::entry::{EjectedUse, Entry, Unusable};
 use super::hold::HoldReason;
 use super::locality::{self, Members};
 use super::observation::Observation;
@@ -102,12 +102,11 @@
 
     /// Picks an endpoint for a call. The driver reports the use with [`Router::dispatched`].
     pub fn pick(&self, now: Timestamp, rng: &mut impl Rng, request: &PickRequest<'_>) -> Pick {
-        let view = PoolView {
-            router: self,
-            now,
-            request,
-        };
-        match locality::pick(&view, &self.members, &self.settings, rng) {
+        let others = self.pool(now, request, EjectedUse::Avoid);
+        let all = self.pool(now, request, EjectedUse::Accept);
+        let picked = locality::pick(&others, &self.members, &self.settings, rng)
+            .or_else(|| locality::pick(&all, &self.members, &self.settings, rng));
+        match picked {
             Some(candidate) => Pick::Endpoint(self.entries[candidate.index].endpoint.id.clone()),
             None => self.explain_none(now, rng, request),
         }
@@ -116,12 +115,8 @@
     /// Whether some endpoint could take the call.
     #[must_use]
     pub fn can_pick(&self, now: Timestamp, request: &PickRequest<'_>) -> bool {
-        let view = PoolView {
-            router: self,
-            now,
-            request,
-        };
-        self.member_indexes().any(|index| view.is_usable(index))
+        let pool = self.pool(now, request, EjectedUse::Accept);
+        self.member_indexes().any(|index| pool.is_usable(index))
     }
 
     /// Notes that a call was sent to an endpoint.
@@ -197,6 +192,20 @@
         self.entries.is_empty()
     }
 
+    fn pool<'view>(
+        &'view self,
+        now: Timestamp,
+        request: &'view PickRequest<'view>,
+        ejected: EjectedUse,
+    ) -> PoolView<'view> {
+        PoolView {
+            router: self,
+            now,
+            request,
+            ejected,
+        }
+    }
+
     fn position(&self, endpoint: &EndpointId) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.endpoint.id.cmp(endpoint))
@@ -290,7 +299,9 @@
         let mut reason = ResultCode::NoBackend;
         let mut wait: Option<Duration> = None;
         for index in self.member_indexes() {
-            let Err(unusable) = self.check(now, index, request.key) else {
+            let entry = &self.entries[index];
+            let check = entry.check(now, request.key, EjectedUse::Accept, &self.settings);
+            let Err(unusable) = check else {
                 continue;
             };
             let (found, found_wait) = match unusable {
@@ -308,10 +319,6 @@
             retry_after: wait.mul_f64(spread),
         }
     }
-
-    fn check(&self, now: Timestamp, index: usize, key: AdmissionKey) -> Result<(), Unusable> {
-        self.entries[index].check(now, key, &self.settings)
-    }
 }
 
 /// Of two reasons, the one that is closer to an endpoint that could have taken the call.
@@ -333,13 +340,18 @@
     router: &'view Router,
     now: Timestamp,
     request: &'view PickRequest<'view>,
+    ejected: EjectedUse,
 }
 
 impl Pool for PoolView<'_> {
     fn is_usable(&self, index: usize) -> bool {
         let entry = &self.router.entries[index];
-        let excluded = self.request.excluded.contains(&entry.endpoint.id);
-        !excluded && self.router.check(self.now, index, self.request.key).is_ok()
+        if self.request.excluded.contains(&entry.endpoint.id) {
+            return false;
+        }
+        let settings = &self.router.settings;
+        let check = entry.check(self.now, self.request.key, self.ejected, settings);
+        check.is_ok()
     }
 
     fn weight(&self, index: usize) -> f64 {
--- a/crates/core/src/routing/suspicion.rs
+++ b/crates/core/src/routing/suspicion.rs
@@ -20,8 +20,8 @@
 const OVERLOAD_PENALTY: f64 = 4.0;
 /// Cost of an endpoint that always fails, as a multiple above a working one's.
 const FAILURE_PENALTY: f64 = 16.0;
-/// Time in which an old observation loses half of its influence.
-const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Time after which an endpoint that gets no calls is judged anew.
+const FORGET_AFTER: Duration = Duration::from_secs(5);
 /// Observations before an endpoint can be ejected.
 const EJECTION_MINIMUM_OBSERVATIONS: u32 = 5;
 /// Share of failures from which an endpoint is ejected.
@@ -51,6 +51,7 @@
         claimed: Option<f64>,
         reference: &Reference,
     ) {
+        let influence = self.influence(now);
         self.forget_with_time(now);
         let contradicted = claimed.is_some_and(|claimed| claimed < CLAIMS_ROOM_BELOW)
             && contradicts_room(observation, reference);
@@ -59,7 +60,7 @@
         if !observation.overloaded {
             self.blend_failure(observation.is_failure());
         }
-        self.blend_latency(observation);
+        self.blend_latency(observation, influence);
         self.observations = self.observations.saturating_add(1);
     }
 
@@ -119,18 +120,18 @@
         }
     }
 
-    fn blend_latency(&mut self, observation: &Observation) {
+    /// Blends a latency in; the older the average, the more the new one counts.
+    fn blend_latency(&mut self, observation: &Observation, influence: f64) {
         let latency = observation.latency.as_micros() as f64;
-        match (observation.outcome, self.latency_micros) {
-            (OutcomeClass::NotRun, _) => {}
-            (OutcomeClass::Run, None) => self.latency_micros = Some(latency),
-            (OutcomeClass::Run, Some(mean)) => self.latency_micros = Some(lerp(mean, latency)),
+        let mean = self.latency_micros.unwrap_or(latency);
+        let weight = OBSERVATION_WEIGHT.max(1.0 - influence);
+        let seen = match observation.outcome {
+            OutcomeClass::NotRun => return,
+            OutcomeClass::Run => latency,
             // The attempt was cut short, so its latency is a lower bound.
-            (OutcomeClass::Unknown, mean) => {
-                let mean = mean.unwrap_or(latency);
-                self.latency_micros = Some(lerp(mean, latency.max(mean)));
-            }
-        }
+            OutcomeClass::Unknown => latency.max(mean),
+        };
+        self.latency_micros = Some(lerp(mean, seen, weight));
     }
 
     fn forget_with_time(&mut self, now: Timestamp) {
@@ -144,7 +145,7 @@
     /// How much the averages still say at `now`, 1.0 just after an observation.
     fn influence(&self, now: Timestamp) -> f64 {
         let age = now.saturating_since(self.observed_at).as_secs_f64();
-        1.0 / (1.0 + age / HALF_LIFE.as_secs_f64())
+        (1.0 - age / FORGET_AFTER.as_secs_f64()).max(0.0)
     }
 }
 
@@ -160,9 +161,9 @@
 
 fn blend(average: &mut f64, happened: bool) {
     let value = if happened { 1.0 } else { 0.0 };
-    *average = lerp(*average, value);
+    *average = lerp(*average, value, OBSERVATION_WEIGHT);
 }
 
-fn lerp(average: f64, value: f64) -> f64 {
-    average + (value - average) * OBSERVATION_WEIGHT
+fn lerp(average: f64, value: f64, weight: f64) -> f64 {
+    average + (value - average) * weight
 }
