Decide on the claim and back-end refusal codes

Ruled out: a wildcard arm, which would let a new code pass without a decision. Change: ClaimUndetermined gives up, as ClaimUncertain does: an earlier attempt may have run. Conclusion: a new result code needs an arm in decide() and a row in retry_decide.

--- a/crates/core/tests/retry_decide.rs
+++ b/crates/core/tests/retry_decide.rs
@@ -95,6 +95,7 @@
             give_up(CallerGone),
             give_up(CallerGone),
         ),
+        (ResultCode::RefusedByBackend, offer, offer),
         (
             ResultCode::DeadlineAfterDispatch,
             give_up(Deadline),
@@ -112,6 +113,11 @@
             give_up(CallerGone),
             give_up(CallerGone),
         ),
+        (
+            ResultCode::ClaimUndetermined,
+            give_up(NotRepeatable),
+            give_up(NotRepeatable),
+        ),
     ];
     let covered: Vec<ResultCode> = cases.iter().map(|case| case.0).collect();
     assert_eq!(covered, ResultCode::ALL);
