--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -125,6 +125,8 @@
     incoming: Incoming,
     deadline: Pin<Box<Sleep>>,
     observers: Vec<Box<dyn BodyObserver>>,
+    /// An error that is reported at the next poll.
+    failure: Option<BodyError>,
 }
 
 impl AnswerBody {
@@ -145,6 +147,7 @@
                 incoming,
                 deadline: Box::pin(tokio::time::sleep_until(deadline)),
                 observers: Vec::new(),
+                failure: None,
             }),
         }
     }
@@ -160,24 +163,36 @@
 
 impl Relayed {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(failure) = self.failure.take() {
+            self.end(BodyEnd::Failed);
+            return Poll::Ready(Some(Err(failure)));
+        }
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-            Poll::Ready(Some(Err(error))) => {
-                self.end(BodyEnd::Failed);
-                Poll::Ready(Some(Err(BodyError::Stream(error))))
-            }
+            Poll::Ready(Some(Err(error))) => self.fail(context, BodyError::Stream(error)),
             Poll::Ready(None) => {
                 self.end(BodyEnd::Complete);
                 Poll::Ready(None)
             }
             Poll::Pending => {
                 ready!(self.deadline.as_mut().poll(context));
-                self.end(BodyEnd::Failed);
-                Poll::Ready(Some(Err(BodyError::DeadlinePassed)))
+                self.fail(context, BodyError::DeadlinePassed)
             }
         }
     }
 
+    /// Reports an error one poll later, so that what came before it is flushed: the connection drops
+    /// unsent bytes together with the message that it aborts.
+    fn fail(
+        &mut self,
+        context: &mut Context<'_>,
+        failure: BodyError,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.failure = Some(failure);
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     fn end(&mut self, end: BodyEnd) {
         for observer in self.observers.drain(..) {
             observer.ended(end);
@@ -187,7 +202,7 @@
 
 impl Drop for Relayed {
     fn drop(&mut self) {
-        let whole = self.incoming.is_end_stream();
+        let whole = self.failure.is_none() && self.incoming.is_end_stream();
         self.end(if whole {
             BodyEnd::Complete
         } else {
--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -21,7 +21,10 @@
 /// Content of one piece of a long answer.
 pub const PIECE: &str = "0123456789abcdef";
 
-/// What the back end does with a request, from the first part of its path.
+/// Time for the first pieces of an answer to leave before it is cut.
+pub const CUT_DELAY: Duration = Duration::from_millis(30);
+
+/// What the back end saw.
 #[derive(Debug, Default)]
 struct Record {
     executions: HashMap<String, usize>,
@@ -150,8 +153,8 @@
                 *response.status_mut() = status.unwrap_or(StatusCode::OK);
                 Ok(response)
             }
-            "long" => Ok(Response::new(long(64, None))),
-            "cut" => Ok(Response::new(long(4, Some("cut")))),
+            "long" => Ok(Response::new(TestBody::of(pieces(64)))),
+            "cut" => Ok(Response::new(cut())),
             "drop" => {
                 let _ = request.into_body().collect().await;
                 Err(io::Error::other("connection dropped"))
@@ -217,10 +220,21 @@
     response
 }
 
-fn long(pieces: usize, cut: Option<&str>) -> TestBody {
-    let pieces = (0..pieces).map(|_| Ok(Bytes::from_static(PIECE.as_bytes())));
-    let cut = cut.map(|reason| Err(io::Error::other(reason.to_owned())));
-    TestBody::of(pieces.chain(cut))
+fn pieces(count: usize) -> impl Iterator<Item = Result<Bytes, io::Error>> {
+    (0..count).map(|_| Ok(Bytes::from_static(PIECE.as_bytes())))
+}
+
+/// A body that breaks off once its first pieces have had time to leave.
+fn cut() -> TestBody {
+    let (feed, body) = TestBody::channel();
+    for piece in pieces(4) {
+        feed.send(piece).unwrap();
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(CUT_DELAY).await;
+        let _ = feed.send(Err(io::Error::other("cut")));
+    });
+    body
 }
 
 /// Whether the request on this connection is for a path under `/raw`.
--- a/crates/daemon/tests/support/raw.rs
+++ b/crates/daemon/tests/support/raw.rs
@@ -3,7 +3,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::backend::BackendStub;
+use super::backend::{BackendStub, CUT_DELAY};
 
 /// Serves one request under `/raw` and closes the connection.
 pub async fn serve(mut stream: TcpStream, stub: &BackendStub) {
@@ -21,9 +21,14 @@
     let answer: &[u8] = match path {
         "/raw/garbage" => b"this is not HTTP\r\n\r\n",
         "/raw/unmarked-end" => b"HTTP/1.1 200 OK\r\n\r\nmaybe whole",
-        "/raw/short" => b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this",
+        "/raw/short" | "/raw/short-at-once" => {
+            b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this"
+        }
         "/raw/close" => b"",
         _ => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok",
     };
     let _ = stream.write_all(answer).await;
+    if path == "/raw/short" {
+        tokio::time::sleep(CUT_DELAY).await;
+    }
 }
