--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -21,7 +21,10 @@
 /// Content of one piece of a long answer.
 pub const PIECE: &str = "0123456789abcdef";
 
-/// What the back end does with a request, from the first part of its path.
+/// Time for the first pieces of an answer to leave before it is cut.
+pub const CUT_DELAY: Duration = Duration::from_millis(30);
+
+/// What the back end saw.
 #[derive(Debug, Default)]
 struct Record {
     executions: HashMap<String, usize>,
@@ -38,6 +41,7 @@
     record: Arc<Mutex<Record>>,
     connections: Arc<AtomicUsize>,
     failures_left: Arc<AtomicUsize>,
+    refusing: Arc<AtomicBool>,
 }
 
 impl BackendStub {
@@ -49,6 +53,7 @@
             record: Arc::default(),
             connections: Arc::default(),
             failures_left: Arc::default(),
+            refusing: Arc::default(),
         };
         let served = stub.clone();
         tokio::spawn(async move {
@@ -71,6 +76,11 @@
         self.failures_left.store(count, Ordering::Relaxed);
     }
 
+    /// Refuses every request from now on, before execution.
+    pub fn refuse_everything(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
     /// How often a path was executed.
     pub fn executions(&self, path: &str) -> usize {
         let record = self.record.lock().unwrap();
@@ -118,7 +128,7 @@
             .unwrap()
             .headers
             .push(request.headers().clone());
-        if path == "/refuse" {
+        if path == "/refuse" || self.refusing.load(Ordering::Relaxed) {
             return Ok(refusal());
         }
         self.note_execution(&path);
@@ -150,8 +160,8 @@
                 *response.status_mut() = status.unwrap_or(StatusCode::OK);
                 Ok(response)
             }
-            "long" => Ok(Response::new(long(64, None))),
-            "cut" => Ok(Response::new(long(4, Some("cut")))),
+            "long" => Ok(Response::new(TestBody::of(pieces(64)))),
+            "cut" => Ok(Response::new(cut())),
             "drop" => {
                 let _ = request.into_body().collect().await;
                 Err(io::Error::other("connection dropped"))
@@ -217,10 +227,21 @@
     response
 }
 
-fn long(pieces: usize, cut: Option<&str>) -> TestBody {
-    let pieces = (0..pieces).map(|_| Ok(Bytes::from_static(PIECE.as_bytes())));
-    let cut = cut.map(|reason| Err(io::Error::other(reason.to_owned())));
-    TestBody::of(pieces.chain(cut))
+fn pieces(count: usize) -> impl Iterator<Item = Result<Bytes, io::Error>> {
+    (0..count).map(|_| Ok(Bytes::from_static(PIECE.as_bytes())))
+}
+
+/// A body that breaks off once its first pieces have had time to leave.
+fn cut() -> TestBody {
+    let (feed, body) = TestBody::channel();
+    for piece in pieces(4) {
+        feed.send(piece).unwrap();
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(CUT_DELAY).await;
+        let _ = feed.send(Err(io::Error::other("cut")));
+    });
+    body
 }
 
 /// Whether the request on this connection is for a path under `/raw`.
