Add check, apply, get, watch, delete and shell completion

Cause: operators need one tool that checks files and writes them without undoing what someone else wrote. Change: a table of commands drives parsing, help and completion; apply checks the files over what the platform holds, writes nothing on any error, and stops at the first conflict, naming who changed which field. Exit codes 0 to 3 as documented. Ruled out: writing in the order of the files, since a daemon would meet a request kind before its service.

--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,94 @@
+//! `check`: reports every problem of resource files in one run.
+
+use serde::Serialize;
+use wharfquay_resources::parse::{Parsed, parse};
+use wharfquay_resources::problem::{Problem, Severity};
+
+use crate::arguments::Arguments;
+use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
+use crate::error::{CliError, Finish};
+use crate::input::read_files;
+use crate::output::Output;
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "check",
+    summary: "Report every problem of resource files in one run",
+    details: "\
+All files together have to stand by themselves: references may lead from one file to another.
+Each problem is one line, `file:line: field: problem (allowed: …) [code]`; docs/CONFIGURATION.md
+lists the codes. Warnings point at risky but legal settings and leave the exit code at 0.",
+    positionals: Positionals {
+        usage: "FILE…",
+        minimum: 1,
+        maximum: usize::MAX,
+    },
+    flags: &[Flag::switch("strict", "Treat warnings as errors"), JSON],
+    examples: &[
+        Example {
+            line: "wharfquay check scenarios/lagos.resources.toml",
+            meaning: "Check one file.",
+        },
+        Example {
+            line: "wharfquay check --strict --json services.toml drains.toml",
+            meaning: "Check two files as one set, fail on warnings too, and print JSON.",
+        },
+    ],
+    run,
+};
+
+/// The result of a check, as printed with `--json`.
+#[derive(Serialize)]
+struct Report<'a> {
+    files: usize,
+    resources: usize,
+    errors: usize,
+    warnings: usize,
+    problems: &'a [Problem],
+}
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let paths = arguments.paths();
+    let read = read_files(&paths);
+    let mut parsed = parse(&read.files);
+    parsed.problems.splice(0..0, read.problems);
+    let report = report_on(&parsed, paths.len());
+    if arguments.has("json") {
+        output.json(&report)?;
+    } else {
+        print_problems(&parsed.problems, output)?;
+        output.line(&format!(
+            "{} files, {} resources: {} errors, {} warnings",
+            report.files, report.resources, report.errors, report.warnings
+        ))?;
+    }
+    let is_failed = report.errors > 0 || (arguments.has("strict") && report.warnings > 0);
+    Ok(if is_failed {
+        Finish::ProblemFound
+    } else {
+        Finish::Done
+    })
+}
+
+/// Prints one line for each problem.
+pub(crate) fn print_problems(problems: &[Problem], output: &mut Output) -> Result<(), CliError> {
+    for problem in problems {
+        output.line(&problem.to_string())?;
+    }
+    Ok(())
+}
+
+fn report_on(parsed: &Parsed, files: usize) -> Report<'_> {
+    let count = |severity| {
+        let problems = parsed.problems.iter();
+        problems
+            .filter(|problem| problem.finding.severity() == severity)
+            .count()
+    };
+    Report {
+        files,
+        resources: parsed.resources.len(),
+        errors: count(Severity::Error),
+        warnings: count(Severity::Warning),
+        problems: &parsed.problems,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/connection.rs
@@ -0,0 +1,189 @@
+//! What the commands that talk to the platform share: flags, client, progress and reading.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::{Instant, MissedTickBehavior};
+use wharfquay_platform::conversion::resource_id;
+use wharfquay_platform::wire::{Object, ObjectList};
+use wharfquay_platform::{Client, ClientSettings};
+use wharfquay_resources::acceptance::{Acceptance, StoredObject, accept};
+use wharfquay_resources::kinds::{ResourceId, ResourceKind};
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::arguments::{Arguments, parse_value};
+use crate::commands::Flag;
+use crate::error::CliError;
+use crate::output::progress;
+
+/// Environment variable that names the platform when no flag does.
+const PLATFORM_VARIABLE: &str = "WHARFQUAY_PLATFORM";
+/// Environment variable that names the author when no flag does.
+const USER_VARIABLE: &str = "USER";
+const UNKNOWN_AUTHOR: &str = "unknown";
+const ADDRESS_FORM: &str = "ip:port, several separated by commas";
+/// Time after which, and then again and again, progress is shown.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
+const DEFAULT_TIMEOUT_MS: u64 = 10_000;
+const TIMEOUT_FORM: &str = "1 to 3600000, in milliseconds";
+const MAXIMUM_TIMEOUT_MS: u64 = 3_600_000;
+
+pub(crate) const PLATFORM: Flag = Flag::with_value(
+    "platform",
+    "IP:PORT",
+    "Address of the platform, several by commas (or $WHARFQUAY_PLATFORM)",
+);
+pub(crate) const AUTHOR: Flag = Flag::with_value(
+    "author",
+    "NAME",
+    "Name recorded with each write (default: $USER)",
+);
+pub(crate) const TIMEOUT: Flag = Flag::with_value(
+    "timeout-ms",
+    "MS",
+    "Time after which to give up (default: 10000)",
+);
+
+/// Runs a future on a runtime of its own.
+pub(crate) fn block_on<T>(
+    future: impl Future<Output = Result<T, CliError>>,
+) -> Result<T, CliError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(CliError::Runtime)?;
+    runtime.block_on(future)
+}
+
+/// Waits for a future and shows progress when it takes long.
+pub(crate) async fn with_progress<T>(what: &str, future: impl Future<Output = T>) -> T {
+    let started = Instant::now();
+    let mut ticks = tokio::time::interval_at(started + PROGRESS_INTERVAL, PROGRESS_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    tokio::pin!(future);
+    loop {
+        tokio::select! {
+            result = &mut future => return result,
+            _ = ticks.tick() => {
+                progress(&format!("{what}: {} s", started.elapsed().as_secs()));
+            }
+        }
+    }
+}
+
+/// The client of the platform that flags or the environment name.
+pub(crate) fn connect(arguments: &Arguments) -> Result<Client, CliError> {
+    let addresses = platform_addresses(arguments)?.ok_or(CliError::MissingFlag {
+        flag: PLATFORM.name,
+        allowed: ADDRESS_FORM,
+    })?;
+    let timeout = timeout(arguments)?;
+    let defaults = ClientSettings::default();
+    let settings = ClientSettings {
+        call_timeout: defaults.call_timeout.min(timeout),
+        connect_timeout: defaults.connect_timeout.min(timeout),
+        write_timeout: timeout,
+        ..defaults
+    };
+    Ok(Client::new(addresses, settings))
+}
+
+/// The addresses of the platform; `None` when neither a flag nor the environment names one.
+pub(crate) fn platform_addresses(
+    arguments: &Arguments,
+) -> Result<Option<Vec<SocketAddr>>, CliError> {
+    let given = arguments.text(PLATFORM.name);
+    let Some(text) = given.or_else(|| std::env::var(PLATFORM_VARIABLE).ok()) else {
+        return Ok(None);
+    };
+    parse_addresses("--platform", &text).map(Some)
+}
+
+/// Reads addresses that are separated by commas.
+pub(crate) fn parse_addresses(name: &str, text: &str) -> Result<Vec<SocketAddr>, CliError> {
+    let parts = text.split(',').map(str::trim);
+    parts
+        .map(|part| parse_value(name, part, ADDRESS_FORM))
+        .collect()
+}
+
+/// The time after which a command gives up.
+pub(crate) fn timeout(arguments: &Arguments) -> Result<Duration, CliError> {
+    let given: Option<u64> = arguments.value(TIMEOUT.name, TIMEOUT_FORM)?;
+    let millis = given.unwrap_or(DEFAULT_TIMEOUT_MS);
+    if (1..=MAXIMUM_TIMEOUT_MS).contains(&millis) {
+        return Ok(Duration::from_millis(millis));
+    }
+    Err(CliError::InvalidValue {
+        name: "--timeout-ms".to_owned(),
+        given: millis.to_string(),
+        problem: "out of range".to_owned(),
+        allowed: TIMEOUT_FORM.to_owned(),
+    })
+}
+
+/// The author of writes.
+pub(crate) fn author(arguments: &Arguments) -> String {
+    let given = arguments.text(AUTHOR.name);
+    given
+        .or_else(|| std::env::var(USER_VARIABLE).ok())
+        .filter(|name| !name.is_empty())
+        .unwrap_or_else(|| UNKNOWN_AUTHOR.to_owned())
+}
+
+/// Reads the identity of a resource from two words.
+pub(crate) fn parse_id(kind: &str, name: &str) -> Result<ResourceId, CliError> {
+    Ok(ResourceId::new(parse_kind(kind)?, name))
+}
+
+/// Reads the name of a resource kind.
+pub(crate) fn parse_kind(text: &str) -> Result<ResourceKind, CliError> {
+    let names: Vec<&str> = ResourceKind::ALL.iter().map(|kind| kind.as_str()).collect();
+    let found = ResourceKind::ALL
+        .into_iter()
+        .find(|kind| kind.as_str() == text);
+    found.ok_or_else(|| CliError::InvalidValue {
+        name: "KIND".to_owned(),
+        given: text.to_owned(),
+        problem: "unknown resource kind".to_owned(),
+        allowed: names.join(", "),
+    })
+}
+
+/// What the platform holds, as objects and as the resources that can be accepted.
+pub(crate) struct PlatformView {
+    /// Every object of a known kind.
+    pub(crate) objects: BTreeMap<ResourceId, Object>,
+    /// Which of them are acceptable.
+    pub(crate) acceptance: Acceptance,
+}
+
+impl PlatformView {
+    /// Reads everything that the platform holds.
+    pub(crate) async fn read(client: &Client) -> Result<Self, CliError> {
+        let list = with_progress("reading the platform's objects", client.list()).await?;
+        Ok(Self::from_list(&list))
+    }
+
+    fn from_list(list: &ObjectList) -> Self {
+        let known = list.objects.iter().filter_map(|object| {
+            let id = resource_id(&object.key)?;
+            Some((id, object.clone()))
+        });
+        let objects: BTreeMap<ResourceId, Object> = known.collect();
+        let stored: Vec<StoredObject> = objects
+            .iter()
+            .map(|(id, object)| StoredObject {
+                id: id.clone(),
+                version: object.version,
+                spec: object.spec.clone(),
+            })
+            .collect();
+        Self {
+            acceptance: accept(&Snapshot::default(), list.version, &stored),
+            objects,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,129 @@
+//! Errors and exit codes of the program.
+
+use std::io;
+use std::process::ExitCode;
+
+use displaydoc::Display;
+use wharfquay_platform::PlatformError;
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Finish {
+    /// The command did what it was asked.
+    Done,
+    /// The command did its work and found a problem.
+    ProblemFound,
+    /// The command was used wrongly.
+    BadUse,
+    /// The platform can't be reached.
+    PlatformUnreachable,
+}
+
+impl Finish {
+    /// The program's exit code.
+    pub(crate) fn exit_code(self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Done => 0,
+            Self::ProblemFound => 1,
+            Self::BadUse => 2,
+            Self::PlatformUnreachable => 3,
+        })
+    }
+}
+
+/// Why a command could not do its work.
+#[derive(Debug, Display)]
+pub(crate) enum CliError {
+    /// 7001: unknown command "{given}"{hint} (allowed: {allowed})
+    UnknownCommand {
+        /// The command as given.
+        given: String,
+        /// A hint at a similar command.
+        hint: String,
+        /// The commands.
+        allowed: String,
+    },
+    /// 7002: {command}: unknown flag "{given}"{hint} (allowed: {allowed})
+    UnknownFlag {
+        /// The command.
+        command: &'static str,
+        /// The flag as given.
+        given: String,
+        /// A hint at a similar flag.
+        hint: String,
+        /// The command's flags.
+        allowed: String,
+    },
+    /// 7003: {0}
+    MalformedArgument(String),
+    /// 7004: {command}: {given} arguments (allowed: {allowed})
+    ArgumentCount {
+        /// The command.
+        command: &'static str,
+        /// How many were given.
+        given: usize,
+        /// The usage of the arguments.
+        allowed: &'static str,
+    },
+    /// 7005: {name}: "{given}" is not valid: {problem} (allowed: {allowed})
+    InvalidValue {
+        /// The flag or argument.
+        name: String,
+        /// The value as given.
+        given: String,
+        /// What is wrong with it.
+        problem: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// 7006: --{flag} is required (allowed: {allowed})
+    MissingFlag {
+        /// The flag.
+        flag: &'static str,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// 7007: the output can't be written: {0}
+    Output(io::Error),
+    /// {0}
+    Platform(PlatformError),
+    /// 7008: the runtime can't be started: {0}
+    Runtime(io::Error),
+    /// 7009: {0} does not exist
+    NotFound(String),
+    /// 7010: {0} is not deleted, since other resources refer to it
+    StillReferenced(String),
+}
+
+impl CliError {
+    /// Whether the reader of the output went away, as `head` does, which is no failure.
+    pub(crate) fn is_closed_output(&self) -> bool {
+        matches!(self, Self::Output(error) if error.kind() == io::ErrorKind::BrokenPipe)
+    }
+
+    /// The program's exit code.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        let finish = match self {
+            Self::Output(_) | Self::Runtime(_) | Self::NotFound(_) | Self::StillReferenced(_) => {
+                Finish::ProblemFound
+            }
+            Self::Platform(error) => finish_of(error),
+            _ => Finish::BadUse,
+        };
+        finish.exit_code()
+    }
+}
+
+fn finish_of(error: &PlatformError) -> Finish {
+    match error {
+        PlatformError::Rejected { .. } | PlatformError::Conflict(_) => Finish::ProblemFound,
+        PlatformError::InvalidName { .. } | PlatformError::NoAddress => Finish::BadUse,
+        _ => Finish::PlatformUnreachable,
+    }
+}
+
+impl From<PlatformError> for CliError {
+    fn from(error: PlatformError) -> Self {
+        Self::Platform(error)
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,95 @@
 //! The commands of the operators' toolbox.
+//!
+//! Each command has a module with its specification (flags, examples) and its function. The
+//! specifications drive parsing, help and shell completion.
+
+mod apply;
+mod arguments;
+mod change_text;
+mod check;
+mod commands;
+mod completion;
+mod connection;
+mod delete;
+mod error;
+mod get;
+mod help;
+mod input;
+mod output;
+mod table;
+mod watch;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use crate::arguments::{Arguments, Parsed};
+use crate::commands::{COMMANDS, CommandSpec, find_command};
+use crate::error::{CliError, Finish};
+use crate::output::Output;
+
+/// Runs the program with these arguments, the program's name left out.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let arguments: Vec<OsString> = arguments.into_iter().collect();
+    let mut output = Output::default();
+    let result = dispatch(arguments, &mut output);
+    match result {
+        Ok(finish) => finish.exit_code(),
+        Err(error) => report(&error),
+    }
+}
+
+fn report(error: &CliError) -> ExitCode {
+    if error.is_closed_output() {
+        return Finish::Done.exit_code();
+    }
+    eprintln!("wharfquay: {error}");
+    error.exit_code()
+}
+
+fn dispatch(arguments: Vec<OsString>, output: &mut Output) -> Result<Finish, CliError> {
+    let mut rest = arguments.into_iter();
+    let Some(first) = rest.next() else {
+        output.text(&help::overview())?;
+        return Ok(Finish::BadUse);
+    };
+    let first = first.to_string_lossy().into_owned();
+    match first.as_str() {
+        "--help" | "-h" | "help" => show_help(rest.next(), output),
+        "--version" | "-V" => {
+            output.line(&format!("wharfquay {}", env!("CARGO_PKG_VERSION")))?;
+            Ok(Finish::Done)
+        }
+        name => {
+            let command = find_command(name)?;
+            run_command(command, rest.collect(), output)
+        }
+    }
+}
+
+fn show_help(name: Option<OsString>, output: &mut Output) -> Result<Finish, CliError> {
+    let text = match name {
+        Some(name) => help::command(find_command(&name.to_string_lossy())?),
+        None => help::overview(),
+    };
+    output.text(&text)?;
+    Ok(Finish::Done)
+}
+
+fn run_command(
+    command: &'static CommandSpec,
+    rest: Vec<OsString>,
+    output: &mut Output,
+) -> Result<Finish, CliError> {
+    match Arguments::parse(command, rest)? {
+        Parsed::Help => {
+            output.text(&help::command(command))?;
+            Ok(Finish::Done)
+        }
+        Parsed::Run(arguments) => (command.run)(&arguments, output),
+    }
+}
+
+/// The names of all commands.
+fn command_names() -> impl Iterator<Item = &'static str> {
+    COMMANDS.iter().map(|command| command.name)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
 //! wharfquay: the toolbox of operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wharfquay::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,57 @@
+//! Output of data to the standard output, and of progress to the standard error.
+
+use std::io::{self, Write};
+
+use serde::Serialize;
+
+use wharfquay_resources::problem::Problem;
+
+use crate::error::CliError;
+
+/// The program's standard output.
+#[derive(Debug)]
+pub(crate) struct Output {
+    stdout: io::Stdout,
+}
+
+impl Default for Output {
+    fn default() -> Self {
+        Self {
+            stdout: io::stdout(),
+        }
+    }
+}
+
+impl Output {
+    /// Writes text that ends its own lines.
+    pub(crate) fn text(&mut self, text: &str) -> Result<(), CliError> {
+        let mut stdout = self.stdout.lock();
+        stdout
+            .write_all(text.as_bytes())
+            .map_err(CliError::Output)?;
+        stdout.flush().map_err(CliError::Output)
+    }
+
+    /// Writes one line.
+    pub(crate) fn line(&mut self, line: &str) -> Result<(), CliError> {
+        self.text(&format!("{line}\n"))
+    }
+
+    /// Writes a value as one line of JSON.
+    pub(crate) fn json<T: Serialize>(&mut self, value: &T) -> Result<(), CliError> {
+        let text = serde_json::to_string(value).map_err(|error| CliError::Output(error.into()))?;
+        self.line(&text)
+    }
+}
+
+/// Reports progress of something that takes long, on the standard error.
+pub(crate) fn progress(message: &str) {
+    eprintln!("wharfquay: {message}");
+}
+
+/// Writes one line for each problem to the standard error.
+pub(crate) fn print_error_lines(problems: &[Problem]) {
+    for problem in problems {
+        eprintln!("{problem}");
+    }
+}
--- /dev/null
+++ b/crates/cli/src/watch.rs
@@ -0,0 +1,170 @@
+//! `watch`: prints each change of the platform's resources as it happens.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use wharfquay_platform::conversion::resource_id;
+use wharfquay_platform::wire::{Object, WatchEvent};
+use wharfquay_platform::{Client, PlatformError};
+use wharfquay_resources::snapshot::Revision;
+
+use crate::arguments::Arguments;
+use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
+use crate::connection::{PLATFORM, TIMEOUT, block_on, connect, with_progress};
+use crate::error::{CliError, Finish};
+use crate::get::Selection;
+use crate::output::{Output, progress};
+
+/// Wait before a broken watch is opened again.
+const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
+const VERSION_FORM: &str = "a version of the store, 0 or more";
+const COUNT_FORM: &str = "1 or more";
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "watch",
+    summary: "Print each change of the platform's resources as it happens",
+    details: "\
+The watch starts at the current version, resumes after a lost connection, and goes on from the
+current version when the platform no longer remembers the one to resume from.",
+    positionals: Positionals {
+        usage: "[KIND [NAME]]",
+        minimum: 0,
+        maximum: 2,
+    },
+    flags: &[
+        Flag::with_value(
+            "from",
+            "VERSION",
+            "Print the changes after this version too",
+        ),
+        Flag::with_value("count", "N", "End after N changes"),
+        PLATFORM,
+        TIMEOUT,
+        JSON,
+    ],
+    examples: &[
+        Example {
+            line: "wharfquay watch --platform 127.0.0.1:7000",
+            meaning: "Print every change.",
+        },
+        Example {
+            line: "wharfquay watch drain --from 0 --count 1 --json",
+            meaning: "Wait for the first drain ever written and print it as JSON.",
+        },
+    ],
+    run,
+};
+
+/// A change, as printed with `--json`.
+#[derive(Serialize)]
+struct ChangeLine<'a> {
+    version: u64,
+    change: &'static str,
+    object: &'a Object,
+}
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let selection = Selection::parse(arguments)?;
+    let from: Option<u64> = arguments.value("from", VERSION_FORM)?;
+    let count: Option<u64> = arguments.value("count", COUNT_FORM)?;
+    let client = connect(arguments)?;
+    block_on(async {
+        let start = match from {
+            Some(version) => Revision::new(version),
+            None => {
+                with_progress("reading the version", client.list())
+                    .await?
+                    .version
+            }
+        };
+        let mut follower = Follower {
+            selection,
+            is_json: arguments.has("json"),
+            remaining: count,
+            reached: start,
+        };
+        follower.follow(&client, output).await
+    })
+}
+
+struct Follower {
+    selection: Selection,
+    is_json: bool,
+    remaining: Option<u64>,
+    reached: Revision,
+}
+
+impl Follower {
+    /// Follows until the wanted number of changes was printed.
+    async fn follow(&mut self, client: &Client, output: &mut Output) -> Result<Finish, CliError> {
+        let mut was_open = false;
+        while self.remaining != Some(0) {
+            let error = match client.watch(self.reached).await {
+                Ok(mut stream) => {
+                    was_open = true;
+                    loop {
+                        match stream.next().await {
+                            Some(Ok(event)) => self.take(&event, output)?,
+                            Some(Err(error)) => break Some(error),
+                            None => break None,
+                        }
+                        if self.remaining == Some(0) {
+                            return Ok(Finish::Done);
+                        }
+                    }
+                }
+                Err(error) => Some(error),
+            };
+            self.recover(client, error, was_open).await?;
+        }
+        Ok(Finish::Done)
+    }
+
+    async fn recover(
+        &mut self,
+        client: &Client,
+        error: Option<PlatformError>,
+        was_open: bool,
+    ) -> Result<(), CliError> {
+        match error {
+            Some(PlatformError::WatchTooOld { from }) => {
+                progress(&format!(
+                    "version {from} is forgotten; going on from the current one"
+                ));
+                self.reached = client.list().await?.version;
+                return Ok(());
+            }
+            Some(error) if !was_open || !error.is_transient() => return Err(error.into()),
+            Some(error) => progress(&format!("watch lost, opening it again: {error}")),
+            None => progress("watch ended, opening it again"),
+        }
+        tokio::time::sleep(REOPEN_INTERVAL).await;
+        Ok(())
+    }
+
+    fn take(&mut self, event: &WatchEvent, output: &mut Output) -> Result<(), CliError> {
+        self.reached = event.version();
+        let (change, object) = match event {
+            WatchEvent::Put { object, .. } => ("put", object),
+            WatchEvent::Delete { object, .. } => ("delete", object),
+            WatchEvent::Bookmark { .. } => return Ok(()),
+        };
+        let is_selected = resource_id(&object.key).is_some_and(|id| self.selection.covers(&id));
+        if !is_selected {
+            return Ok(());
+        }
+        self.remaining = self.remaining.map(|count| count.saturating_sub(1));
+        let version = event.version().number();
+        if self.is_json {
+            return output.json(&ChangeLine {
+                version,
+                change,
+                object,
+            });
+        }
+        output.line(&format!(
+            "{version} {change} {} by \"{}\" {}",
+            object.key, object.author, object.spec
+        ))
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,112 @@
+//! Runs the built program and the platform's stand-in.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use tokio::runtime::Runtime;
+use wharfquay_emulator::platform::{FaultSwitches, PlatformSettings, RunningPlatform, start};
+
+/// What a run of the program left.
+pub(crate) struct Run {
+    pub(crate) code: i32,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+/// The program with these arguments and an environment without its variables.
+pub(crate) fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wharfquay"));
+    command
+        .args(arguments)
+        .env_remove("WHARFQUAY_PLATFORM")
+        .env("USER", "tester")
+        .stdin(Stdio::null());
+    command
+}
+
+pub(crate) fn run(arguments: &[&str]) -> Run {
+    let output = command(arguments).output().expect("the program runs");
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).expect("output is UTF-8");
+    let run = Run {
+        code: output.status.code().expect("the program exits"),
+        stdout: text(output.stdout),
+        stderr: text(output.stderr),
+    };
+    assert!(!run.stderr.contains("panicked"), "{}", run.stderr);
+    run
+}
+
+/// A directory of a test's own, removed at the end.
+pub(crate) struct TestDirectory(PathBuf);
+
+impl TestDirectory {
+    pub(crate) fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("wharfquay-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("the directory can be made");
+        Self(path)
+    }
+
+    /// Writes a file and returns its path.
+    pub(crate) fn file(&self, name: &str, content: &[u8]) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, content).expect("the file can be written");
+        path.display().to_string()
+    }
+}
+
+impl Drop for TestDirectory {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub(crate) fn repository_file(path: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    root.join(path).display().to_string()
+}
+
+/// A stand-in of the platform with a runtime of its own.
+pub(crate) struct TestPlatform {
+    runtime: Runtime,
+    platform: RunningPlatform,
+}
+
+impl TestPlatform {
+    pub(crate) fn start() -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        let listen: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let platform = runtime
+            .block_on(start(PlatformSettings::new(listen)))
+            .expect("the stand-in starts");
+        Self { runtime, platform }
+    }
+
+    pub(crate) fn address(&self) -> String {
+        self.platform.address().to_string()
+    }
+
+    pub(crate) fn set_faults(&self, faults: FaultSwitches) {
+        self.platform.set_faults(faults);
+    }
+
+    pub(crate) fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
+        self.runtime.block_on(future)
+    }
+
+    /// Runs the program against this platform.
+    pub(crate) fn run(&self, arguments: &[&str]) -> Run {
+        let address = self.address();
+        let mut all = arguments.to_vec();
+        all.extend(["--platform", &address]);
+        run(&all)
+    }
+}
+
+/// A loopback address on which nobody listens.
+pub(crate) fn closed_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
--- a/crates/resources/src/fields.rs
+++ b/crates/resources/src/fields.rs
@@ -8,8 +8,10 @@
 pub const METHODS: &[&str] = &["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
 /// Keys that a drain's target may have.
 pub const DRAIN_TARGETS: &[&str] = &["backend", "service", "zone"];
-/// Longest name or identifier, in bytes.
+/// Longest name of a resource, in bytes.
 pub const MAXIMUM_NAME_LENGTH: usize = 64;
+/// Longest daemon id or zone, in bytes.
+pub const MAXIMUM_IDENTIFIER_LENGTH: usize = 128;
 /// Longest path prefix, in bytes.
 pub const MAXIMUM_PATH_LENGTH: usize = 1_024;
 /// Largest integer that every JSON reader holds exactly.
@@ -94,7 +96,9 @@
 
 /// The form of a daemon id or zone, in words.
 pub(crate) fn identifier_form() -> String {
-    format!("1 to {MAXIMUM_NAME_LENGTH} of A-Z a-z 0-9 _ - . :, starting with a letter or digit")
+    format!(
+        "1 to {MAXIMUM_IDENTIFIER_LENGTH} of A-Z a-z 0-9 _ - . :, starting with a letter or digit"
+    )
 }
 
 /// What holds when a field is absent.
--- a/crates/resources/src/spec.rs
+++ b/crates/resources/src/spec.rs
@@ -3,8 +3,8 @@
 use serde_json::{Map, Value};
 
 use crate::fields::{
-    DRAIN_TARGETS, Field, FieldDefault, FieldType, MAXIMUM_NAME_LENGTH, MAXIMUM_PATH_LENGTH,
-    METHODS, fields_of, identifier_form, name_form,
+    DRAIN_TARGETS, Field, FieldDefault, FieldType, MAXIMUM_IDENTIFIER_LENGTH, MAXIMUM_NAME_LENGTH,
+    MAXIMUM_PATH_LENGTH, METHODS, fields_of, identifier_form, name_form,
 };
 use crate::kinds::{ClaimGroup, DrainTarget, Resource, ResourceId, ResourceKind, RetryBudget};
 use crate::nearest::suggestion;
@@ -349,7 +349,7 @@
     let starts_well = text.starts_with(|first: char| first.is_ascii_alphanumeric());
     let is_part =
         |part: char| part.is_ascii_alphanumeric() || matches!(part, '_' | '-' | '.' | ':');
-    starts_well && text.len() <= MAXIMUM_NAME_LENGTH && text.chars().all(is_part)
+    starts_well && text.len() <= MAXIMUM_IDENTIFIER_LENGTH && text.chars().all(is_part)
 }
 
 fn is_path_prefix(text: &str) -> bool {
