Add decisions at the edge as a pure function, with explain and replay

Cause: operators ask why a request was refused, and what a changed configuration would have done to yesterday's requests. Ruled out: replaying the load itself from records, since a refused request's cost is not in its record.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -85,6 +85,20 @@
             .map(|value| value.to_string_lossy().into_owned())
     }
 
+    /// Every value of a flag as text.
+    pub(crate) fn texts(&self, flag: &str) -> Vec<String> {
+        let values = self.flags.get(flag).into_iter().flatten();
+        values
+            .map(|value| value.to_string_lossy().into_owned())
+            .collect()
+    }
+
+    /// Every value of a flag as a path.
+    pub(crate) fn path_values(&self, flag: &str) -> Vec<PathBuf> {
+        let values = self.flags.get(flag).into_iter().flatten();
+        values.map(PathBuf::from).collect()
+    }
+
     /// The value of a flag in another type.
     pub(crate) fn value<T>(&self, flag: &str, allowed: &str) -> Result<Option<T>, CliError>
     where
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::command_names;
 use crate::error::{CliError, Finish};
 use crate::output::Output;
-use crate::{apply, check, completion, delete, get, watch};
+use crate::{apply, check, completion, delete, explain, get, replay, watch};
 
 /// A flag of a command.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +91,8 @@
     &get::COMMAND,
     &watch::COMMAND,
     &delete::COMMAND,
+    &explain::COMMAND,
+    &replay::COMMAND,
     &completion::COMMAND,
 ];
 
--- a/crates/cli/src/connection.rs
+++ b/crates/cli/src/connection.rs
@@ -90,6 +90,11 @@
     Ok(Client::new(addresses, settings))
 }
 
+/// Whether a flag or the environment names the platform.
+pub(crate) fn names_platform(arguments: &Arguments) -> bool {
+    arguments.has(PLATFORM.name) || std::env::var_os(PLATFORM_VARIABLE).is_some()
+}
+
 /// The addresses of the platform; `None` when neither a flag nor the environment names one.
 pub(crate) fn platform_addresses(
     arguments: &Arguments,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -93,6 +93,15 @@
     NotFound(String),
     /// 7010: {0} is not deleted, since other resources refer to it
     StillReferenced(String),
+    /// 7012: {path}: can't be read: {source} (allowed: a readable file)
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the operating system reported.
+        source: io::Error,
+    },
+    /// 7013: the configuration has errors (allowed: files that `wharfquay check` passes)
+    BrokenConfiguration,
 }
 
 impl CliError {
@@ -104,9 +113,11 @@
     /// The program's exit code.
     pub(crate) fn exit_code(&self) -> ExitCode {
         let finish = match self {
-            Self::Output(_) | Self::Runtime(_) | Self::NotFound(_) | Self::StillReferenced(_) => {
-                Finish::ProblemFound
-            }
+            Self::Output(_)
+            | Self::Runtime(_)
+            | Self::NotFound(_)
+            | Self::BrokenConfiguration
+            | Self::StillReferenced(_) => Finish::ProblemFound,
             Self::Platform(error) => finish_of(error),
             _ => Finish::BadUse,
         };
--- /dev/null
+++ b/crates/cli/src/explain/candidates.rs
@@ -0,0 +1,73 @@
+//! The back ends of a service and why each may or may not be chosen.
+
+use serde::Serialize;
+use wharfquay_platform::wire::{Machine, MachineState};
+use wharfquay_resources::snapshot::Snapshot;
+
+/// A back end of the service.
+#[derive(Debug, Serialize)]
+pub(super) struct Candidate {
+    /// Id of its daemon.
+    pub(super) id: String,
+    /// Its zone.
+    pub(super) zone: String,
+    /// Where its daemon takes calls.
+    pub(super) address: String,
+    /// Whether new requests may be sent to it.
+    pub(super) usable: bool,
+    /// Why.
+    pub(super) reason: String,
+}
+
+/// The service's back ends in the order of preference: usable ones of the edge's zone first.
+pub(super) fn list_candidates(
+    snapshot: &Snapshot,
+    service: &str,
+    zone: Option<&str>,
+    machines: &[Machine],
+) -> Vec<Candidate> {
+    let machines = machines.iter();
+    let mut candidates: Vec<Candidate> = machines
+        .filter(|machine| machine.service.as_deref() == Some(service))
+        .map(|machine| weigh(snapshot, service, zone, machine))
+        .collect();
+    candidates.sort_by_key(|candidate| {
+        let is_remote = Some(candidate.zone.as_str()) != zone;
+        (!candidate.usable, is_remote, candidate.id.clone())
+    });
+    candidates
+}
+
+fn weigh(snapshot: &Snapshot, service: &str, zone: Option<&str>, machine: &Machine) -> Candidate {
+    let leaving = leaving_reason(snapshot, service, machine);
+    let usable = leaving.is_none();
+    let reason = leaving.unwrap_or_else(|| preference(zone, &machine.zone));
+    Candidate {
+        id: machine.id.clone(),
+        zone: machine.zone.clone(),
+        address: machine.call_address.to_string(),
+        usable,
+        reason,
+    }
+}
+
+fn leaving_reason(snapshot: &Snapshot, service: &str, machine: &Machine) -> Option<String> {
+    if machine.state == MachineState::Leaving {
+        return Some("leaving by the machine list".to_owned());
+    }
+    let mut drains = snapshot.drains.values();
+    let drain = drains.find(|drain| {
+        let target = &drain.target;
+        target.covers(&machine.id, &machine.zone, Some(service))
+    })?;
+    Some(format!("leaving by drain {}", drain.name))
+}
+
+fn preference(zone: Option<&str>, machine_zone: &str) -> String {
+    match zone {
+        Some(zone) if zone == machine_zone => "in the edge's zone, preferred",
+        Some(_) => "in another zone, used when the edge's zone is loaded",
+        None => "live",
+    }
+    .to_owned()
+}
--- /dev/null
+++ b/crates/cli/src/explain/mod.rs
@@ -0,0 +1,249 @@
+//! `explain`: what the configuration makes of one request, and which back ends could serve it.
+
+mod candidates;
+mod request;
+
+use serde::Serialize;
+use wharfquay_core::priority::{AdmissionLevel, Rank};
+use wharfquay_platform::wire::Machine;
+use wharfquay_resources::chain::heaviest_chain;
+use wharfquay_resources::decision::{
+    Circumstances, Decision, RequestFacts, decide, describe_refusal,
+};
+use wharfquay_resources::kinds::RequestKind;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::arguments::Arguments;
+use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
+use crate::configuration::{FILE, read_configuration};
+use crate::connection::{PLATFORM, TIMEOUT, block_on, connect, names_platform, with_progress};
+use crate::error::{CliError, Finish};
+use crate::explain::candidates::{Candidate, list_candidates};
+use crate::explain::request::read_request;
+use crate::output::Output;
+use crate::table::TextTable;
+
+const LEVEL_FORM: &str = "0 (closed) to 32768 (open)";
+const RANK_FORM: &str = "0 to 4095";
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "explain",
+    summary: "Show what the configuration makes of a request, and why",
+    details: "\
+The request is given as its request line and headers. Shown are the request kinds that were
+weighed, the priority, the deadline, the retry allowance, the decision at the edge, and, with
+--platform, each back end of the service and why it may or may not be chosen.",
+    positionals: Positionals {
+        usage: "'METHOD PATH'",
+        minimum: 1,
+        maximum: 1,
+    },
+    flags: &[
+        Flag::with_value(
+            "header",
+            "'NAME: VALUE'",
+            "Header of the request; may be repeated",
+        ),
+        Flag::with_value("zone", "ZONE", "Zone of the edge; its back ends come first"),
+        Flag::with_value(
+            "level",
+            "N",
+            "Admission level to decide under (default: 32768, open)",
+        ),
+        Flag::with_value(
+            "rank",
+            "N",
+            "Rank of the request inside its priority (default: 0)",
+        ),
+        FILE,
+        PLATFORM,
+        TIMEOUT,
+        JSON,
+    ],
+    examples: &[
+        Example {
+            line: "wharfquay explain 'GET /slots' --header 'host: slot' --file scenarios/lagos.resources.toml",
+            meaning: "Explain a request under a file.",
+        },
+        Example {
+            line: "wharfquay explain 'POST /appointments' --header 'wharfquay-service: booking' --zone ikeja --platform 127.0.0.1:7000",
+            meaning: "Explain a request under what is in force, with the candidate back ends.",
+        },
+    ],
+    run,
+};
+
+/// A request kind that was weighed.
+#[derive(Serialize)]
+struct WeighedKind {
+    name: String,
+    verdict: String,
+}
+
+/// The explanation, as printed with `--json`.
+#[derive(Serialize)]
+struct Explanation {
+    request: RequestFacts,
+    kinds: Vec<WeighedKind>,
+    decision: Decision,
+    retry_budget: Option<String>,
+    chain: Option<Vec<String>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    candidates: Option<Vec<Candidate>>,
+}
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let level: Option<u16> = arguments.value("level", LEVEL_FORM)?;
+    let rank: Option<u16> = arguments.value("rank", RANK_FORM)?;
+    let rank = Rank::from_number(rank.unwrap_or_default());
+    let line = arguments.words().concat();
+    let request = read_request(&line, &arguments.texts("header"), rank)?;
+    let snapshot = read_configuration(arguments)?;
+    let machines = read_machines(arguments)?;
+    let circumstances = Circumstances {
+        level: level.map_or(AdmissionLevel::OPEN, AdmissionLevel::new),
+        endpoint: None,
+    };
+    let decision = decide(&snapshot, &request, &circumstances);
+    let candidates = machines.map(|machines| {
+        let zone = arguments.text("zone");
+        list_candidates(&snapshot, &request.service, zone.as_deref(), &machines)
+    });
+    let explanation = Explanation {
+        kinds: weigh_kinds(&snapshot, &request),
+        retry_budget: budget_name(&snapshot, &decision),
+        chain: heaviest_chain(&snapshot, &request.service, |_| 1),
+        candidates,
+        decision,
+        request,
+    };
+    if arguments.has("json") {
+        output.json(&explanation)?;
+    } else {
+        output.text(&render(&explanation))?;
+    }
+    let is_served = explanation.decision.refused.is_none();
+    Ok(if is_served {
+        Finish::Done
+    } else {
+        Finish::ProblemFound
+    })
+}
+
+fn read_machines(arguments: &Arguments) -> Result<Option<Vec<Machine>>, CliError> {
+    if !names_platform(arguments) {
+        return Ok(None);
+    }
+    let client = connect(arguments)?;
+    let list = block_on(async {
+        let read = with_progress("reading the machine list", client.machines());
+        Ok(read.await?)
+    })?;
+    Ok(Some(list.machines))
+}
+
+/// Every request kind of the service and why it matches or not.
+fn weigh_kinds(snapshot: &Snapshot, request: &RequestFacts) -> Vec<WeighedKind> {
+    let chosen = snapshot.match_request(&request.service, &request.method, &request.path);
+    let kinds = snapshot.request_kinds.values();
+    kinds
+        .filter(|kind| kind.service == request.service)
+        .map(|kind| WeighedKind {
+            name: kind.name.clone(),
+            verdict: weigh(kind, chosen, request),
+        })
+        .collect()
+}
+
+fn weigh(kind: &RequestKind, chosen: Option<&RequestKind>, request: &RequestFacts) -> String {
+    let prefix = &kind.path_prefix;
+    if let Some(method) = kind
+        .method
+        .as_ref()
+        .filter(|method| **method != request.method)
+    {
+        return format!("no match: method {method} required");
+    }
+    if !request.path.starts_with(prefix) {
+        return format!("no match: path prefix {prefix} required");
+    }
+    match chosen {
+        Some(chosen) if chosen.name == kind.name => {
+            format!("chosen: longest matching path prefix ({prefix})")
+        }
+        Some(chosen) if chosen.path_prefix.len() > prefix.len() => {
+            format!("matches, but {} has a longer path prefix", chosen.name)
+        }
+        Some(chosen) => format!("matches, but {} names the method", chosen.name),
+        None => "matches".to_owned(),
+    }
+}
+
+fn budget_name(snapshot: &Snapshot, decision: &Decision) -> Option<String> {
+    let treatment = decision.treatment.as_ref()?;
+    let kind = snapshot.request_kinds.get(&treatment.request_kind)?;
+    let budget = snapshot.retry_budget_for(kind)?;
+    Some(budget.name.clone())
+}
+
+fn render(explanation: &Explanation) -> String {
+    let mut text = format!("service: {}\n", explanation.request.service);
+    for kind in &explanation.kinds {
+        text.push_str(&format!("request kind {}: {}\n", kind.name, kind.verdict));
+    }
+    if explanation.kinds.is_empty() {
+        text.push_str("request kind: none is addressed to this service\n");
+    }
+    text.push_str(&render_treatment(explanation));
+    let refused = explanation.decision.refused;
+    let decision = match refused {
+        None => "admitted".to_owned(),
+        Some(_) => format!("refused, {}", describe_refusal(refused)),
+    };
+    text.push_str(&format!("decision: {decision}\n"));
+    match &explanation.candidates {
+        Some(candidates) => text.push_str(&render_candidates(candidates)),
+        None => text.push_str("back ends: not known without --platform\n"),
+    }
+    text
+}
+
+fn render_treatment(explanation: &Explanation) -> String {
+    let Some(treatment) = &explanation.decision.treatment else {
+        return String::new();
+    };
+    let budget = match &explanation.retry_budget {
+        Some(name) => format!("retry budget {name}"),
+        None => "no retry budget".to_owned(),
+    };
+    let repeat = if treatment.repeatable {
+        "may be executed again"
+    } else {
+        "at most once"
+    };
+    let chain = match &explanation.chain {
+        Some(chain) => chain.join(" -> "),
+        None => "has a cycle".to_owned(),
+    };
+    format!(
+        "priority: {}\ndeadline: {} ms\nretries: {} in the whole chain ({budget})\nexecution: {repeat}\nlongest chain: {chain}\n",
+        treatment.priority, treatment.deadline_ms, treatment.retries
+    )
+}
+
+fn render_candidates(candidates: &[Candidate]) -> String {
+    if candidates.is_empty() {
+        return "back ends: the machine list has none of this service\n".to_owned();
+    }
+    let mut table = TextTable::new(&["BACK END", "ZONE", "ADDRESS", "USABLE", "WHY"]);
+    for candidate in candidates {
+        table.row([
+            candidate.id.clone(),
+            candidate.zone.clone(),
+            candidate.address.clone(),
+            if candidate.usable { "yes" } else { "no" }.to_owned(),
+            candidate.reason.clone(),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/cli/src/explain/request.rs
@@ -0,0 +1,122 @@
+//! Reading of a request line and headers.
+
+use uuid::Uuid;
+use wharfquay_core::priority::Rank;
+use wharfquay_protocol::headers;
+use wharfquay_resources::decision::RequestFacts;
+
+use crate::arguments::parse_value;
+use crate::error::CliError;
+
+const REQUEST_LINE_FORM: &str = "METHOD PATH, such as 'GET /slots'";
+const HEADER_FORM: &str = "NAME: VALUE, such as 'host: slot'";
+const DEADLINE_FORM: &str = "a whole number of milliseconds";
+const KEY_FORM: &str = "a version 7 UUID";
+const HOST: &str = "host";
+const KEY_VERSION: usize = 7;
+
+/// A header with its name in lower case.
+struct Header {
+    name: String,
+    value: String,
+}
+
+/// Reads a request line, with or without the HTTP version, and headers.
+pub(super) fn read_request(
+    line: &str,
+    headers: &[String],
+    rank: Rank,
+) -> Result<RequestFacts, CliError> {
+    let (method, path) = read_request_line(line)?;
+    let headers: Vec<Header> = headers
+        .iter()
+        .map(|header| read_header(header))
+        .collect::<Result<_, _>>()?;
+    let deadline = find(&headers, headers::DEADLINE.as_str());
+    let deadline_ms = deadline
+        .map(|value| parse_value(headers::DEADLINE.as_str(), value, DEADLINE_FORM))
+        .transpose()?;
+    Ok(RequestFacts {
+        service: service_of(&headers)?,
+        method,
+        path,
+        deadline_ms,
+        has_idempotency_key: has_key(&headers)?,
+        rank,
+    })
+}
+
+fn read_request_line(line: &str) -> Result<(String, String), CliError> {
+    let mut parts = line.split_whitespace();
+    let (Some(method), Some(target)) = (parts.next(), parts.next()) else {
+        return Err(invalid(
+            "request line",
+            line,
+            "no method and path",
+            REQUEST_LINE_FORM,
+        ));
+    };
+    let path = target.split(['?', '#']).next().unwrap_or_default();
+    if !path.starts_with('/') {
+        return Err(invalid(
+            "request line",
+            line,
+            "the path does not start with a slash",
+            REQUEST_LINE_FORM,
+        ));
+    }
+    Ok((method.to_owned(), path.to_owned()))
+}
+
+fn read_header(text: &str) -> Result<Header, CliError> {
+    let (name, value) = text
+        .split_once(':')
+        .filter(|(name, _)| !name.trim().is_empty())
+        .ok_or_else(|| invalid("--header", text, "no name before a colon", HEADER_FORM))?;
+    Ok(Header {
+        name: name.trim().to_ascii_lowercase(),
+        value: value.trim().to_owned(),
+    })
+}
+
+fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|header| header.name == name)?;
+    Some(&found.value)
+}
+
+/// The service header names the service, or else the host does.
+fn service_of(headers: &[Header]) -> Result<String, CliError> {
+    let named = find(headers, headers::SERVICE.as_str());
+    let host = || {
+        let host = find(headers, HOST)?;
+        Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+    };
+    let service = named.or_else(host).filter(|name| !name.is_empty());
+    let service = service.ok_or(CliError::MissingFlag {
+        flag: "header",
+        allowed: "'host: SERVICE' or 'wharfquay-service: SERVICE'",
+    })?;
+    Ok(service.to_owned())
+}
+
+fn has_key(headers: &[Header]) -> Result<bool, CliError> {
+    let header = headers::IDEMPOTENCY_KEY;
+    let name = header.as_str();
+    let Some(value) = find(headers, name) else {
+        return Ok(false);
+    };
+    let key: Uuid = parse_value(name, value, KEY_FORM)?;
+    if key.get_version_num() == KEY_VERSION {
+        return Ok(true);
+    }
+    Err(invalid(name, value, "another UUID version", KEY_FORM))
+}
+
+fn invalid(name: &str, given: &str, problem: &str, allowed: &str) -> CliError {
+    CliError::InvalidValue {
+        name: name.to_owned(),
+        given: given.to_owned(),
+        problem: problem.to_owned(),
+        allowed: allowed.to_owned(),
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,13 +9,16 @@
 mod check;
 mod commands;
 mod completion;
+mod configuration;
 mod connection;
 mod delete;
 mod error;
+mod explain;
 mod get;
 mod help;
 mod input;
 mod output;
+mod replay;
 mod table;
 mod watch;
 
--- /dev/null
+++ b/crates/cli/src/replay.rs
@@ -0,0 +1,188 @@
+//! `replay`: plays the decision records of a daemon against another configuration.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+
+use serde::Serialize;
+use wharfquay_resources::decision::{DecisionDifference, DecisionRecord, replay};
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::arguments::Arguments;
+use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
+use crate::configuration::{FILE, read_configuration};
+use crate::connection::{PLATFORM, TIMEOUT};
+use crate::error::{CliError, Finish};
+use crate::output::Output;
+use crate::table::TextTable;
+
+/// Differing decisions that are printed unless a flag says otherwise.
+const DEFAULT_LIMIT: usize = 20;
+const LIMIT_FORM: &str = "0 or more";
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "replay",
+    summary: "Play a daemon's decision records against another configuration",
+    details: "\
+The file holds one decision record per line, as JSON. Each request is decided again under the
+recorded circumstances (admission level and chosen back end) and the given configuration; the
+decisions that differ are printed. The exit code is 1 when any differs. What the other
+configuration would have made of the load itself is not replayed; `plan` estimates that.",
+    positionals: Positionals {
+        usage: "RECORDS",
+        minimum: 1,
+        maximum: 1,
+    },
+    flags: &[
+        FILE,
+        PLATFORM,
+        TIMEOUT,
+        Flag::with_value(
+            "limit",
+            "N",
+            "Print at most N differing decisions (default: 20)",
+        ),
+        JSON,
+    ],
+    examples: &[
+        Example {
+            line: "wharfquay replay decisions.jsonl --file changed.resources.toml",
+            meaning: "Show which decisions a changed file would have made otherwise.",
+        },
+        Example {
+            line: "wharfquay replay decisions.jsonl --platform 127.0.0.1:7000 --json",
+            meaning: "Compare with what the platform holds now.",
+        },
+    ],
+    run,
+};
+
+/// A decision that differs.
+#[derive(Serialize)]
+struct Differing {
+    line: usize,
+    record: DecisionRecord,
+    differences: Vec<DecisionDifference>,
+}
+
+/// The result, as printed with `--json`.
+#[derive(Default, Serialize)]
+struct Report {
+    records: usize,
+    malformed: usize,
+    differing: usize,
+    /// Number of differing decisions by the part that differs.
+    by_part: BTreeMap<&'static str, usize>,
+    decisions: Vec<Differing>,
+}
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let limit: Option<usize> = arguments.value("limit", LIMIT_FORM)?;
+    let path = arguments.words().concat();
+    let snapshot = read_configuration(arguments)?;
+    let mut replayer = Replayer {
+        path: &path,
+        snapshot: &snapshot,
+        limit: limit.unwrap_or(DEFAULT_LIMIT),
+        report: Report::default(),
+    };
+    replayer.read()?;
+    let report = replayer.report;
+    if arguments.has("json") {
+        output.json(&report)?;
+    } else {
+        output.text(&render(&report))?;
+    }
+    let is_clean = report.differing == 0 && report.malformed == 0;
+    Ok(if is_clean {
+        Finish::Done
+    } else {
+        Finish::ProblemFound
+    })
+}
+
+struct Replayer<'a> {
+    path: &'a str,
+    snapshot: &'a Snapshot,
+    limit: usize,
+    report: Report,
+}
+
+impl Replayer<'_> {
+    fn read(&mut self) -> Result<(), CliError> {
+        let unreadable = |source| CliError::Unreadable {
+            path: self.path.to_owned(),
+            source,
+        };
+        let file = File::open(self.path).map_err(unreadable)?;
+        for (index, line) in BufReader::new(file).split(b'\n').enumerate() {
+            let line = line.map_err(unreadable)?;
+            if !line.trim_ascii().is_empty() {
+                self.take(index + 1, &line);
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, line: usize, content: &[u8]) {
+        match serde_json::from_slice::<DecisionRecord>(content) {
+            Ok(record) => self.replay(line, record),
+            Err(error) => {
+                self.report.malformed += 1;
+                let path = self.path;
+                eprintln!("{path}:{line}: record: {error} (allowed: a decision record) [7011]");
+            }
+        }
+    }
+
+    fn replay(&mut self, line: usize, record: DecisionRecord) {
+        self.report.records += 1;
+        let differences = replay(self.snapshot, &record);
+        if differences.is_empty() {
+            return;
+        }
+        self.report.differing += 1;
+        for difference in &differences {
+            *self.report.by_part.entry(difference.part).or_default() += 1;
+        }
+        if self.report.decisions.len() < self.limit {
+            self.report.decisions.push(Differing {
+                line,
+                record,
+                differences,
+            });
+        }
+    }
+}
+
+fn render(report: &Report) -> String {
+    let mut table = TextTable::new(&["LINE", "REQUEST", "PART", "RECORDED", "REPLAYED"]);
+    for decision in &report.decisions {
+        let request = &decision.record.request;
+        for difference in &decision.differences {
+            table.row([
+                decision.line.to_string(),
+                format!("{} {} {}", request.service, request.method, request.path),
+                difference.part.to_owned(),
+                difference.recorded.clone(),
+                difference.replayed.clone(),
+            ]);
+        }
+    }
+    let mut text = String::new();
+    if !report.decisions.is_empty() {
+        text.push_str(&table.render());
+    }
+    let hidden = report.differing - report.decisions.len();
+    if hidden > 0 {
+        text.push_str(&format!("… and {hidden} more; see --limit\n"));
+    }
+    text.push_str(&format!(
+        "{} records: {} differ, {} malformed\n",
+        report.records, report.differing, report.malformed
+    ));
+    for (part, count) in &report.by_part {
+        text.push_str(&format!("  {part}: {count}\n"));
+    }
+    text
+}
--- a/crates/cli/tests/usage.rs
+++ b/crates/cli/tests/usage.rs
@@ -4,7 +4,16 @@
 
 use support::run;
 
-const COMMANDS: &[&str] = &["check", "apply", "get", "watch", "delete", "completion"];
+const COMMANDS: &[&str] = &[
+    "check",
+    "apply",
+    "get",
+    "watch",
+    "delete",
+    "explain",
+    "replay",
+    "completion",
+];
 
 #[test]
 fn every_command_has_help_with_examples() {
--- a/crates/resources/src/kinds.rs
+++ b/crates/resources/src/kinds.rs
@@ -149,6 +149,22 @@
     Zone(String),
 }
 
+impl DrainTarget {
+    /// Whether the back end beside the daemon `id` is covered; `service` is absent at an edge, which
+    /// no drain covers.
+    #[must_use]
+    pub fn covers(&self, id: &str, zone: &str, service: Option<&str>) -> bool {
+        let Some(service) = service else {
+            return false;
+        };
+        match self {
+            Self::Backend(target) => target == id,
+            Self::Service(target) => target == service,
+            Self::Zone(target) => target == zone,
+        }
+    }
+}
+
 /// The replica group that records claims on idempotency keys.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod acceptance;
 pub mod chain;
+pub mod decision;
 pub mod diff;
 pub mod fields;
 pub mod kinds;
