Add plan: estimate what a drain, a lost zone or more demand does

Cause: operators want to know before a drain whether the rest carries the load and whom the shortage would hit.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::command_names;
 use crate::error::{CliError, Finish};
 use crate::output::Output;
-use crate::{apply, check, completion, delete, explain, get, replay, watch};
+use crate::{apply, check, completion, delete, explain, get, plan, replay, watch};
 
 /// A flag of a command.
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +92,7 @@
     &watch::COMMAND,
     &delete::COMMAND,
     &explain::COMMAND,
+    &plan::COMMAND,
     &replay::COMMAND,
     &completion::COMMAND,
 ];
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use displaydoc::Display;
+use wharfquay_emulator::scenario::ScenarioError;
 use wharfquay_platform::PlatformError;
 
 /// How a command ended.
@@ -100,6 +101,8 @@
         /// What the operating system reported.
         source: io::Error,
     },
+    /// 7014: scenario: {0}
+    Scenario(ScenarioError),
     /// 7013: the configuration has errors (allowed: files that `wharfquay check` passes)
     BrokenConfiguration,
 }
@@ -138,3 +141,9 @@
         Self::Platform(error)
     }
 }
+
+impl From<ScenarioError> for CliError {
+    fn from(error: ScenarioError) -> Self {
+        Self::Scenario(error)
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,6 +18,7 @@
 mod help;
 mod input;
 mod output;
+mod plan;
 mod replay;
 mod table;
 mod watch;
