--- a/crates/platform/src/source/state.rs
+++ b/crates/platform/src/source/state.rs
@@ -174,10 +174,7 @@
             (Phase::Listing, SourceInput::ListFailed(error)) => {
                 self.failed(now, error, Step::List, random)
             }
-            (Phase::Opening, SourceInput::WatchOpened) => {
-                self.phase = Phase::Watching;
-                Vec::new()
-            }
+            (Phase::Opening, SourceInput::WatchOpened) => self.opened(now),
             (Phase::Watching, SourceInput::WatchEvent(event)) => self.watched(now, &event, random),
             (Phase::Opening | Phase::Watching, SourceInput::WatchTooOld) => {
                 self.wait(now, Step::List, random);
@@ -227,6 +224,15 @@
         effects
     }
 
+    /// A watch that took too long to open is not resumed, either.
+    fn opened(&mut self, now: Timestamp) -> Vec<SourceEffect> {
+        if self.resumable_revision(now).is_none() {
+            return with_closed_watch(self.take_step(now, Step::List));
+        }
+        self.phase = Phase::Watching;
+        Vec::new()
+    }
+
     fn watched(
         &mut self,
         now: Timestamp,
