--- a/crates/emulator/tests/platform_contract/api.rs
+++ b/crates/emulator/tests/platform_contract/api.rs
@@ -1,8 +1,15 @@
 //! Contract of the object API between the client and the stand-in, without faults.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::support::{client_of, service_key, service_spec, start_platform};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wharfquay_core::time::Timestamp;
+use wharfquay_emulator::platform::FaultSwitches;
+use wharfquay_emulator::platform::machines::Machines;
+
+use crate::support::{client_of, overwrite, service_key, service_spec, start_platform};
 use wharfquay_platform::client::LeaseOutcome;
 use wharfquay_platform::conversion::{ConversionError, resource_from_object};
 use wharfquay_platform::wire::{Machine, MachineState, ObjectKey, WatchEvent};
@@ -181,14 +188,7 @@
 async fn machines_are_listed_as_put() {
     let platform = start_platform(LOG_CAPACITY).await;
     let client = client_of(&platform);
-    let machine = Machine {
-        id: "booking-1".to_owned(),
-        zone: "ikeja".to_owned(),
-        service: Some("booking".to_owned()),
-        state: MachineState::Live,
-        call_address: "127.0.0.1:7001".parse().expect("address"),
-        control_address: "127.0.0.1:7002".parse().expect("address"),
-    };
+    let machine = machine("booking-1");
     client.put_machine(&machine).await.expect("put");
     let list = client.machines().await.expect("machines");
     assert_eq!(list.machines, [machine]);
@@ -248,3 +248,111 @@
         assert_eq!(error.number(), 6012, "{name:?}: {error}");
     }
 }
+
+#[tokio::test]
+async fn a_watch_from_before_the_event_log_is_too_old() {
+    let platform = start_platform(2).await;
+    let client = client_of(&platform);
+    for slots in 1..=4 {
+        overwrite(&platform, "booking", slots, "ada");
+    }
+    let error = client.watch(Revision::new(1)).await.expect_err("too old");
+    assert_eq!(error.number(), 6009, "{error}");
+    client.watch(Revision::new(2)).await.expect("just reaches");
+}
+
+#[tokio::test]
+async fn a_change_of_the_machine_list_shows_after_its_lag_and_then_stays() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let client = client_of(&platform);
+    let lag = |millis| FaultSwitches {
+        machine_list_lag_ms: millis,
+        ..FaultSwitches::default()
+    };
+    let machine_ids = async || -> Vec<String> {
+        let list = client.machines().await.expect("machines");
+        list.machines
+            .into_iter()
+            .map(|machine| machine.id)
+            .collect()
+    };
+    const FOR_EVER: u64 = 3_600_000;
+    platform.set_faults(lag(FOR_EVER));
+    client
+        .put_machine(&machine("booking-1"))
+        .await
+        .expect("put");
+    assert!(machine_ids().await.is_empty());
+    platform.set_faults(lag(0));
+    assert_eq!(machine_ids().await, ["booking-1"]);
+    platform.set_faults(lag(FOR_EVER));
+    client.delete_machine("booking-1").await.expect("delete");
+    assert_eq!(machine_ids().await, ["booking-1"]);
+}
+
+#[test]
+fn the_lag_of_the_machine_list_counts_from_each_change() {
+    let lag = Duration::from_secs(10);
+    let mut machines = Machines::default();
+    machines.put(Timestamp::from_millis(1_000), machine("a"));
+    machines.put(Timestamp::from_millis(3_000), machine("b"));
+    // (milliseconds, machines seen, version)
+    let rows = [
+        (10_999, 0, 0),
+        (11_000, 1, 1),
+        (12_999, 1, 1),
+        (13_000, 2, 2),
+    ];
+    for (millis, seen, version) in rows {
+        let list = machines.list(Timestamp::from_millis(millis), lag);
+        assert_eq!(
+            (list.machines.len(), list.version),
+            (seen, version),
+            "at {millis} ms"
+        );
+    }
+}
+
+#[tokio::test]
+async fn fault_switches_are_set_over_http_and_unknown_ones_refused() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let address = platform.address();
+    let accepted = put_faults(address, r#"{"down":true,"delay_ms":5}"#).await;
+    assert!(accepted.starts_with("HTTP/1.1 200"), "{accepted}");
+    let faults = platform.faults();
+    assert!(faults.down && faults.delay_ms == 5);
+    let refused = put_faults(address, r#"{"dwon":false}"#).await;
+    assert!(refused.starts_with("HTTP/1.1 400"), "{refused}");
+    assert!(
+        refused.contains("unknown field `dwon`, expected one of `down`"),
+        "{refused}"
+    );
+    assert!(platform.faults().down, "a refused body changes nothing");
+}
+
+async fn put_faults(address: SocketAddr, body: &str) -> String {
+    let mut connection = TcpStream::connect(address).await.expect("connect");
+    let request = format!(
+        "PUT /v1/faults HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    connection
+        .write_all(request.as_bytes())
+        .await
+        .expect("send");
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).await.expect("read");
+    answer
+}
+
+fn machine(id: &str) -> Machine {
+    Machine {
+        id: id.to_owned(),
+        zone: "ikeja".to_owned(),
+        service: Some("booking".to_owned()),
+        state: MachineState::Live,
+        call_address: "127.0.0.1:7001".parse().expect("address"),
+        control_address: "127.0.0.1:7002".parse().expect("address"),
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/platform_contract/source_faults.rs
@@ -0,0 +1,373 @@
+//! The reader over sockets, under faults: it tells what is wrong and catches up.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wharfquay_emulator::platform::{FaultSwitches, RunningPlatform};
+use wharfquay_platform::backoff::Backoff;
+use wharfquay_platform::source::{self, RunningSource, SourceChange};
+use wharfquay_platform::{ReaderLeaseSettings, SourceEvent, SourceSettings};
+use wharfquay_resources::kinds::{Resource, ResourceId};
+use wharfquay_resources::snapshot::Revision;
+
+use crate::support::{client_of, overwrite, start_platform};
+
+const LOG_CAPACITY: usize = 5;
+const AUTHOR: &str = "ada";
+/// Bound on each wait.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// What a reader may tell besides deliveries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Report {
+    Unavailable,
+    OlderStore,
+    DivergedStore,
+}
+
+/// Follows a reader's events and checks that they never go back and leave no gap.
+struct Consumer {
+    source: RunningSource,
+    revision: Option<Revision>,
+    slots: BTreeMap<ResourceId, u32>,
+    snapshots: u32,
+    reports: Vec<Report>,
+}
+
+impl Consumer {
+    fn new(source: RunningSource) -> Self {
+        Self {
+            source,
+            revision: None,
+            slots: BTreeMap::new(),
+            snapshots: 0,
+            reports: Vec::new(),
+        }
+    }
+
+    async fn until(&mut self, what: &str, done: impl Fn(&Self) -> bool) {
+        let give_up_at = Instant::now() + PATIENCE;
+        while !done(self) {
+            let event = tokio::time::timeout_at(give_up_at, self.source.next()).await;
+            let event = event.unwrap_or_else(|_| panic!("{what}: not within {PATIENCE:?}"));
+            self.take(event.expect("the reader runs on"));
+        }
+    }
+
+    async fn until_revision(&mut self, what: &str, revision: Revision) {
+        self.until(what, |consumer| consumer.revision == Some(revision))
+            .await;
+    }
+
+    async fn until_report(&mut self, what: &str, report: Report) {
+        self.until(what, |consumer| consumer.reports.contains(&report))
+            .await;
+    }
+
+    fn take(&mut self, event: SourceEvent) {
+        match event {
+            SourceEvent::Snapshot(snapshot) => {
+                assert!(
+                    self.revision < Some(snapshot.revision),
+                    "goes back: {snapshot:?}"
+                );
+                self.revision = Some(snapshot.revision);
+                self.snapshots += 1;
+                self.slots.clear();
+                snapshot
+                    .resources
+                    .into_iter()
+                    .for_each(|resource| self.put(resource));
+            }
+            SourceEvent::Change {
+                previous,
+                revision,
+                change,
+            } => {
+                assert_eq!(self.revision, Some(previous), "gap");
+                self.revision = Some(revision);
+                match change {
+                    SourceChange::Put(resource) => self.put(resource),
+                    SourceChange::Delete(id) => drop(self.slots.remove(&id)),
+                    other => panic!("only services are written: {other:?}"),
+                }
+            }
+            SourceEvent::Current { revision } => assert_eq!(self.revision, Some(revision)),
+            SourceEvent::Unavailable { .. } => self.reports.push(Report::Unavailable),
+            SourceEvent::OlderStore { .. } => self.reports.push(Report::OlderStore),
+            SourceEvent::DivergedStore { .. } => self.reports.push(Report::DivergedStore),
+        }
+    }
+
+    fn put(&mut self, resource: Resource) {
+        let id = resource.id();
+        let Resource::Service(service) = resource else {
+            panic!("only services are written");
+        };
+        self.slots.insert(id, service.slots);
+    }
+
+    fn distinct_reports(&self) -> Vec<Report> {
+        let mut reports = self.reports.clone();
+        reports.sort_unstable();
+        reports.dedup();
+        reports
+    }
+}
+
+fn source_settings() -> SourceSettings {
+    SourceSettings {
+        backoff: Backoff {
+            base: Duration::from_millis(5),
+            maximum: Duration::from_millis(50),
+        },
+        ..SourceSettings::default()
+    }
+}
+
+struct Case {
+    name: &'static str,
+    faults: FaultSwitches,
+    /// Writes made during the fault.
+    writes: u32,
+    /// The fault lasts until this is told; until the writes are delivered when there is none.
+    report: Option<Report>,
+    /// Everything that may be told.
+    reports: &'static [Report],
+    /// Snapshots delivered, the first included; `None` where it depends on whether the reader lists
+    /// again before or after the write that ends the case.
+    snapshots: Option<u32>,
+}
+
+fn cases() -> Vec<Case> {
+    use Report::{OlderStore, Unavailable};
+    let none = FaultSwitches::default;
+    let down = || FaultSwitches {
+        down: true,
+        ..none()
+    };
+    let hang = || FaultSwitches {
+        hang: true,
+        ..none()
+    };
+    let older = || FaultSwitches {
+        serve_older_version: Some(1),
+        ..none()
+    };
+    let beyond_log = LOG_CAPACITY as u32 + 1;
+    vec![
+        Case {
+            name: "no fault",
+            faults: none(),
+            writes: 2,
+            report: None,
+            reports: &[],
+            snapshots: Some(1),
+        },
+        Case {
+            name: "slow",
+            faults: FaultSwitches {
+                delay_ms: 100,
+                ..none()
+            },
+            writes: 2,
+            report: None,
+            reports: &[],
+            snapshots: Some(1),
+        },
+        Case {
+            name: "down",
+            faults: down(),
+            writes: 2,
+            report: Some(Unavailable),
+            reports: &[Unavailable],
+            snapshots: Some(1),
+        },
+        Case {
+            name: "down, and the watch is too old afterwards",
+            faults: down(),
+            writes: beyond_log,
+            report: Some(Unavailable),
+            reports: &[Unavailable],
+            snapshots: Some(2),
+        },
+        Case {
+            name: "hanging",
+            faults: hang(),
+            writes: 2,
+            report: Some(Unavailable),
+            reports: &[Unavailable],
+            snapshots: Some(1),
+        },
+        Case {
+            name: "hanging, and the watch is too old afterwards",
+            faults: hang(),
+            writes: beyond_log,
+            report: Some(Unavailable),
+            reports: &[Unavailable],
+            snapshots: Some(2),
+        },
+        Case {
+            name: "older than seen",
+            faults: older(),
+            writes: 2,
+            report: Some(OlderStore),
+            reports: &[OlderStore],
+            snapshots: Some(2),
+        },
+        Case {
+            name: "older than seen, without a write",
+            faults: older(),
+            writes: 0,
+            report: Some(OlderStore),
+            reports: &[OlderStore],
+            snapshots: None,
+        },
+        Case {
+            name: "older than seen and slow",
+            faults: FaultSwitches {
+                delay_ms: 100,
+                ..older()
+            },
+            writes: 2,
+            report: Some(OlderStore),
+            reports: &[OlderStore],
+            snapshots: Some(2),
+        },
+    ]
+}
+
+#[tokio::test]
+async fn a_reader_tells_what_is_wrong_and_catches_up() {
+    let runs = cases().into_iter().map(|case| tokio::spawn(run(case)));
+    for run in runs.collect::<Vec<_>>() {
+        run.await.expect("the case holds");
+    }
+}
+
+async fn run(case: Case) {
+    let platform = start_platform(LOG_CAPACITY).await;
+    for slots in 1..=3 {
+        overwrite(&platform, "booking", slots, AUTHOR);
+    }
+    let client = Arc::new(client_of(&platform));
+    let mut consumer = Consumer::new(source::spawn(client, source_settings()));
+    let settled = Revision::new(3);
+    consumer.until_revision(case.name, settled).await;
+
+    platform.set_faults(case.faults);
+    let last = write_times(&platform, case.writes).unwrap_or(settled);
+    match case.report {
+        Some(report) => consumer.until_report(case.name, report).await,
+        None => consumer.until_revision(case.name, last).await,
+    }
+    platform.set_faults(FaultSwitches::default());
+    // A write after the fault shows that the reader goes on.
+    let after = overwrite(&platform, "slot", 77, AUTHOR);
+    consumer.until_revision(case.name, after).await;
+
+    assert_eq!(consumer.slots, slots_in(&platform), "{}", case.name);
+    assert_eq!(consumer.distinct_reports(), case.reports, "{}", case.name);
+    if let Some(snapshots) = case.snapshots {
+        assert_eq!(consumer.snapshots, snapshots, "{}", case.name);
+    }
+}
+
+/// Returns the last version written.
+fn write_times(platform: &RunningPlatform, writes: u32) -> Option<Revision> {
+    let mut last = None;
+    for number in 0..writes {
+        last = Some(overwrite(platform, "booking", 100 + number, AUTHOR));
+    }
+    last
+}
+
+fn slots_in(platform: &RunningPlatform) -> BTreeMap<ResourceId, u32> {
+    let list = platform.with_store(|store| store.objects.list());
+    let snapshot = source::SourceSnapshot::from_list(&list);
+    let services = snapshot
+        .resources
+        .into_iter()
+        .map(|resource| match resource {
+            Resource::Service(service) => service,
+            other => panic!("only services are written: {other:?}"),
+        });
+    services
+        .map(|service| {
+            let slots = service.slots;
+            (Resource::Service(service).id(), slots)
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn a_store_replaced_by_an_older_copy_is_reported_and_taken_whole_once_it_is_ahead() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    for slots in 1..=4 {
+        overwrite(&platform, "booking", slots, AUTHOR);
+    }
+    let client = Arc::new(client_of(&platform));
+    let mut consumer = Consumer::new(source::spawn(client, source_settings()));
+    consumer
+        .until_revision("first list", Revision::new(4))
+        .await;
+
+    platform.with_store(|store| store.objects = store.objects.as_of(Revision::new(2)));
+    consumer.until_report("older", Report::OlderStore).await;
+    overwrite(&platform, "slot", 5, AUTHOR);
+    overwrite(&platform, "slot", 6, AUTHOR);
+    consumer
+        .until_report("same revision, other content", Report::DivergedStore)
+        .await;
+    assert_eq!(consumer.revision, Some(Revision::new(4)));
+
+    let ahead = overwrite(&platform, "slot", 7, AUTHOR);
+    consumer.until_revision("ahead", ahead).await;
+    assert_eq!(consumer.snapshots, 2);
+    assert_eq!(consumer.slots, slots_in(&platform));
+}
+
+#[tokio::test]
+async fn a_reader_whose_lease_was_taken_stops_and_goes_on_without_a_gap() {
+    let platform = start_platform(100).await;
+    overwrite(&platform, "booking", 1, AUTHOR);
+    let lease_settings = ReaderLeaseSettings {
+        slots: 1,
+        ttl: Duration::from_millis(150),
+        backoff: source_settings().backoff,
+        ..ReaderLeaseSettings::new("ikeja", "reader-a")
+    };
+    let name = lease_settings.lease_name(0);
+    let client = Arc::new(client_of(&platform));
+    let reader = source::spawn_leased(client, source_settings(), lease_settings);
+    let mut consumer = Consumer::new(reader);
+    consumer
+        .until_revision("first list", Revision::new(1))
+        .await;
+
+    let other = "reader-b";
+    let now = wharfquay_core::time::Timestamp::ZERO;
+    let for_ever = Duration::from_secs(3_600);
+    platform.with_store(|store| {
+        store.leases.release(&name, "reader-a");
+        store
+            .leases
+            .acquire(now, &name, other, for_ever)
+            .expect("free");
+    });
+    // Bookmarks come every 50 ms as long as the reader reads.
+    let quiet = Duration::from_millis(400);
+    while let Ok(event) = tokio::time::timeout(quiet, consumer.source.next()).await {
+        consumer.take(event.expect("the reader runs on"));
+    }
+    let written = overwrite(&platform, "booking", 2, AUTHOR);
+    let told = tokio::time::timeout(quiet, consumer.source.next()).await;
+    assert!(told.is_err(), "read without a lease: {told:?}");
+
+    platform.with_store(|store| store.leases.release(&name, other));
+    consumer.until_revision("lease got back", written).await;
+    assert_eq!(consumer.snapshots, 1);
+    assert_eq!(consumer.reports, []);
+}
