--- a/crates/emulator/src/platform/mod.rs
+++ b/crates/emulator/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod keyspace;
 pub mod leases;
 pub mod machines;
+mod routes;
 pub mod server;
 pub mod store;
 mod watch;
--- a/crates/emulator/src/platform/watch.rs
+++ b/crates/emulator/src/platform/watch.rs
@@ -12,7 +12,8 @@
 
 use super::api::ApiAnswer;
 use super::keyspace::TooOld;
-use super::server::{Platform, render};
+use super::routes::render;
+use super::server::Platform;
 use super::store::Store;
 
 /// Events sent in one piece.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,18 +6,14 @@
 use http::{Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::Value;
-use tokio::time::Instant;
 use wharfquay_resources::snapshot::Revision;
 
 use crate::error::PlatformError;
 use crate::settings::ClientSettings;
-use crate::transport::{Answer, Call, Transport};
+use crate::transport::{Call, Transport};
 use crate::watch::WatchStream;
-use crate::wire::{
-    ConflictAnswer, DeleteAnswer, LeaseAnswer, LeaseBody, Machine, MachineList, Object, ObjectKey,
-    ObjectList, PutBody,
-};
-use crate::write::{Keyspace, WriteAction, WriteReceipt, WriteRequest, conflict};
+use crate::wire::{LeaseAnswer, LeaseBody, Machine, MachineList, Object, ObjectKey, ObjectList};
+use crate::write::{Keyspace, WriteReceipt, WriteRequest};
 
 /// Longest name, in bytes.
 const MAXIMUM_NAME_BYTES: usize = 128;
@@ -34,7 +30,7 @@
 /// Client of the platform. Calls may run side by side.
 #[derive(Debug)]
 pub struct Client {
-    transport: Transport,
+    pub(crate) transport: Transport,
 }
 
 impl Client {
@@ -107,66 +103,6 @@
         self.write_with_retry(&request).await
     }
 
-    /// Makes one attempt of a write.
-    ///
-    /// A [`PlatformError::Conflict`] is returned unless the current object already carries the
-    /// write's operation id. Other errors may leave open whether the write took effect, see
-    /// [`PlatformError::leaves_write_open`].
-    pub async fn write(&self, request: &WriteRequest) -> Result<WriteReceipt, PlatformError> {
-        let answer = self.transport.exchange(write_call(request)?).await?;
-        if answer.status == StatusCode::CONFLICT {
-            return resolve_conflict(request, &answer);
-        }
-        if request.action == WriteAction::Delete {
-            let deleted: DeleteAnswer = answer.success()?;
-            return Ok(receipt(None, Some(deleted.version)));
-        }
-        let object: Object = answer.success()?;
-        let version = object.version;
-        Ok(receipt(Some(object), Some(version)))
-    }
-
-    /// Makes a write, repeating it until it is known to have taken effect or to have met another
-    /// version, or until the write timeout.
-    ///
-    /// After an attempt without an answer the object is read back: if it carries the write's
-    /// operation id, the write took effect. Otherwise the same operation is sent again, which is
-    /// safe since at most one attempt can meet the expected version; a conflict then shows the
-    /// object as it stands. A read that shows anything else proves nothing, since it may be
-    /// answered from an older state. A deletion is taken as done when the object is gone after an
-    /// attempt without an answer, whoever deleted it.
-    pub async fn write_with_retry(
-        &self,
-        request: &WriteRequest,
-    ) -> Result<WriteReceipt, PlatformError> {
-        let give_up_at = Instant::now() + self.settings().write_timeout;
-        let mut attempts = 0;
-        let mut open = false;
-        loop {
-            attempts += 1;
-            let error = match self.write(request).await {
-                Ok(receipt) => return Ok(with_attempts(receipt, attempts)),
-                Err(error) => error,
-            };
-            if let PlatformError::Conflict(met) = error {
-                let result = settle_conflict(request, met.current, open);
-                return result.map(|receipt| with_attempts(receipt, attempts));
-            }
-            if !error.is_transient() {
-                return Err(error);
-            }
-            open |= error.leaves_write_open();
-            let delay = self.settings().backoff.delay(attempts, &mut rand::rng());
-            tokio::time::sleep(delay).await;
-            if open && let Some(object) = self.read_back(request).await? {
-                return Ok(with_attempts(recognised(Some(object)), attempts));
-            }
-            if Instant::now() >= give_up_at {
-                return Err(given_up(request, attempts, open, error));
-            }
-        }
-    }
-
     /// Opens a watch that tells of every change after version `from`.
     pub async fn watch(&self, from: Revision) -> Result<WatchStream, PlatformError> {
         let path = format!("/v1/watch?from={}", from.number());
@@ -243,7 +179,7 @@
         self.get_json(keyspace.path().to_owned()).await
     }
 
-    async fn get_in(
+    pub(crate) async fn get_in(
         &self,
         keyspace: Keyspace,
         key: &ObjectKey,
@@ -274,114 +210,9 @@
         }
         Err(answer.failure())
     }
-
-    /// Reads the object back after an attempt without an answer; returns it if it carries the
-    /// write's operation id.
-    async fn read_back(&self, request: &WriteRequest) -> Result<Option<Object>, PlatformError> {
-        match self.get_in(request.keyspace, &request.key).await {
-            Ok(current) => Ok(current.filter(|object| request.made(Some(object)))),
-            Err(error) if error.is_transient() => Ok(None),
-            Err(error) => Err(error),
-        }
-    }
-}
-
-fn write_call(request: &WriteRequest) -> Result<Call, PlatformError> {
-    let path = object_path(request.keyspace, &request.key)?;
-    match &request.action {
-        WriteAction::Put(spec) => {
-            let body = PutBody {
-                expected_version: request.expected_version,
-                operation: request.operation,
-                author: request.author.clone(),
-                spec: spec.clone(),
-            };
-            Call::with_json(Method::PUT, path, &body)
-        }
-        WriteAction::Delete => {
-            let query = format!(
-                "expected_version={}&operation={}&author={}",
-                request.expected_version.number(),
-                request.operation,
-                utf8_percent_encode(&request.author, NON_ALPHANUMERIC),
-            );
-            Ok(Call::new(Method::DELETE, format!("{path}?{query}")))
-        }
-    }
-}
-
-/// A conflict with an object that already carries the operation id is a success.
-fn resolve_conflict(
-    request: &WriteRequest,
-    answer: &Answer,
-) -> Result<WriteReceipt, PlatformError> {
-    let current = answer.json::<ConflictAnswer>()?.current;
-    if request.made(current.as_ref()) {
-        return Ok(recognised(current));
-    }
-    Err(conflict(request, current, false))
-}
-
-/// A conflict after an attempt without an answer may be with that very attempt.
-fn settle_conflict(
-    request: &WriteRequest,
-    current: Option<Object>,
-    open: bool,
-) -> Result<WriteReceipt, PlatformError> {
-    if open && request.explains_conflict(current.as_ref()) {
-        return Ok(recognised(current));
-    }
-    Err(conflict(request, current, open))
-}
-
-const fn receipt(object: Option<Object>, version: Option<Revision>) -> WriteReceipt {
-    WriteReceipt {
-        object,
-        version,
-        attempts: 1,
-        recognised: false,
-    }
-}
-
-fn recognised(current: Option<Object>) -> WriteReceipt {
-    WriteReceipt {
-        version: current.as_ref().map(|object| object.version),
-        object: current,
-        attempts: 1,
-        recognised: true,
-    }
-}
-
-fn with_attempts(receipt: WriteReceipt, attempts: u32) -> WriteReceipt {
-    WriteReceipt {
-        attempts,
-        ..receipt
-    }
-}
-
-fn given_up(
-    request: &WriteRequest,
-    attempts: u32,
-    open: bool,
-    last: PlatformError,
-) -> PlatformError {
-    let key = request.key.clone();
-    let last = Box::new(last);
-    if open {
-        return PlatformError::WriteUnresolved {
-            key,
-            attempts,
-            last,
-        };
-    }
-    PlatformError::WriteNotApplied {
-        key,
-        attempts,
-        last,
-    }
 }
 
-fn object_path(keyspace: Keyspace, key: &ObjectKey) -> Result<String, PlatformError> {
+pub(crate) fn object_path(keyspace: Keyspace, key: &ObjectKey) -> Result<String, PlatformError> {
     let kind = valid_name("kind", &key.kind)?;
     let name = valid_name("name", &key.name)?;
     Ok(format!("{}/{kind}/{name}", keyspace.path()))
