--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -11,7 +11,6 @@
 
 use crate::backoff::Backoff;
 use crate::client::LeaseOutcome;
-use crate::error::PlatformError;
 
 /// A lease is renewed when this part of its time is over.
 const RENEWAL_DIVISOR: u32 = 3;
@@ -127,23 +126,23 @@
         })
     }
 
-    /// Takes in the answer to the request under way.
+    /// Takes in the answer to the request under way, or that there was none.
     pub fn answered(
         &mut self,
         now: Timestamp,
-        answer: Result<LeaseOutcome, PlatformError>,
+        answer: Option<&LeaseOutcome>,
         random: &mut impl Rng,
     ) {
         let Some(asked_at) = self.asked_at.take() else {
             return;
         };
         match answer {
-            Ok(LeaseOutcome::Granted(time)) => self.granted(asked_at, time),
-            Ok(LeaseOutcome::HeldBy(held)) => {
+            Some(LeaseOutcome::Granted(time)) => self.granted(asked_at, *time),
+            Some(LeaseOutcome::HeldBy(held)) => {
                 let expires_in = Duration::from_millis(held.expires_in_ms);
                 self.refused(now, expires_in, random);
             }
-            Err(_) => self.failed(now, random),
+            None => self.failed(now, random),
         }
     }
 
--- a/crates/platform/src/source/state.rs
+++ b/crates/platform/src/source/state.rs
@@ -80,7 +80,8 @@
 /// State machine of one reader.
 ///
 /// What it delivers never goes back: revisions of [`SourceEvent::Snapshot`] and
-/// [`SourceEvent::Change`] only grow, whatever the store answers. It relies on contiguous versions
+/// [`SourceEvent::Change`] only grow, whatever the store answers; a snapshot that was requested may
+/// repeat the revision that the consumer has. It relies on contiguous versions
 /// to notice a gap in a watch. After the store has answered older than before, the next delivery is
 /// a whole snapshot, since the store's history may have been replaced.
 #[derive(Clone, Debug)]
@@ -92,6 +93,8 @@
     delivered: Option<Delivered>,
     /// The store has answered older than before and has not been found consistent since.
     history_suspect: bool,
+    /// The consumer wants a whole snapshot, also of the revision that it has.
+    snapshot_requested: bool,
     /// Failures since the last answer that brought the reader forward.
     failures: u32,
     unavailable_since: Option<Timestamp>,
@@ -109,6 +112,7 @@
             seen: Revision::ZERO,
             delivered: None,
             history_suspect: false,
+            snapshot_requested: false,
             failures: 0,
             unavailable_since: None,
             heard_at: Timestamp::ZERO,
@@ -145,6 +149,15 @@
         Vec::new()
     }
 
+    /// Asks for a whole snapshot, also of the revision that the consumer has.
+    pub fn request_snapshot(&mut self, now: Timestamp) -> Vec<SourceEffect> {
+        self.snapshot_requested = true;
+        if self.phase == Phase::Watching {
+            return with_closed_watch(self.take_step(now, Step::List));
+        }
+        Vec::new()
+    }
+
     /// When [`Self::advance`] has something to do.
     #[must_use]
     pub const fn next_wakeup(&self) -> Option<Timestamp> {
@@ -208,13 +221,12 @@
                 if delivered.stamps != stamps {
                     return self.diverged_store(now, list.version, random);
                 }
-                SourceEvent::Current {
-                    revision: list.version,
-                }
+                self.confirmation(list)
             }
             _ => SourceEvent::Snapshot(SourceSnapshot::from_list(list)),
         };
         self.history_suspect = false;
+        self.snapshot_requested = false;
         self.delivered = Some(Delivered {
             revision: list.version,
             stamps,
@@ -224,6 +236,16 @@
         effects
     }
 
+    /// The event for a list of the revision that the consumer has.
+    fn confirmation(&self, list: &ObjectList) -> SourceEvent {
+        if self.snapshot_requested {
+            return SourceEvent::Snapshot(SourceSnapshot::from_list(list));
+        }
+        SourceEvent::Current {
+            revision: list.version,
+        }
+    }
+
     /// A watch that took too long to open is not resumed, either.
     fn opened(&mut self, now: Timestamp) -> Vec<SourceEffect> {
         if self.resumable_revision(now).is_none() {
@@ -365,10 +387,11 @@
         self.unavailable_since = None;
     }
 
-    /// The revision that a watch can be resumed from, unless the store may have been replaced.
+    /// The revision that a watch can be resumed from, unless a list is needed first.
     fn resumable_revision(&self, now: Timestamp) -> Option<Revision> {
         let silence = now.saturating_since(self.heard_at);
-        if self.history_suspect || silence > self.settings.resume_limit {
+        let list_needed = self.history_suspect || self.snapshot_requested;
+        if list_needed || silence > self.settings.resume_limit {
             return None;
         }
         self.delivered()
--- a/crates/platform/src/source/task.rs
+++ b/crates/platform/src/source/task.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use wharfquay_core::time::Timestamp;
@@ -13,7 +13,7 @@
 use super::state::{ConfigurationSource, SourceSettings};
 use crate::client::Client;
 use crate::error::PlatformError;
-use crate::lease::{LeaseRequest, ReaderLease, ReaderLeaseSettings};
+use crate::lease::{ReaderLease, ReaderLeaseSettings};
 use crate::watch::WatchStream;
 use crate::wire::WatchEvent;
 
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 pub struct RunningSource {
     events: mpsc::Receiver<SourceEvent>,
+    snapshot_wanted: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -33,6 +34,12 @@
     pub async fn next(&mut self) -> Option<SourceEvent> {
         self.events.recv().await
     }
+
+    /// Asks for a whole snapshot, also of the revision delivered last. It is delivered once the
+    /// store answers with that revision or a higher one.
+    pub fn request_snapshot(&self) {
+        self.snapshot_wanted.notify_one();
+    }
 }
 
 impl Drop for RunningSource {
@@ -68,9 +75,12 @@
     let clock = Clock::start();
     let lease =
         lease_settings.map(|settings| ReaderLease::new(settings, clock.now(), &mut rand::rng()));
+    let snapshot_wanted = Arc::new(Notify::new());
     let driver = Driver {
         client,
         clock,
+        snapshot_wanted: Arc::clone(&snapshot_wanted),
+        lease_unavailable: false,
         source: ConfigurationSource::new(settings),
         watch: None,
         effects: VecDeque::new(),
@@ -82,7 +92,11 @@
             Some(lease) => driver.run_leased(lease).await,
         }
     });
-    RunningSource { events, task }
+    RunningSource {
+        events,
+        snapshot_wanted,
+        task,
+    }
 }
 
 /// Timestamps since the start of a task.
@@ -124,6 +138,10 @@
     clock: Clock,
     source: ConfigurationSource,
     watch: Option<WatchStream>,
+    /// The consumer wants a whole snapshot.
+    snapshot_wanted: Arc<Notify>,
+    /// The consumer was told that no lease can be asked for.
+    lease_unavailable: bool,
     /// Effects not yet performed.
     effects: VecDeque<SourceEffect>,
     sender: mpsc::Sender<SourceEvent>,
@@ -142,10 +160,14 @@
         let clock = self.clock;
         loop {
             while !lease.may_read(clock.now()) {
-                renew(&client, &clock, &mut lease).await;
+                let renewal = renew(&client, &clock, &mut lease).await;
+                if self.report_renewal(renewal).await.is_err() {
+                    return;
+                }
             }
             let kept = async {
                 while lease.may_read(clock.now()) {
+                    // A renewal that fails is repeated until the lease lapses.
                     renew(&client, &clock, &mut lease).await;
                 }
             };
@@ -156,6 +178,26 @@
         }
     }
 
+    /// Tells the consumer once for each outage that no lease can be asked for.
+    async fn report_renewal(&mut self, renewal: Renewal) -> Result<(), ConsumerGone> {
+        match renewal {
+            Renewal::Waited => {}
+            Renewal::Answered => self.lease_unavailable = false,
+            Renewal::Failed(error) => self.report_lease_failure(error),
+        }
+        self.emit_waiting().await
+    }
+
+    fn report_lease_failure(&mut self, error: PlatformError) {
+        if self.lease_unavailable {
+            return;
+        }
+        self.lease_unavailable = true;
+        let since = self.clock.now();
+        let event = SourceEvent::Unavailable { since, error };
+        self.effects.push_back(SourceEffect::Emit(event));
+    }
+
     /// Stops reading. Events that the consumer has not taken yet are kept for it.
     fn stop(&mut self) {
         log::info!("event=configuration_reader_stopped reason=lease_lapsed");
@@ -213,19 +255,30 @@
         }
     }
 
-    /// Waits for the next event of the watch or for the source's next step.
+    /// Waits for the next event of the watch, the source's next step or a wish of the consumer.
     async fn wait_for_input(&mut self) {
-        let Some(watch) = &mut self.watch else {
-            self.clock.sleep_until(self.source.next_wakeup()).await;
-            let effects = self.source.advance(self.clock.now());
-            self.effects.extend(effects);
-            return;
+        let next = tokio::select! {
+            () = self.snapshot_wanted.notified() => Next::SnapshotWanted,
+            () = self.clock.sleep_until(self.source.next_wakeup()) => Next::Wakeup,
+            input = next_of(&mut self.watch) => Next::Input(input),
         };
-        let input = watch_input(watch.next().await);
-        if !matches!(input, SourceInput::WatchEvent(_)) {
-            self.watch = None;
+        let now = self.clock.now();
+        match next {
+            Next::SnapshotWanted => {
+                let effects = self.source.request_snapshot(now);
+                self.effects.extend(effects);
+            }
+            Next::Wakeup => {
+                let effects = self.source.advance(now);
+                self.effects.extend(effects);
+            }
+            Next::Input(input) => {
+                if !matches!(input, SourceInput::WatchEvent(_)) {
+                    self.watch = None;
+                }
+                self.handle(input);
+            }
         }
-        self.handle(input);
     }
 
     fn handle(&mut self, input: SourceInput) {
@@ -235,6 +288,21 @@
     }
 }
 
+/// What a waiting driver goes on with.
+enum Next {
+    SnapshotWanted,
+    Wakeup,
+    Input(SourceInput),
+}
+
+/// The next input of the open watch; never when none is open.
+async fn next_of(watch: &mut Option<WatchStream>) -> SourceInput {
+    match watch {
+        Some(watch) => watch_input(watch.next().await),
+        None => std::future::pending().await,
+    }
+}
+
 fn watch_input(next: Option<Result<WatchEvent, PlatformError>>) -> SourceInput {
     match next {
         None => SourceInput::WatchEnded,
@@ -250,21 +318,28 @@
     }
 }
 
-/// Waits until the lease needs something, and does it.
-async fn renew(client: &Client, clock: &Clock, lease: &mut ReaderLease) {
+/// What a step of a lease came to.
+enum Renewal {
+    /// Nothing was due yet.
+    Waited,
+    /// The platform granted or refused the lease.
+    Answered,
+    /// The platform did not answer.
+    Failed(PlatformError),
+}
+
+/// Waits until the lease needs something, or does it.
+async fn renew(client: &Client, clock: &Clock, lease: &mut ReaderLease) -> Renewal {
     let Some(request) = lease.advance(clock.now()) else {
         clock.sleep_until(lease.next_wakeup()).await;
-        return;
+        return Renewal::Waited;
     };
-    let answer = ask(client, &request).await;
-    lease.answered(clock.now(), answer, &mut rand::rng());
-}
-
-async fn ask(
-    client: &Client,
-    request: &LeaseRequest,
-) -> Result<crate::client::LeaseOutcome, PlatformError> {
-    client
+    let answer = client
         .acquire_lease(&request.name, &request.holder, request.ttl)
-        .await
+        .await;
+    lease.answered(clock.now(), answer.as_ref().ok(), &mut rand::rng());
+    match answer {
+        Ok(_) => Renewal::Answered,
+        Err(error) => Renewal::Failed(error),
+    }
 }
