--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -157,7 +157,9 @@
         | ResultCode::RefusedByBackend => Ok(Kind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
         ResultCode::ConnectionLost | ResultCode::MalformedAnswer => repeat(question),
-        ResultCode::ClaimUncertain => Err(GiveUpReason::NotRepeatable),
+        ResultCode::ClaimUncertain | ResultCode::ClaimUndetermined => {
+            Err(GiveUpReason::NotRepeatable)
+        }
     }
 }
 
