--- a/crates/core/src/idempotency/claim/coordinator.rs
+++ b/crates/core/src/idempotency/claim/coordinator.rs
@@ -356,7 +356,10 @@
 
     fn schedule(&mut self, now: Timestamp, rng: &mut impl Rng) {
         let jitter = rng.random_range(0.5..1.0);
-        self.next_step = now + self.interval.mul_f64(jitter);
+        let limits = [self.claim_until, self.request.give_up_at];
+        let next_limit = limits.into_iter().filter(|limit| *limit > now).min();
+        let next_round = now + self.interval.mul_f64(jitter);
+        self.next_step = next_limit.map_or(next_round, |limit| limit.min(next_round));
         self.interval = (self.interval * 2).min(self.settings.maximum_retransmit_after);
     }
 
