Add result code 1001 AnsweredEarlier

Cause: a repeat under an idempotency key whose recorded answer is too large to be kept must not get a part for the whole, nor 'unknown' when the execution is certain. Change: a code of class run with status 409; listed, and no ground for a retry.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -80,6 +80,9 @@
 result_codes! {
     /// The back end executed the request and this is its answer.
     Answered = 1000, Run, 0;
+    /// An earlier attempt with the same idempotency key was executed, and its answer was too large
+    /// to be kept for repeats.
+    AnsweredEarlier = 1001, Run, 409;
 
     /// The request is malformed.
     MalformedRequest = 2001, NotRun, 400;
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -132,7 +132,7 @@
 
 fn classify(question: &RetryQuestion) -> Result<Kind, GiveUpReason> {
     match question.code {
-        ResultCode::Answered => Err(GiveUpReason::Answered),
+        ResultCode::Answered | ResultCode::AnsweredEarlier => Err(GiveUpReason::Answered),
         ResultCode::MalformedRequest
         | ResultCode::RequestTooLarge
         | ResultCode::UnknownService
--- a/crates/core/tests/retry_decide.rs
+++ b/crates/core/tests/retry_decide.rs
@@ -44,6 +44,11 @@
     // Code, decision for a repeatable call, decision for one that must run at most once.
     let cases = [
         (ResultCode::Answered, give_up(Answered), give_up(Answered)),
+        (
+            ResultCode::AnsweredEarlier,
+            give_up(Answered),
+            give_up(Answered),
+        ),
         (
             ResultCode::MalformedRequest,
             give_up(RequestAtFault),
