Let a claim group name the replicas whose votes it takes over

Cause: a member of a new claim group votes only after a majority of the group before has stopped and handed its votes over; a daemon that starts with the newest configuration can't know that group. Ruled out: remembering it in the members only (lost with a restart), and waiting for the old keys to expire (nothing bounds how long a cut-off member keeps voting). Change: claim_group.previous_replicas; epochs start at 1 and grow by one; a later epoch without the field is refused by the check.

--- a/crates/resources/src/fields.rs
+++ b/crates/resources/src/fields.rs
@@ -308,10 +308,10 @@
     NAME,
     field(
         "epoch",
-        integer(0, MAXIMUM_EXACT_INTEGER),
+        integer(1, MAXIMUM_EXACT_INTEGER),
         "",
         FieldDefault::Required,
-        "Number that grows with each change of the members.",
+        "Number that grows by one with each change of the members; the first group has number 1.",
     ),
     field(
         "replicas",
@@ -323,6 +323,16 @@
         FieldDefault::Required,
         "Ids of the daemons that hold a replica; an odd number, over several zones. The group named `default` is the one in use.",
     ),
+    field(
+        "previous_replicas",
+        FieldType::Identifiers {
+            minimum: 0,
+            maximum: 9,
+        },
+        "",
+        FieldDefault::Absent("allowed in epoch 1 only, which takes over no votes"),
+        "Replicas of the epoch before, whose votes the new ones take over; an empty list states that none of them runs any more.",
+    ),
     field(
         "clock_skew_ms",
         integer(0, 60_000),
--- a/crates/resources/src/kinds.rs
+++ b/crates/resources/src/kinds.rs
@@ -171,10 +171,14 @@
 pub struct ClaimGroup {
     /// Name, unique among claim groups; `default` is the one in use.
     pub name: String,
-    /// Number that grows with each change of the members.
+    /// Number that grows by one with each change of the members; the first group has number 1.
     pub epoch: u64,
     /// Ids of the daemons that hold a replica; an odd number, over several zones.
     pub replicas: Vec<String>,
+    /// Ids of the daemons that held the replicas of the epoch before, whose votes are taken over;
+    /// empty when none of them runs any more. Absent in the first epoch only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous_replicas: Option<Vec<String>>,
     /// Largest difference between two machines' clocks, in milliseconds.
     #[serde(default = "default_clock_skew_ms")]
     pub clock_skew_ms: u32,
--- a/crates/resources/src/spec.rs
+++ b/crates/resources/src/spec.rs
@@ -287,7 +287,10 @@
 fn check_consistency(resource: &Resource) -> Vec<Finding> {
     match resource {
         Resource::RetryBudget(budget) => check_backoff(budget),
-        Resource::ClaimGroup(group) => check_replica_count(group),
+        Resource::ClaimGroup(group) => check_replica_count(group)
+            .into_iter()
+            .chain(check_previous_replicas(group))
+            .collect(),
         Resource::Drain(drain) => match &drain.target {
             DrainTarget::Service(name) if !is_name(name) => vec![Finding::new(
                 ProblemCode::InvalidText,
@@ -331,6 +334,24 @@
     )]
 }
 
+/// A group that doesn't say whose votes it takes over would never vote.
+fn check_previous_replicas(group: &ClaimGroup) -> Option<Finding> {
+    if group.epoch <= 1 || group.previous_replicas.is_some() {
+        return None;
+    }
+    let message = format!("absent in epoch {}", group.epoch);
+    let allowed = format!(
+        "the replicas of epoch {}, or [] when none of them runs any more",
+        group.epoch - 1
+    );
+    Some(Finding::new(
+        ProblemCode::InconsistentFields,
+        "previous_replicas",
+        message,
+        allowed,
+    ))
+}
+
 /// Whether the text is a valid resource name.
 #[must_use]
 pub fn is_name(text: &str) -> bool {
--- a/crates/resources/tests/parse_errors.rs
+++ b/crates/resources/tests/parse_errors.rs
@@ -113,6 +113,10 @@
         text: "[[drain]]\nname = \"a\"\ntarget = { zone = \"x\", service = \"y\" }\n",
         message: "f:3: drain.a.target: 2 keys in the table (allowed: { backend = \"…\" }, { service = \"…\" } or { zone = \"…\" }) [5006]",
     },
+    Case {
+        text: "[[claim_group]]\nname = \"default\"\nepoch = 3\nreplicas = [\"a\"]\n",
+        message: "f:1: claim_group.default.previous_replicas: absent in epoch 3 (allowed: the replicas of epoch 2, or [] when none of them runs any more) [5008]",
+    },
     Case {
         text: "[[claim_group]]\nname = \"default\"\nepoch = 1\nreplicas = [\"a\", \"b\"]\n",
         message: "f:4: claim_group.default.replicas: 2 replicas, an even number (allowed: 1, 3, 5, 7 or 9 daemon ids) [5006]",
