--- a/crates/core/src/idempotency/claim/mod.rs
+++ b/crates/core/src/idempotency/claim/mod.rs
@@ -6,6 +6,7 @@
 //! - [`message`]: what the two say to each other.
 
 pub mod coordinator;
+pub mod exchange;
 pub mod group;
 pub mod handover;
 pub mod message;
--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -309,6 +309,20 @@
     assert_eq!(claim(&mut d, READY, &fresh), Vote::Granted);
 }
 
+/// Two of the old members lost their votes; what the third knows is no majority's knowledge.
+#[test]
+fn a_new_member_abstains_where_the_old_majority_forgot() {
+    let key = key_minted_at(READY);
+    let restart = READY + SKEW;
+    let mut a = replica("a", START, first_group());
+    let mut b = replica("b", restart, first_group());
+    let mut d = replica("d", START, second_group());
+    hand_over(&mut d, &mut [("a", &mut a), ("b", &mut b)], restart);
+    assert!(d.is_voting());
+    let vote = claim(&mut d, restart, &in_second_epoch(claim_on(key, 2)));
+    assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
+}
+
 #[test]
 fn a_split_vote_is_resolved_or_contested_at_handover() {
     let key = key_minted_at(READY);
