Run a whole deployment in one process and as separate processes

Cause: nothing yet showed callers, edges, daemons and back ends together. Change: 'wharfquay demo' (platform stand-in, a daemon per back end, an edge per zone, back ends and callers in one process, with an audit of every answer against the execution records), 'wharfquay-emulator layout' and 'wait', and scripts/mesh, which starts the same as separate processes.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use crate::command_names;
 use crate::error::{CliError, Finish};
 use crate::output::Output;
-use crate::{apply, check, completion, delete, explain, get, plan, replay, watch};
+use crate::{apply, check, completion, delete, demo, explain, get, plan, replay, watch};
 
 /// A flag of a command.
 #[derive(Clone, Copy, Debug)]
@@ -94,6 +94,7 @@
     &explain::COMMAND,
     &plan::COMMAND,
     &replay::COMMAND,
+    &demo::COMMAND,
     &completion::COMMAND,
 ];
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use displaydoc::Display;
+use wharfquay_emulator::demo::DeploymentError;
 use wharfquay_emulator::scenario::ScenarioError;
 use wharfquay_platform::PlatformError;
 
@@ -103,6 +104,8 @@
     },
     /// 7014: scenario: {0}
     Scenario(ScenarioError),
+    /// 7015: the demonstration can't run: {0}
+    Demonstration(DeploymentError),
     /// 7013: the configuration has errors (allowed: files that `wharfquay check` passes)
     BrokenConfiguration,
 }
@@ -120,6 +123,7 @@
             | Self::Runtime(_)
             | Self::NotFound(_)
             | Self::BrokenConfiguration
+            | Self::Demonstration(_)
             | Self::StillReferenced(_) => Finish::ProblemFound,
             Self::Platform(error) => finish_of(error),
             _ => Finish::BadUse,
@@ -142,6 +146,12 @@
     }
 }
 
+impl From<DeploymentError> for CliError {
+    fn from(error: DeploymentError) -> Self {
+        Self::Demonstration(error)
+    }
+}
+
 impl From<ScenarioError> for CliError {
     fn from(error: ScenarioError) -> Self {
         Self::Scenario(error)
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod connection;
 mod delete;
+mod demo;
 mod error;
 mod explain;
 mod get;
--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -1,6 +1,8 @@
 //! The commands of `wharfquay-emulator`.
 
+mod layout;
 mod platform;
+mod wait;
 
 use std::fmt::Display;
 use std::process::ExitCode;
@@ -22,8 +24,10 @@
 
 Commands:
   backend    stand-in for a back end
+  layout     files from which a deployment is started as separate processes
   load       stand-in for callers
   platform   stand-in for the platform
+  wait       wait until daemons are ready
 
 wharfquay-emulator COMMAND --help tells more.
 ";
@@ -54,6 +58,14 @@
             Ok(arguments) => platform::run(arguments).await,
             Err(status) => status,
         },
+        "layout" => match settle(layout::parse_arguments(parser), layout::USAGE) {
+            Ok(arguments) => layout::run(&arguments),
+            Err(status) => status,
+        },
+        "wait" => match settle(wait::parse_arguments(parser), wait::USAGE) {
+            Ok(arguments) => wait::run(arguments).await,
+            Err(status) => status,
+        },
         other => bad_use(&format!("unknown command \"{other}\""), USAGE),
     }
 }
--- a/crates/emulator/src/command/platform.rs
+++ b/crates/emulator/src/command/platform.rs
@@ -1,10 +1,13 @@
 //! The platform stand-in as a process.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use lexopt::Arg;
+use wharfquay_core::time::Timestamp;
+use wharfquay_platform::wire::Machine;
 use wharfquay_resources::kinds::Resource;
 use wharfquay_resources::parse::{SourceFile, parse};
 
@@ -14,9 +17,10 @@
 
 /// Usage of the command.
 pub(super) const USAGE: &str = "\
-wharfquay-emulator platform --listen IP:PORT [--load FILE.resources.toml]…
+wharfquay-emulator platform --listen IP:PORT [--load FILE.resources.toml]… [--machines FILE.json]
 
-Serves the object API, leases and the machine list from memory. PUT /v1/faults switches faults.
+Serves the object API, leases and the machine list from memory, starting with the
+given resources and the given list of machines. PUT /v1/faults switches faults.
 
 Example:
   wharfquay-emulator platform --listen 127.0.0.1:7100 --load scenarios/lagos.resources.toml
@@ -26,6 +30,7 @@
 pub(super) struct PlatformArguments {
     listen: SocketAddr,
     files: Vec<PathBuf>,
+    machines: Option<PathBuf>,
 }
 
 pub(super) fn parse_arguments(
@@ -33,6 +38,7 @@
 ) -> Result<Command<PlatformArguments>, ArgumentError> {
     let mut listen = None;
     let mut files = Vec::new();
+    let mut machines = None;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
@@ -40,11 +46,16 @@
                 listen = Some(arguments::value(&mut parser, "listen", "ip:port")?);
             }
             Arg::Long("load") => files.push(PathBuf::from(parser.value()?)),
+            Arg::Long("machines") => machines = Some(PathBuf::from(parser.value()?)),
             other => return Err(other.unexpected().into()),
         }
     }
     let listen = listen.ok_or(ArgumentError::Missing("listen"))?;
-    Ok(Command::Run(PlatformArguments { listen, files }))
+    Ok(Command::Run(PlatformArguments {
+        listen,
+        files,
+        machines,
+    }))
 }
 
 pub(super) async fn run(arguments: PlatformArguments) -> ExitCode {
@@ -52,6 +63,10 @@
         Ok(resources) => resources,
         Err(message) => return bad_use(&message, USAGE),
     };
+    let machines = match load_machines(arguments.machines.as_deref()) {
+        Ok(machines) => machines,
+        Err(message) => return bad_use(&message, USAGE),
+    };
     let settings = PlatformSettings {
         resources,
         ..PlatformSettings::new(arguments.listen)
@@ -60,11 +75,25 @@
         Ok(platform) => platform,
         Err(error) => return bad_use(&error, USAGE),
     };
+    platform.with_store(|store| {
+        for machine in machines {
+            store.machines.put(Timestamp::ZERO, machine);
+        }
+    });
     wait_for_end().await;
     platform.shutdown().await;
     ExitCode::SUCCESS
 }
 
+fn load_machines(file: Option<&Path>) -> Result<Vec<Machine>, String> {
+    let Some(file) = file else {
+        return Ok(Vec::new());
+    };
+    let failed = |error: &dyn Display| format!("{}: {error}", file.display());
+    let text = std::fs::read(file).map_err(|error| failed(&error))?;
+    serde_json::from_slice(&text).map_err(|error| failed(&error))
+}
+
 /// The resources of all files, or every problem in them.
 fn load_resources(files: &[PathBuf]) -> Result<Vec<Resource>, String> {
     let mut sources = Vec::with_capacity(files.len());
--- /dev/null
+++ b/crates/emulator/src/demo/deployment.rs
@@ -0,0 +1,198 @@
+//! A running deployment: platform stand-in, back ends, daemons and edges in this process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use wharfquay_daemon::settings::SettingsError;
+use wharfquay_daemon::{Daemon, RunningDaemon, StartError as DaemonError};
+use wharfquay_platform::{Client, ClientSettings, PlatformError as ClientError};
+use wharfquay_resources::kinds::Resource;
+
+use super::layout::{BackendPlace, EdgePlace, Layout, Ports};
+use crate::backend::record::ExecutionReport;
+use crate::backend::{BackendSettings, RunningBackend, StartError as BackendError};
+use crate::platform::{self, PlatformError, PlatformSettings, RunningPlatform};
+use crate::readiness::{self, NotReady};
+use crate::scenario::Scenario;
+
+/// Longest time that the daemons may take to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Why a deployment can't start.
+#[derive(Debug, Display)]
+pub enum DeploymentError {
+    /// platform: {0}
+    Platform(PlatformError),
+    /// back end: {0}
+    Backend(BackendError),
+    /// daemon settings: {0}
+    Settings(SettingsError),
+    /// daemon: {0}
+    Daemon(DaemonError),
+    /// machine list: {0}
+    Machines(ClientError),
+    /// {0}
+    NotReady(NotReady),
+    /// not finished within {0:?}
+    TooLong(Duration),
+    /// daemon {0}: no address for {1}
+    NoAddress(String, &'static str),
+}
+
+impl std::error::Error for DeploymentError {}
+
+/// A deployment that serves.
+pub struct Deployment {
+    platform: RunningPlatform,
+    backends: Vec<RunningBackend>,
+    daemons: Vec<RunningDaemon>,
+    edges: Vec<RunningDaemon>,
+}
+
+impl Deployment {
+    /// Starts every process of the scenario and waits until all are ready.
+    ///
+    /// # Errors
+    /// [`DeploymentError`] names the part that can't start.
+    pub async fn start(
+        scenario: &Arc<Scenario>,
+        resources: Vec<Resource>,
+        seed: u64,
+    ) -> Result<Self, DeploymentError> {
+        let layout = Layout::new(scenario, Ports::Free);
+        let platform = start_platform(resources).await?;
+        let mut deployment = Self {
+            platform,
+            backends: Vec::new(),
+            daemons: Vec::new(),
+            edges: Vec::new(),
+        };
+        for (place, number) in layout.backends.into_iter().zip(0_u64..) {
+            let seed = seed.wrapping_add(number);
+            deployment.start_backend(scenario, place, seed).await?;
+        }
+        for place in layout.edges {
+            deployment.start_edge(place).await?;
+        }
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Where callers send their requests, one address per zone.
+    #[must_use]
+    pub fn edges(&self) -> Vec<SocketAddr> {
+        let addresses = self.edges.iter().map(|edge| edge.addresses().edge);
+        addresses.flatten().collect()
+    }
+
+    /// The back ends.
+    #[must_use]
+    pub fn backends(&self) -> &[RunningBackend] {
+        &self.backends
+    }
+
+    /// The platform stand-in.
+    #[must_use]
+    pub const fn platform(&self) -> &RunningPlatform {
+        &self.platform
+    }
+
+    /// The records of all back ends.
+    #[must_use]
+    pub fn records(&self) -> Vec<ExecutionReport> {
+        self.backends.iter().map(RunningBackend::report).collect()
+    }
+
+    /// Stops edges, daemons, back ends and the platform stand-in, in this order.
+    pub async fn shutdown(self) {
+        stop_daemons(self.edges).await;
+        stop_daemons(self.daemons).await;
+        for backend in self.backends {
+            backend.shutdown().await;
+        }
+        self.platform.shutdown().await;
+    }
+
+    fn client(&self) -> Client {
+        Client::new(vec![self.platform.address()], ClientSettings::default())
+    }
+
+    async fn start_backend(
+        &mut self,
+        scenario: &Arc<Scenario>,
+        mut place: BackendPlace,
+        seed: u64,
+    ) -> Result<(), DeploymentError> {
+        let mut settings = BackendSettings::new(Arc::clone(scenario), &place.service, &place.id);
+        settings.seed = seed;
+        settings.warm = true;
+        let backend = RunningBackend::start(settings).await;
+        let backend = backend.map_err(DeploymentError::Backend)?;
+        place.backend = backend.address();
+        let text = place.daemon_settings(self.platform.address());
+        let daemon = start_daemon(&place.id, &text).await?;
+        place.inbound = address(&place.id, "inbound", daemon.addresses().inbound)?;
+        place.outbound = address(&place.id, "outbound", daemon.addresses().outbound)?;
+        backend.set_outbound(place.outbound);
+        let registered = self.client().put_machine(&place.machine()).await;
+        registered.map_err(DeploymentError::Machines)?;
+        self.backends.push(backend);
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    async fn start_edge(&mut self, mut place: EdgePlace) -> Result<(), DeploymentError> {
+        let text = place.daemon_settings(self.platform.address());
+        let daemon = start_daemon(&place.id, &text).await?;
+        place.edge = address(&place.id, "edge", daemon.addresses().edge)?;
+        let registered = self.client().put_machine(&place.machine()).await;
+        registered.map_err(DeploymentError::Machines)?;
+        self.edges.push(daemon);
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), DeploymentError> {
+        let limit = Instant::now() + READY_LIMIT;
+        let daemons = self.daemons.iter().chain(&self.edges);
+        for admin in daemons.filter_map(|daemon| daemon.addresses().admin) {
+            readiness::wait(admin, self.backends.len(), limit)
+                .await
+                .map_err(DeploymentError::NotReady)?;
+        }
+        Ok(())
+    }
+}
+
+async fn start_platform(resources: Vec<Resource>) -> Result<RunningPlatform, DeploymentError> {
+    let settings = PlatformSettings {
+        resources,
+        ..PlatformSettings::new(SocketAddr::from(([127, 0, 0, 1], 0)))
+    };
+    let platform = platform::start(settings).await;
+    platform.map_err(DeploymentError::Platform)
+}
+
+async fn start_daemon(id: &str, text: &str) -> Result<RunningDaemon, DeploymentError> {
+    let settings = wharfquay_daemon::settings::parse(id, text, &[]);
+    let settings = settings.map_err(DeploymentError::Settings)?;
+    let daemon = Daemon::start(settings).await;
+    daemon.map_err(DeploymentError::Daemon)
+}
+
+fn address(
+    id: &str,
+    listener: &'static str,
+    bound: Option<SocketAddr>,
+) -> Result<SocketAddr, DeploymentError> {
+    bound.ok_or_else(|| DeploymentError::NoAddress(id.to_owned(), listener))
+}
+
+async fn stop_daemons(daemons: Vec<RunningDaemon>) {
+    let mut stopping = tokio::task::JoinSet::new();
+    for daemon in daemons {
+        stopping.spawn(daemon.shutdown());
+    }
+    while stopping.join_next().await.is_some() {}
+}
--- a/crates/emulator/src/demo/mod.rs
+++ b/crates/emulator/src/demo/mod.rs
@@ -1,3 +1,11 @@
 //! A whole deployment on loopback in one process.
 
+pub mod deployment;
 pub mod layout;
+mod report;
+pub mod resources;
+mod run;
+
+pub use deployment::{Deployment, DeploymentError};
+pub use report::DemoReport;
+pub use run::{DemoSettings, Moment, run};
--- /dev/null
+++ b/crates/emulator/src/demo/resources.rs
@@ -0,0 +1,22 @@
+//! The configurations that ship with the program, one for each scenario that does.
+
+use wharfquay_resources::kinds::Resource;
+use wharfquay_resources::parse::{SourceFile, parse};
+
+const LAGOS: &str = include_str!("../../../../scenarios/lagos.resources.toml");
+const GUJARAT: &str = include_str!("../../../../scenarios/gujarat.resources.toml");
+
+/// The configuration of the scenario with this name; empty when none ships with the program.
+#[must_use]
+pub fn builtin(scenario: &str) -> Vec<Resource> {
+    let text = match scenario {
+        "lagos" => LAGOS,
+        "gujarat" => GUJARAT,
+        _ => return Vec::new(),
+    };
+    let file = SourceFile {
+        name: format!("{scenario}.resources.toml"),
+        text: text.to_owned(),
+    };
+    parse(&[file]).resources
+}
--- /dev/null
+++ b/crates/emulator/src/demo/run.rs
@@ -0,0 +1,115 @@
+//! Runs callers against a deployment through a surge.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wharfquay_resources::kinds::Resource;
+
+use super::deployment::{Deployment, DeploymentError};
+use super::report::DemoReport;
+use crate::load::arrivals::Surge;
+use crate::load::audit::Audit;
+use crate::load::{LoadSettings, Progress, RunningLoad};
+use crate::scenario::Scenario;
+
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What to demonstrate.
+#[derive(Clone, Debug)]
+pub struct DemoSettings {
+    /// The deployment and its load.
+    pub scenario: Arc<Scenario>,
+    /// Its configuration.
+    pub resources: Vec<Resource>,
+    /// Length of the load; the surge begins after a third and lasts a quarter of it.
+    pub length: Duration,
+    /// Factor of the surge.
+    pub surge_factor: f64,
+    /// Factor on every rate.
+    pub rate_factor: f64,
+    /// Seed of arrivals and service times.
+    pub seed: u64,
+}
+
+impl DemoSettings {
+    fn surge(&self) -> Surge {
+        Surge {
+            factor: self.surge_factor,
+            start: self.length / 3,
+            length: self.length / 4,
+        }
+    }
+
+    /// Retries per originating request that the configuration allows: the largest of its budgets.
+    fn retry_bound(&self) -> Option<u64> {
+        let budgets = self.resources.iter().filter_map(|resource| match resource {
+            Resource::RetryBudget(budget) => Some(u64::from(budget.retries_per_request)),
+            _ => None,
+        });
+        budgets.max()
+    }
+}
+
+/// The state of a demonstration at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moment {
+    /// Since the start of the load.
+    pub elapsed: Duration,
+    /// Whether the surge lasts.
+    pub surge: bool,
+    /// Counts so far.
+    pub progress: Progress,
+    /// Counts at the moment before.
+    pub before: Progress,
+}
+
+/// Starts the deployment, sends the load, tells `observe` of the progress once a second, stops
+/// everything and reports.
+///
+/// # Errors
+/// [`DeploymentError`] names the part that can't start.
+pub async fn run(
+    settings: DemoSettings,
+    observe: impl FnMut(Moment),
+) -> Result<DemoReport, DeploymentError> {
+    let resources = settings.resources.clone();
+    let deployment = Deployment::start(&settings.scenario, resources, settings.seed).await?;
+    let surge = settings.surge();
+    let load = RunningLoad::start(LoadSettings {
+        scenario: Arc::clone(&settings.scenario),
+        edges: deployment.edges(),
+        length: settings.length,
+        surge: Some(surge),
+        rate_factor: settings.rate_factor,
+        seed: settings.seed,
+    });
+    watch(&load, surge, observe).await;
+    let report = load.finish().await;
+    let records = deployment.records();
+    deployment.shutdown().await;
+    let audit = Audit::new(&settings.scenario, &report, &records);
+    Ok(DemoReport {
+        broken_promises: audit.broken_promises(settings.retry_bound()),
+        load: report,
+        audit,
+    })
+}
+
+async fn watch(load: &RunningLoad, surge: Surge, mut observe: impl FnMut(Moment)) {
+    let started = Instant::now();
+    let mut before = Progress::default();
+    let mut interval = tokio::time::interval(PROGRESS_INTERVAL);
+    interval.tick().await;
+    while !load.is_finished() {
+        interval.tick().await;
+        let elapsed = started.elapsed();
+        let progress = load.progress();
+        observe(Moment {
+            elapsed,
+            surge: surge.covers(elapsed),
+            progress,
+            before,
+        });
+        before = progress;
+    }
+}
