Add status, drain and undrain

Cause: operators have to see what became of what they wrote and follow a drain until nothing is left. Found on the way: a derived reader takes a JSON list for a structure, so a page that is a list was shown as a daemon; seen red in a_malformed_page_is_no_panic.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,9 @@
 use crate::command_names;
 use crate::error::{CliError, Finish};
 use crate::output::Output;
-use crate::{apply, check, completion, delete, demo, explain, get, plan, replay, watch};
+use crate::{
+    apply, check, completion, delete, demo, drain, explain, get, plan, replay, status, watch,
+};
 
 /// A flag of a command.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +93,9 @@
     &get::COMMAND,
     &watch::COMMAND,
     &delete::COMMAND,
+    &status::COMMAND,
+    &drain::COMMAND,
+    &drain::UNDRAIN,
     &explain::COMMAND,
     &plan::COMMAND,
     &replay::COMMAND,
--- /dev/null
+++ b/crates/cli/src/daemon_status.rs
@@ -0,0 +1,167 @@
+//! The status page of a daemon's admin side.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use wharfquay_core::priority::{AdmissionLevel, Priority, Rank};
+
+use crate::arguments::Arguments;
+use crate::commands::Flag;
+use crate::connection::parse_addresses;
+use crate::error::CliError;
+
+/// Largest status page that is read, in bytes.
+const MAXIMUM_PAGE_BYTES: usize = 16 * 1024 * 1024;
+
+pub(crate) const DAEMON: Flag = Flag::with_value(
+    "daemon",
+    "IP:PORT",
+    "Admin address of a daemon, several by commas or repeated",
+);
+
+/// The addresses of the daemons that flags name.
+pub(crate) fn daemon_addresses(arguments: &Arguments) -> Result<Vec<SocketAddr>, CliError> {
+    let texts = arguments.texts(DAEMON.name);
+    let lists: Vec<Vec<SocketAddr>> = texts
+        .iter()
+        .map(|text| parse_addresses("--daemon", text))
+        .collect::<Result<_, _>>()?;
+    Ok(lists.concat())
+}
+
+/// What a daemon says about itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct DaemonStatus {
+    /// Name of the daemon.
+    pub(crate) id: String,
+    /// Its zone.
+    pub(crate) zone: String,
+    /// Service of its back end; absent at an edge.
+    #[serde(default)]
+    pub(crate) service: Option<String>,
+    /// Whether it can serve.
+    #[serde(default)]
+    pub(crate) ready: bool,
+    /// Whether its back end is leaving.
+    #[serde(default)]
+    pub(crate) leaving: bool,
+    /// Revision in force.
+    #[serde(default)]
+    pub(crate) revision: u64,
+    /// Calls that have not ended.
+    #[serde(default)]
+    pub(crate) calls_in_flight: u64,
+    /// Admission at its back end; absent at an edge.
+    #[serde(default)]
+    pub(crate) admission: Option<AdmissionStatus>,
+}
+
+/// Admission at one back end.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub(crate) struct AdmissionStatus {
+    /// Admission level, 0 (closed) to 32768 (open).
+    pub(crate) level: u16,
+    /// Calls in execution.
+    pub(crate) in_flight: u32,
+    /// Concurrency limit in force.
+    pub(crate) limit: u32,
+    /// Calls that wait.
+    pub(crate) queued: u32,
+}
+
+impl DaemonStatus {
+    /// Calls that run or wait.
+    pub(crate) fn pending_calls(&self) -> u64 {
+        let admission = self.admission.unwrap_or_default();
+        let at_backend = u64::from(admission.in_flight) + u64::from(admission.queued);
+        self.calls_in_flight.max(at_backend)
+    }
+}
+
+/// Why a status page can't be read.
+#[derive(Debug, Display)]
+pub(crate) enum StatusError {
+    /// no answer within {0:?}
+    Timeout(Duration),
+    /// no connection: {0}
+    Connection(String),
+    /// the daemon answered {0}
+    Refused(StatusCode),
+    /// malformed page: {0}
+    Malformed(String),
+}
+
+/// Reads the status page of the daemon with this admin address.
+pub(crate) async fn fetch_status(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<DaemonStatus, StatusError> {
+    tokio::time::timeout(timeout, fetch(address))
+        .await
+        .map_err(|_| StatusError::Timeout(timeout))?
+}
+
+async fn fetch(address: SocketAddr) -> Result<DaemonStatus, StatusError> {
+    let client: Client<HttpConnector, Empty<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::get(format!("http://{address}/status"))
+        .body(Empty::new())
+        .map_err(|error| StatusError::Malformed(error.to_string()))?;
+    let response = client
+        .request(request)
+        .await
+        .map_err(|error| StatusError::Connection(describe_chain(&error)))?;
+    if response.status() != StatusCode::OK {
+        return Err(StatusError::Refused(response.status()));
+    }
+    let body = Limited::new(response.into_body(), MAXIMUM_PAGE_BYTES);
+    let page = body
+        .collect()
+        .await
+        .map_err(|error| StatusError::Connection(error.to_string()))?;
+    read_page(&page.to_bytes()).map_err(|error| StatusError::Malformed(error.to_string()))
+}
+
+/// Reads a page as an object, since a derived reader would take a list for a structure too.
+fn read_page(page: &[u8]) -> Result<DaemonStatus, serde_json::Error> {
+    let object: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(page)?;
+    serde_json::from_value(object.into())
+}
+
+/// An error with its causes.
+fn describe_chain(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    let texts: Vec<String> = causes.map(ToString::to_string).collect();
+    texts.join(": ")
+}
+
+/// An admission level in words: which priorities are admitted, and how much of the last one.
+pub(crate) fn describe_level(level: u16) -> String {
+    let level = AdmissionLevel::new(level);
+    if level == AdmissionLevel::OPEN {
+        return "open".to_owned();
+    }
+    if level == AdmissionLevel::CLOSED {
+        return "closed".to_owned();
+    }
+    let whole = level.number() / Rank::COUNT;
+    let part = level.number() % Rank::COUNT;
+    let percent = f64::from(part) * 100.0 / f64::from(Rank::COUNT);
+    let last = u16::from(Priority::LOWEST.number()).min(whole);
+    match (whole, part) {
+        (0, _) => format!("0 at {percent:.0}%"),
+        (1, 0) => "0".to_owned(),
+        (_, 0) => format!("0-{}", whole - 1),
+        (1, _) => format!("0, 1 at {percent:.0}%"),
+        _ => format!("0-{}, {last} at {percent:.0}%", whole - 1),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/drain/mod.rs
@@ -0,0 +1,216 @@
+//! `drain` and `undrain`: write or withdraw the intention that back ends leave, and follow it.
+
+mod estimate;
+mod follow;
+mod undrain;
+
+use wharfquay_platform::conversion::object_key;
+use wharfquay_platform::{Client, PlatformError, WriteRequest};
+use wharfquay_resources::kinds::{Drain, DrainTarget, Resource, ResourceId, ResourceKind};
+use wharfquay_resources::problem::{Finding, Severity};
+use wharfquay_resources::snapshot::{Revision, Snapshot};
+use wharfquay_resources::spec::{read_spec, to_spec};
+use wharfquay_resources::validate::validate_snapshot;
+
+use crate::arguments::Arguments;
+use crate::change_text::conflict_lines;
+use crate::commands::{CommandSpec, Example, Flag, Positionals};
+use crate::connection::{
+    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, with_progress,
+};
+use crate::daemon_status::{DAEMON, daemon_addresses};
+use crate::drain::estimate::{Estimate, estimate};
+use crate::drain::follow::{FollowOptions, follow_until_empty};
+use crate::error::{CliError, Finish};
+use crate::output::Output;
+use crate::plan::options::drain_target;
+
+pub(crate) use undrain::COMMAND as UNDRAIN;
+
+const TARGET_FORM: &str = "zone NAME, service NAME or backend ID";
+const LIMIT_FORM: &str = "0 to 3600000, in milliseconds";
+const DEFAULT_LIMIT_MS: u32 = 30_000;
+
+pub(crate) const NO_WAIT: Flag =
+    Flag::switch("no-wait", "Write the intention and do not follow it");
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "drain",
+    summary: "Make a zone, a service or one back end leave, and follow until it is empty",
+    details: "\
+Writes a drain resource and follows it: until the resource's status says that every daemon has it in
+force and no call is in flight, or until the daemons given by --daemon say so. A drain after which
+a service would have no back end is refused without --force. Following ends with exit code 1 when
+calls are left after the drain's limit.",
+    positionals: Positionals {
+        usage: "zone|service|backend NAME",
+        minimum: 2,
+        maximum: 2,
+    },
+    flags: &[
+        Flag::with_value(
+            "name",
+            "NAME",
+            "Name of the drain resource (default: from the target)",
+        ),
+        Flag::with_value(
+            "limit-ms",
+            "MS",
+            "Longest time for calls in flight (default: 30000)",
+        ),
+        Flag::switch(
+            "force",
+            "Drain even if a service is left without a back end",
+        ),
+        Flag::switch("dry-run", "Show the estimate and write nothing"),
+        NO_WAIT,
+        DAEMON,
+        PLATFORM,
+        AUTHOR,
+        TIMEOUT,
+    ],
+    examples: &[
+        Example {
+            line: "wharfquay drain zone ikeja --platform 127.0.0.1:7000",
+            meaning: "Drain a zone and follow until it is empty.",
+        },
+        Example {
+            line: "wharfquay drain backend booking-1 --no-wait",
+            meaning: "Only write the intention.",
+        },
+    ],
+    run,
+};
+
+/// Reads the target from two words.
+fn read_target(arguments: &Arguments) -> Result<DrainTarget, CliError> {
+    let words = arguments.words();
+    drain_target(&words[0], &words[1]).ok_or_else(|| CliError::InvalidValue {
+        name: "target".to_owned(),
+        given: words.join(" "),
+        problem: "no target".to_owned(),
+        allowed: TARGET_FORM.to_owned(),
+    })
+}
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let drain = read_drain(arguments)?;
+    let daemons = daemon_addresses(arguments)?;
+    let client = connect(arguments)?;
+    block_on(async {
+        let view = PlatformView::read(&client).await?;
+        let machines = with_progress("reading the machine list", client.machines()).await?;
+        let estimate = estimate(&view.acceptance.snapshot, &drain.target, &machines.machines);
+        output.text(&estimate.render())?;
+        if let Some(finish) = refuse(arguments, &view.acceptance.snapshot, &drain, &estimate) {
+            return Ok(finish);
+        }
+        if arguments.has("dry-run") {
+            return Ok(Finish::Done);
+        }
+        let version = write_drain(&client, &view, &drain, &author(arguments)).await?;
+        let id = Resource::Drain(drain.clone()).id();
+        output.line(&format!("{id}: written, version {}", version.number()))?;
+        if arguments.has(NO_WAIT.name) {
+            return Ok(Finish::Done);
+        }
+        let options = FollowOptions {
+            client: &client,
+            drain: &drain,
+            version,
+            daemons,
+        };
+        follow_until_empty(&options, output).await
+    })
+}
+
+fn read_drain(arguments: &Arguments) -> Result<Drain, CliError> {
+    let target = read_target(arguments)?;
+    let limit: Option<u32> = arguments.value("limit-ms", LIMIT_FORM)?;
+    let name = arguments.text("name");
+    let drain = Drain {
+        name: name.unwrap_or_else(|| default_name(&target)),
+        target,
+        limit_ms: limit.unwrap_or(DEFAULT_LIMIT_MS),
+    };
+    let spec = to_spec(&Resource::Drain(drain.clone()));
+    match read_spec(ResourceKind::Drain, &spec) {
+        Ok(_) => Ok(drain),
+        Err(findings) => Err(CliError::InvalidResource(join(&findings))),
+    }
+}
+
+fn join(findings: &[Finding]) -> String {
+    let texts: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
+/// A resource name made of the target: what a name can't hold becomes a hyphen.
+fn default_name(target: &DrainTarget) -> String {
+    let (kind, name) = match target {
+        DrainTarget::Backend(name) => ("backend", name),
+        DrainTarget::Service(name) => ("service", name),
+        DrainTarget::Zone(name) => ("zone", name),
+    };
+    let safe = |character: char| match character.to_ascii_lowercase() {
+        allowed @ ('a'..='z' | '0'..='9' | '_' | '-') => allowed,
+        _ => '-',
+    };
+    format!("{kind}-{}", name.chars().map(safe).collect::<String>())
+}
+
+/// The exit code when the drain must not be written.
+fn refuse(
+    arguments: &Arguments,
+    base: &Snapshot,
+    drain: &Drain,
+    estimate: &Estimate,
+) -> Option<Finish> {
+    let mut snapshot = base.clone();
+    snapshot.insert(Resource::Drain(drain.clone()));
+    let id = Resource::Drain(drain.clone()).id();
+    let findings = validate_snapshot(&snapshot);
+    let findings = findings
+        .iter()
+        .filter(|finding| finding.resource.as_ref() == Some(&id));
+    let mut has_error = false;
+    for finding in findings {
+        eprintln!("wharfquay: {finding}");
+        has_error |= finding.severity() == Severity::Error;
+    }
+    if has_error {
+        return Some(Finish::ProblemFound);
+    }
+    let emptied = estimate.emptied_services();
+    if emptied.is_empty() || arguments.has("force") {
+        return None;
+    }
+    let services = emptied.join(", ");
+    eprintln!("wharfquay: 7019: no back end of {services} would be left (allowed: --force)");
+    Some(Finish::ProblemFound)
+}
+
+async fn write_drain(
+    client: &Client,
+    view: &PlatformView,
+    drain: &Drain,
+    author: &str,
+) -> Result<Revision, CliError> {
+    let resource = Resource::Drain(drain.clone());
+    let id: ResourceId = resource.id();
+    let current = view.objects.get(&id);
+    let spec = to_spec(&resource);
+    if let Some(current) = current.filter(|object| object.spec == spec) {
+        return Ok(current.version);
+    }
+    let expected = current.map_or(Revision::ZERO, |object| object.version);
+    let request = WriteRequest::put(object_key(&id), expected, author, spec);
+    let what = format!("writing {id}");
+    let result = with_progress(&what, client.write_with_retry(&request)).await;
+    if let Err(PlatformError::Conflict(met)) = &result {
+        for line in conflict_lines(&id, current, met) {
+            eprintln!("{line}");
+        }
+    }
+    Ok(result?.version.unwrap_or(expected))
+}
--- /dev/null
+++ b/crates/cli/src/drain/undrain.rs
@@ -0,0 +1,82 @@
+//! `undrain`: withdraws the intention that back ends leave.
+
+use wharfquay_platform::wire::Object;
+use wharfquay_resources::kinds::{DrainTarget, Resource, ResourceId, ResourceKind};
+use wharfquay_resources::spec::read_spec;
+
+use crate::arguments::Arguments;
+use crate::commands::{CommandSpec, Example, Flag, Positionals};
+use crate::connection::{AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect};
+use crate::delete::delete;
+use crate::drain::read_target;
+use crate::error::{CliError, Finish};
+use crate::output::Output;
+
+pub(crate) const COMMAND: CommandSpec = CommandSpec {
+    name: "undrain",
+    summary: "Withdraw every drain of a zone, a service or one back end",
+    details: "\
+Deletes the drain resources with exactly this target. A back end that leaves for another reason (the
+machine list, its own health endpoint, a stop of its daemon, or a drain of another target) goes on
+leaving.",
+    positionals: Positionals {
+        usage: "zone|service|backend NAME",
+        minimum: 2,
+        maximum: 2,
+    },
+    flags: &[
+        Flag::switch("dry-run", "Show what would be deleted and delete nothing"),
+        PLATFORM,
+        AUTHOR,
+        TIMEOUT,
+    ],
+    examples: &[
+        Example {
+            line: "wharfquay undrain zone ikeja --platform 127.0.0.1:7000",
+            meaning: "Let a zone take part again.",
+        },
+        Example {
+            line: "wharfquay undrain backend booking-1 --dry-run",
+            meaning: "Show which drains would be deleted.",
+        },
+    ],
+    run,
+};
+
+fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
+    let target = read_target(arguments)?;
+    let client = connect(arguments)?;
+    block_on(async {
+        let view = PlatformView::read(&client).await?;
+        let drains = drains_of(&view, &target);
+        if drains.is_empty() {
+            return Err(CliError::NotFound(
+                arguments.words().join(" ") + ": a drain of it",
+            ));
+        }
+        for (id, object) in drains {
+            if arguments.has("dry-run") {
+                output.line(&format!("{id}: would be deleted"))?;
+                continue;
+            }
+            delete(&client, id, object, object.version, &author(arguments)).await?;
+            output.line(&format!("{id}: deleted"))?;
+        }
+        Ok(Finish::Done)
+    })
+}
+
+/// The drains with this target, accepted or not.
+fn drains_of<'a>(
+    view: &'a PlatformView,
+    target: &DrainTarget,
+) -> Vec<(&'a ResourceId, &'a Object)> {
+    let objects = view.objects.iter();
+    objects
+        .filter(|(id, object)| {
+            let is_drain = id.kind == ResourceKind::Drain;
+            let resource = read_spec(id.kind, &object.spec);
+            is_drain && matches!(resource, Ok(Resource::Drain(drain)) if drain.target == *target)
+        })
+        .collect()
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -102,12 +102,14 @@
         /// What the operating system reported.
         source: io::Error,
     },
+    /// 7013: the configuration has errors (allowed: files that `wharfquay check` passes)
+    BrokenConfiguration,
     /// 7014: scenario: {0}
     Scenario(ScenarioError),
     /// 7015: the demonstration can't run: {0}
     Demonstration(DeploymentError),
-    /// 7013: the configuration has errors (allowed: files that `wharfquay check` passes)
-    BrokenConfiguration,
+    /// 7018: {0}
+    InvalidResource(String),
 }
 
 impl CliError {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,8 +11,10 @@
 mod completion;
 mod configuration;
 mod connection;
+mod daemon_status;
 mod delete;
 mod demo;
+mod drain;
 mod error;
 mod explain;
 mod get;
@@ -21,6 +23,7 @@
 mod output;
 mod plan;
 mod replay;
+mod status;
 mod table;
 mod watch;
 
--- a/crates/cli/src/plan/mod.rs
+++ b/crates/cli/src/plan/mod.rs
@@ -1,7 +1,7 @@
 //! `plan`: what a drain, the loss of a zone or more demand does to each service.
 
 mod load;
-mod options;
+pub(crate) mod options;
 mod sharing;
 mod topology;
 
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -5,7 +5,6 @@
 use serde_json::Value;
 use support::{TestPlatform, repository_file, run};
 use wharfquay_platform::wire::{Machine, MachineState};
-use wharfquay_platform::{Client, ClientSettings};
 
 fn lagos() -> String {
     repository_file("scenarios/lagos.resources.toml")
@@ -146,8 +145,7 @@
     let platform = TestPlatform::start();
     let applied = platform.run(&["apply", &lagos()]);
     assert_eq!(applied.code, 0, "{}", applied.stderr);
-    let address = platform.address().parse().expect("an address");
-    let client = Client::new(vec![address], ClientSettings::default());
+    let client = platform.client();
     let machines = [
         machine("slot-1", "ikeja", MachineState::Live),
         machine("slot-2", "yaba", MachineState::Live),
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -2,12 +2,18 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use tokio::runtime::Runtime;
 use wharfquay_emulator::platform::{FaultSwitches, PlatformSettings, RunningPlatform, start};
+use wharfquay_platform::{Client, ClientSettings};
 
 /// What a run of the program left.
 pub(crate) struct Run {
@@ -92,6 +98,12 @@
         self.platform.set_faults(faults);
     }
 
+    /// A client of this platform.
+    pub(crate) fn client(&self) -> Client {
+        let address = self.platform.address();
+        Client::new(vec![address], ClientSettings::default())
+    }
+
     pub(crate) fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
         self.runtime.block_on(future)
     }
@@ -107,6 +119,74 @@
 
 /// A loopback address on which nobody listens.
 pub(crate) fn closed_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("an address").to_string()
 }
+
+/// The admin side of a daemon: answers every request with the page that was set last.
+pub(crate) struct TestDaemon {
+    address: SocketAddr,
+    page: Arc<Mutex<String>>,
+    answered: Arc<AtomicUsize>,
+}
+
+impl TestDaemon {
+    pub(crate) fn start(page: &Value) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let page = Arc::new(Mutex::new(page.to_string()));
+        let served = Arc::clone(&page);
+        let answered = Arc::new(AtomicUsize::new(0));
+        let counter = Arc::clone(&answered);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let page = served.lock().expect("the page").clone();
+                let _ = answer(stream, &page);
+                counter.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+        Self {
+            address,
+            page,
+            answered,
+        }
+    }
+
+    pub(crate) fn address(&self) -> String {
+        self.address.to_string()
+    }
+
+    /// Sets the page and waits until it was read `reads` times.
+    pub(crate) fn show_page(&self, page: &Value, reads: usize) {
+        *self.page.lock().expect("the page") = page.to_string();
+        // A read that was under way may have answered with the page before.
+        let enough = self.answered.load(Ordering::SeqCst) + 1 + reads;
+        let give_up_at = Instant::now() + Duration::from_secs(10);
+        while self.answered.load(Ordering::SeqCst) < enough {
+            assert!(Instant::now() < give_up_at, "the page is not read");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Sets the page.
+    pub(crate) fn set_page(&self, page: &Value) {
+        *self.page.lock().expect("the page") = page.to_string();
+    }
+}
+
+fn answer(mut stream: TcpStream, page: &str) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    let mut buffer = [0; 1_024];
+    while !head.windows(4).any(|window| window == b"\r\n\r\n") {
+        let count = stream.read(&mut buffer)?;
+        if count == 0 {
+            return Ok(());
+        }
+        head.extend_from_slice(&buffer[..count]);
+    }
+    let length = page.len();
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{page}"
+    )
+}
