--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check/mod.rs
@@ -1,10 +1,13 @@
-//! `check`: reports every problem of resource files in one run.
+//! `check`: reports every problem of files in one run.
+
+mod sorts;
 
 use serde::Serialize;
-use wharfquay_resources::parse::{Parsed, parse};
+use wharfquay_resources::parse::{Parsed, SourceFile, parse};
 use wharfquay_resources::problem::{Problem, Severity};
 
 use crate::arguments::Arguments;
+use crate::check::sorts::{FileSort, check_scenario, check_settings};
 use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
 use crate::error::{CliError, Finish};
 use crate::input::read_files;
@@ -14,7 +17,8 @@
     name: "check",
     summary: "Report every problem of resource files in one run",
     details: "\
-All files together have to stand by themselves: references may lead from one file to another.
+Settings of daemons and scenarios are checked too; the sort of a file follows from its keys.
+All resource files together have to stand by themselves: references may lead from one file to another.
 Each problem is one line, `file:line: field: problem (allowed: …) [code]`; docs/CONFIGURATION.md
 lists the codes. Warnings point at risky but legal settings and leave the exit code at 0.",
     positionals: Positionals {
@@ -28,6 +32,10 @@
             line: "wharfquay check scenarios/lagos.resources.toml",
             meaning: "Check one file.",
         },
+        Example {
+            line: "wharfquay check examples/lagos/booking-1.daemon.toml scenarios/lagos.toml",
+            meaning: "Check a daemon's settings and a scenario.",
+        },
         Example {
             line: "wharfquay check --strict --json services.toml drains.toml",
             meaning: "Check two files as one set, fail on warnings too, and print JSON.",
@@ -49,7 +57,7 @@
 fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
     let paths = arguments.paths();
     let read = read_files(&paths);
-    let mut parsed = parse(&read.files);
+    let mut parsed = check_files(&read.files);
     parsed.problems.splice(0..0, read.problems);
     let report = report_on(&parsed, paths.len());
     if arguments.has("json") {
@@ -69,6 +77,22 @@
     })
 }
 
+/// Checks the resource files as one set, and every other file by itself.
+fn check_files(files: &[SourceFile]) -> Parsed {
+    let mut resource_files = Vec::new();
+    let mut problems = Vec::new();
+    for file in files {
+        match FileSort::of(file) {
+            FileSort::Resources => resource_files.push(file.clone()),
+            FileSort::DaemonSettings => problems.extend(check_settings(file)),
+            FileSort::Scenario => problems.extend(check_scenario(file)),
+        }
+    }
+    let mut parsed = parse(&resource_files);
+    parsed.problems.extend(problems);
+    parsed
+}
+
 /// Prints one line for each problem.
 pub(crate) fn print_problems(problems: &[Problem], output: &mut Output) -> Result<(), CliError> {
     for problem in problems {
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -108,3 +108,31 @@
     drop(child.stdout.take());
     assert!(child.wait().expect("the program exits").success());
 }
+
+#[test]
+fn problems_of_settings_and_scenarios_have_a_place_and_a_code() {
+    let directory = TestDirectory::new("check-sorts");
+    let settings = "id = \"a\"\nzone = \"z\"\n[edge]\nlisten = \"127.0.0.1:1\"\n[admin]\nlisten = \"127.0.0.1:1\"\n[platform]\naddresses = [\"127.0.0.1:1\"]\n";
+    let cases = [
+        (
+            format!("{settings}[limits]\nheader_bytes = 1\n"),
+            ":10: limits.header_bytes: given 1 (allowed: 8192 to 1048576) [5301]",
+        ),
+        (
+            format!("{settings}speed = 1\n"),
+            ":9: platform.speed: unknown field `speed`",
+        ),
+        ("name = \"x\"\nzones = []\n".to_owned(), ":1: file: "),
+    ];
+    for (index, (content, message)) in cases.iter().enumerate() {
+        let path = directory.file(&format!("{index}.toml"), content.as_bytes());
+        let checked = run(&["check", &path]);
+        assert_eq!(checked.code, 1, "{content}: {}", checked.stdout);
+        let expected = format!("{path}{message}");
+        assert!(
+            checked.stdout.starts_with(&expected),
+            "{expected}: {}",
+            checked.stdout
+        );
+    }
+}
--- a/crates/resources/src/problem.rs
+++ b/crates/resources/src/problem.rs
@@ -108,6 +108,10 @@
     ClaimGroupLosesMajority = 5209, Warning;
     /// The claim group is not the one in use.
     ClaimGroupUnused = 5210, Warning;
+    /// A daemon's settings can't be used.
+    InvalidSettings = 5301, Error;
+    /// A scenario can't be used.
+    InvalidScenario = 5302, Error;
 }
 
 impl ProblemCode {
