Deliver the events that arrived before a watch broke, and split lines in linear time

An unreadable line was reported before the events that came in the same piece, and each line moved the rest of its piece. Lines are now cut from the incoming piece.

--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -22,11 +22,15 @@
 impl EventDecoder {
     /// Takes in the next bytes. The error text says what can't be read.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), String> {
-        self.partial_line.extend_from_slice(bytes);
-        while let Some(end) = self.partial_line.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = self.partial_line.drain(..=end).collect();
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            let (line, after) = rest.split_at(end + 1);
+            self.partial_line.extend_from_slice(line);
+            let line = std::mem::take(&mut self.partial_line);
             self.push_line(line.trim_ascii())?;
+            rest = after;
         }
+        self.partial_line.extend_from_slice(rest);
         if self.partial_line.len() > MAXIMUM_LINE_BYTES {
             return Err(format!("line of more than {MAXIMUM_LINE_BYTES} bytes"));
         }
@@ -55,6 +59,8 @@
     body: Incoming,
     decoder: EventDecoder,
     idle_timeout: Duration,
+    /// Told after the events that arrived before it.
+    failure: Option<PlatformError>,
     ended: bool,
 }
 
@@ -65,6 +71,7 @@
             body,
             decoder: EventDecoder::default(),
             idle_timeout,
+            failure: None,
             ended: false,
         }
     }
@@ -77,12 +84,15 @@
             if let Some(event) = self.decoder.pop() {
                 return Some(Ok(event));
             }
+            if let Some(error) = self.failure.take() {
+                return Some(Err(error));
+            }
             if self.ended {
                 return None;
             }
             if let Err(error) = self.read_more().await {
                 self.ended = true;
-                return Some(Err(error));
+                self.failure = Some(error);
             }
         }
     }
