Add conditional machine lists, status updates and a stand-in that restarts

A machine list of thousands of entries is read again and again without a change: unless_version answers 304. Status that several writers share needs a read, change and write loop. A stand-in can be stopped and started again with its store, for refused connections and for a second address that is behind.

--- a/crates/emulator/src/platform/api.rs
+++ b/crates/emulator/src/platform/api.rs
@@ -40,6 +40,7 @@
     operation: Option<OperationId>,
     author: String,
     holder: String,
+    unless_version: Option<u64>,
 }
 
 impl PathParameters {
@@ -62,6 +63,7 @@
             operation: request.query("operation"),
             author: request.query("author").unwrap_or_default(),
             holder: request.query("holder").unwrap_or_default(),
+            unless_version: request.query("unless_version"),
         }
     }
 }
@@ -166,6 +168,12 @@
     request: &ApiRequest,
 ) -> Result<ApiAnswer, ApiAnswer> {
     let machines = store.visible_machines(request.now);
+    if request.query.unless_version == Some(machines.version) {
+        return Ok(ApiAnswer {
+            status: StatusCode::NOT_MODIFIED,
+            body: Vec::new(),
+        });
+    }
     Ok(ApiAnswer::json(StatusCode::OK, &machines))
 }
 
--- a/crates/emulator/src/platform/mod.rs
+++ b/crates/emulator/src/platform/mod.rs
@@ -13,4 +13,4 @@
 mod watch;
 
 pub use faults::FaultSwitches;
-pub use server::{PlatformError, PlatformSettings, RunningPlatform, start};
+pub use server::{PlatformError, PlatformSettings, RunningPlatform, start, start_with_store};
--- a/crates/emulator/src/platform/server.rs
+++ b/crates/emulator/src/platform/server.rs
@@ -142,10 +142,11 @@
         self.platform.change(change)
     }
 
-    /// Closes the listener and every connection.
-    pub async fn shutdown(mut self) {
+    /// Closes the listener and every connection; returns the store for [`start_with_store`].
+    pub async fn shutdown(mut self) -> Store {
         self.server.abort();
         let _ = (&mut self.server).await;
+        self.platform.with_store(|store| store.clone())
     }
 }
 
@@ -158,6 +159,15 @@
 /// Starts a stand-in.
 pub async fn start(settings: PlatformSettings) -> Result<RunningPlatform, PlatformError> {
     let store = initial_store(&settings)?;
+    start_with_store(settings, store).await
+}
+
+/// Starts a stand-in with the store of one that was shut down; the resources in the settings are not
+/// written to it.
+pub async fn start_with_store(
+    settings: PlatformSettings,
+    store: Store,
+) -> Result<RunningPlatform, PlatformError> {
     let (acceptor, address) = listen(settings.listen).await?;
     let platform = Arc::new(Platform {
         store: Mutex::new(store),
--- a/crates/emulator/tests/platform_contract/api.rs
+++ b/crates/emulator/tests/platform_contract/api.rs
@@ -192,15 +192,12 @@
     client.put_machine(&machine).await.expect("put");
     let list = client.machines().await.expect("machines");
     assert_eq!(list.machines, [machine]);
+    let known = list.version;
+    let unchanged = client.machines_unless(known).await.expect("machines");
+    assert_eq!(unchanged, None);
     client.delete_machine("booking-1").await.expect("delete");
-    assert!(
-        client
-            .machines()
-            .await
-            .expect("machines")
-            .machines
-            .is_empty()
-    );
+    let changed = client.machines_unless(known).await.expect("machines");
+    assert!(changed.is_some_and(|list| list.machines.is_empty()));
 }
 
 #[tokio::test]
--- a/crates/emulator/tests/platform_contract/source_faults.rs
+++ b/crates/emulator/tests/platform_contract/source_faults.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wharfquay_emulator::platform::{FaultSwitches, RunningPlatform};
+use wharfquay_emulator::platform::{self, FaultSwitches, PlatformSettings, RunningPlatform};
 use wharfquay_platform::backoff::Backoff;
 use wharfquay_platform::source::{self, RunningSource, SourceChange};
-use wharfquay_platform::{ReaderLeaseSettings, SourceEvent, SourceSettings};
+use wharfquay_platform::{Client, ReaderLeaseSettings, SourceEvent, SourceSettings};
 use wharfquay_resources::kinds::{Resource, ResourceId};
 use wharfquay_resources::snapshot::Revision;
 
-use crate::support::{client_of, overwrite, start_platform};
+use crate::support::{client_of, client_settings, overwrite, platform_settings, start_platform};
 
 const LOG_CAPACITY: usize = 5;
 const AUTHOR: &str = "ada";
@@ -414,3 +414,52 @@
     consumer.until_revision("up", settled).await;
     assert_eq!(consumer.reports, [Report::Unavailable]);
 }
+
+#[tokio::test]
+async fn a_platform_that_refuses_connections_is_read_again_when_it_is_back() {
+    let platform = start_platform(LOG_CAPACITY).await;
+    let settled = overwrite(&platform, "booking", 1, AUTHOR);
+    let client = Arc::new(client_of(&platform));
+    let mut consumer = Consumer::new(source::spawn(client, source_settings()));
+    consumer.until_revision("first list", settled).await;
+
+    let settings = PlatformSettings {
+        listen: platform.address(),
+        ..platform_settings(LOG_CAPACITY)
+    };
+    let store = platform.shutdown().await;
+    consumer.until_report("refused", Report::Unavailable).await;
+    let platform = platform::start_with_store(settings, store)
+        .await
+        .expect("starts again");
+    let next = overwrite(&platform, "booking", 2, AUTHOR);
+    consumer.until_revision("back", next).await;
+    assert_eq!(consumer.snapshots, 1);
+}
+
+#[tokio::test]
+async fn a_second_address_that_is_behind_is_reported_until_it_has_caught_up() {
+    let first = start_platform(LOG_CAPACITY).await;
+    overwrite(&first, "booking", 1, AUTHOR);
+    let behind = first.with_store(|store| store.clone());
+    let settled = overwrite(&first, "booking", 2, AUTHOR);
+    let settings = platform_settings(LOG_CAPACITY);
+    let second = platform::start_with_store(settings, behind)
+        .await
+        .expect("second starts");
+
+    let addresses = vec![first.address(), second.address()];
+    let client = Arc::new(Client::new(addresses, client_settings()));
+    let mut consumer = Consumer::new(source::spawn(client, source_settings()));
+    consumer.until_revision("first address", settled).await;
+
+    let ahead = first.shutdown().await;
+    consumer
+        .until_report("second address", Report::OlderStore)
+        .await;
+    assert_eq!(consumer.revision, Some(settled));
+    second.with_store(|store| *store = ahead);
+    let next = overwrite(&second, "booking", 3, AUTHOR);
+    consumer.until_revision("caught up", next).await;
+    assert_eq!(consumer.slots, slots_in(&second));
+}
--- a/crates/emulator/tests/platform_contract/support.rs
+++ b/crates/emulator/tests/platform_contract/support.rs
@@ -15,13 +15,18 @@
 pub(crate) const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Starts a stand-in whose event log holds `event_log_capacity` changes.
-pub(crate) async fn start_platform(event_log_capacity: usize) -> RunningPlatform {
-    let settings = PlatformSettings {
+/// Settings of a stand-in whose event log holds `event_log_capacity` changes.
+pub(crate) fn platform_settings(event_log_capacity: usize) -> PlatformSettings {
+    PlatformSettings {
         event_log_capacity,
         bookmark_interval: Duration::from_millis(50),
         ..PlatformSettings::new(LOOPBACK)
-    };
+    }
+}
+
+/// Starts a stand-in whose event log holds `event_log_capacity` changes.
+pub(crate) async fn start_platform(event_log_capacity: usize) -> RunningPlatform {
+    let settings = platform_settings(event_log_capacity);
     platform::start(settings).await.expect("stand-in starts")
 }
 
--- a/crates/emulator/tests/platform_contract/write_faults.rs
+++ b/crates/emulator/tests/platform_contract/write_faults.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+use wharfquay_platform::wire::Object;
+
 use wharfquay_emulator::platform::{FaultSwitches, RunningPlatform};
 use wharfquay_platform::{PlatformError, WriteAction, WriteReceipt, WriteRequest};
 use wharfquay_resources::snapshot::Revision;
@@ -377,3 +380,31 @@
     });
     assert_eq!(winners, [in_force]);
 }
+
+#[tokio::test]
+async fn status_updates_by_many_writers_with_lost_answers_are_all_kept() {
+    const WRITERS: u32 = 6;
+    let platform = start_platform(100).await;
+    platform.set_faults(lost(4));
+    let writers = (0..WRITERS).map(|number| {
+        let client = client_of(&platform);
+        tokio::spawn(async move {
+            let add_writer = |current: Option<&Object>| {
+                let mut spec = current.map_or_else(|| json!({}), |object| object.spec.clone());
+                spec[format!("writer-{number}")] = json!(true);
+                Some(spec)
+            };
+            let key = service_key(NAME);
+            client.update_status(&key, AUTHOR, add_writer).await
+        })
+    });
+    for writer in writers.collect::<Vec<_>>() {
+        writer.await.expect("no panic").expect("update");
+    }
+    platform.with_store(|store| {
+        let status = store.status.get(&service_key(NAME)).expect("written");
+        let fields = status.spec.as_object().expect("object");
+        assert_eq!(fields.len(), WRITERS as usize, "{fields:?}");
+        assert_eq!(store.objects.version(), Revision::ZERO);
+    });
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -128,6 +128,19 @@
         self.get_json("/v1/machines".to_owned()).await
     }
 
+    /// The platform's list of machines unless its version is still `known`.
+    pub async fn machines_unless(&self, known: u64) -> Result<Option<MachineList>, PlatformError> {
+        let path = format!("/v1/machines?unless_version={known}");
+        let answer = self
+            .transport
+            .exchange(Call::new(Method::GET, path))
+            .await?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        answer.success().map(Some)
+    }
+
     /// Adds a machine to the platform's list or replaces its entry.
     pub async fn put_machine(&self, machine: &Machine) -> Result<(), PlatformError> {
         let path = format!("/v1/machines/{}", valid_name("machine id", &machine.id)?);
--- a/crates/platform/src/write.rs
+++ b/crates/platform/src/write.rs
@@ -11,6 +11,9 @@
 use crate::transport::{Answer, Call};
 use crate::wire::{ConflictAnswer, DeleteAnswer, Object, ObjectKey, OperationId, PutBody};
 
+/// Conflicts after which [`Client::update_status`] gives up.
+const MAXIMUM_UPDATE_CONFLICTS: u32 = 16;
+
 /// Which set of objects a write or read is about. Each has its own versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Keyspace {
@@ -208,6 +211,36 @@
         }
     }
 
+    /// Writes a status object whose content follows from the current one.
+    ///
+    /// `change` is called again with the newer object when another writer came first; it returns
+    /// `None` to leave the object as it is. The last conflict is returned when other writers came
+    /// first too often. The change must bear being made twice: an attempt without an answer may have
+    /// taken effect and been replaced before the next one.
+    pub async fn update_status(
+        &self,
+        key: &ObjectKey,
+        author: &str,
+        mut change: impl FnMut(Option<&Object>) -> Option<Value>,
+    ) -> Result<(), PlatformError> {
+        let mut current = self.get_status(key).await?;
+        let mut conflicts = 0;
+        loop {
+            let Some(spec) = change(current.as_ref()) else {
+                return Ok(());
+            };
+            let version = current.map_or(Revision::ZERO, |object| object.version);
+            match self.put_status(key.clone(), version, author, spec).await {
+                Ok(_) => return Ok(()),
+                Err(PlatformError::Conflict(met)) if conflicts < MAXIMUM_UPDATE_CONFLICTS => {
+                    conflicts += 1;
+                    current = met.current;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
     /// Reads the object back after an attempt without an answer; returns it if it carries the
     /// write's operation id.
     async fn read_back(&self, request: &WriteRequest) -> Result<Option<Object>, PlatformError> {
