Name the function types in the load report's tests

Cause: clippy refuses the complex types of two tables (type_complexity). Change: a type alias each; the cases stay as they are.

--- a/crates/emulator/tests/load_report.rs
+++ b/crates/emulator/tests/load_report.rs
@@ -89,7 +89,8 @@
 #[test]
 fn recovery_is_the_time_until_goodput_stays_back() {
     let surge = surge(4, 2);
-    let table: [(&str, fn(f64) -> f64, Option<f64>); 4] = [
+    type Goodput = fn(f64) -> f64;
+    let table: [(&str, Goodput, Option<f64>); 4] = [
         ("never down", |_| 1.0, Some(0.0)),
         (
             "back at 8 s",
@@ -146,7 +147,8 @@
 #[tokio::test]
 async fn the_report_shows_what_became_of_each_request() {
     let none = Faults::default();
-    let table: [(&str, Faults, fn(&LoadReport) -> u64); 5] = [
+    type Count = fn(&LoadReport) -> u64;
+    let table: [(&str, Faults, Count); 5] = [
         ("whole", none, |r| r.kinds.iter().map(|k| k.whole).sum()),
         (
             "refused",
