Claim a key before a non-repeatable request is dispatched

Cause: the same idempotency key sent again, through any edge, must take effect at most once. Change: each daemon holds a replica that the claim group in the configuration turns on; claim messages are CBOR over HTTP/2 POST to the control listener, which the daemon now binds; an edge claims before it dispatches. A claimed call runs to its end when its caller goes away, so that its outcome is on record for the repeat. Answers of up to 8 KiB are kept whole; of larger ones only that they ran. Before the claim is decided an edge never says 'not run' of a keyed request, since an earlier attempt may have run: draining, not ready and refused by level become ClaimUndetermined.

--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -323,6 +323,22 @@
     assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
 }
 
+/// The votes that a member gave in its new group before a restart are not in what it copies.
+#[test]
+fn a_restarted_member_keeps_its_own_horizon() {
+    let restart = READY + RETENTION / 2;
+    let key = key_minted_at(restart);
+    let mut a = replica("a", START, first_group());
+    let mut b = replica("b", START, first_group());
+    let mut d = replica("d", START, second_group());
+    hand_over(&mut d, &mut [("a", &mut a), ("b", &mut b)], READY);
+    let mut c = replica("c", restart, second_group());
+    hand_over(&mut c, &mut [("d", &mut d)], restart);
+    assert!(c.is_voting(), "one peer that votes in the group is enough");
+    let vote = claim(&mut c, restart, &in_second_epoch(claim_on(key, 2)));
+    assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
+}
+
 #[test]
 fn a_split_vote_is_resolved_or_contested_at_handover() {
     let key = key_minted_at(READY);
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -75,20 +75,20 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Held(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
-            Self::Streamed { prefix, rest } => {
-                let prefix = length(prefix.as_ref());
-                let rest = rest.size_hint();
-                let mut hint = SizeHint::new();
-                hint.set_lower(prefix + rest.lower());
-                if let Some(upper) = rest.upper() {
-                    hint.set_upper(prefix + upper);
-                }
-                hint
-            }
+            Self::Streamed { prefix, rest } => prefixed(length(prefix.as_ref()), &rest.size_hint()),
         }
     }
 }
 
+fn prefixed(prefix: u64, rest: &SizeHint) -> SizeHint {
+    let mut hint = SizeHint::new();
+    hint.set_lower(prefix + rest.lower());
+    if let Some(upper) = rest.upper() {
+        hint.set_upper(prefix + upper);
+    }
+    hint
+}
+
 fn length(bytes: Option<&Bytes>) -> u64 {
     bytes.map_or(0, |bytes| bytes.len() as u64)
 }
@@ -119,6 +119,7 @@
 enum Source {
     Own(Option<Bytes>),
     Relayed(Relayed),
+    Resumed(Option<Bytes>, Box<AnswerBody>),
 }
 
 struct Relayed {
@@ -132,8 +133,8 @@
 impl AnswerBody {
     /// A body that the daemon itself wrote.
     #[must_use]
-    pub fn own(text: String) -> Self {
-        let bytes = (!text.is_empty()).then(|| Bytes::from(text));
+    pub fn own(bytes: impl Into<Bytes>) -> Self {
+        let bytes = Some(bytes.into()).filter(|bytes: &Bytes| !bytes.is_empty());
         Self {
             source: Source::Own(bytes),
         }
@@ -152,11 +153,20 @@
         }
     }
 
+    /// A body of which `prefix` was read already.
+    #[must_use]
+    pub fn resumed(prefix: Bytes, rest: Self) -> Self {
+        Self {
+            source: Source::Resumed(Some(prefix), Box::new(rest)),
+        }
+    }
+
     /// Lets `observer` learn how the body ends; a body in memory ends at once.
     pub fn observe(&mut self, observer: Box<dyn BodyObserver>) {
         match &mut self.source {
             Source::Own(_) => observer.ended(BodyEnd::Complete),
             Source::Relayed(relayed) => relayed.observers.push(observer),
+            Source::Resumed(_, rest) => rest.observe(observer),
         }
     }
 }
@@ -222,6 +232,10 @@
         match &mut self.source {
             Source::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Source::Relayed(relayed) => relayed.poll(context),
+            Source::Resumed(prefix, rest) => match prefix.take() {
+                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                None => Pin::new(rest.as_mut()).poll_frame(context),
+            },
         }
     }
 
@@ -229,6 +243,7 @@
         match &self.source {
             Source::Own(bytes) => bytes.is_none(),
             Source::Relayed(relayed) => relayed.incoming.is_end_stream(),
+            Source::Resumed(prefix, rest) => prefix.is_none() && rest.is_end_stream(),
         }
     }
 
@@ -236,6 +251,7 @@
         match &self.source {
             Source::Own(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
             Source::Relayed(relayed) => relayed.incoming.size_hint(),
+            Source::Resumed(prefix, rest) => prefixed(length(prefix.as_ref()), &rest.size_hint()),
         }
     }
 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,7 +1,8 @@
 //! The monotonic clock that feeds the decision logic.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use wharfquay_core::idempotency::clock::UnixMillis;
 use wharfquay_core::time::Timestamp;
 
 /// Maps the process's monotonic clock to [`Timestamp`]s and back.
@@ -33,4 +34,20 @@
         let instant = self.origin.checked_add(since_origin);
         tokio::time::Instant::from_std(instant.unwrap_or(self.origin))
     }
+
+    /// Sleeps until a time; for ever when there is none.
+    pub async fn sleep_until(&self, time: Option<Timestamp>) {
+        match time {
+            Some(time) => tokio::time::sleep_until(self.instant(time)).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// This machine's wall clock; the Unix epoch when it is set before that.
+#[must_use]
+pub fn wall_clock() -> UnixMillis {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = elapsed.unwrap_or_default().as_millis();
+    UnixMillis::new(u64::try_from(millis).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/crates/daemon/src/control/claims/mod.rs
@@ -0,0 +1,135 @@
+//! Claims on idempotency keys: this daemon's replica and the coordinators of its edge.
+//!
+//! The decisions are those of [`wharfquay_core::idempotency::claim`]; this module gives them clocks,
+//! timers and connections.
+
+mod coordinate;
+mod group;
+mod replica;
+mod transport;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+use wharfquay_core::idempotency::claim::group::{Epoch, ReplicaId};
+use wharfquay_core::idempotency::claim::message::{ReplicaReply, ReplicaRequest};
+use wharfquay_core::idempotency::claim::replica::{Replica, ReplicaSettings};
+use wharfquay_protocol::envelope;
+use wharfquay_resources::snapshot::Snapshot;
+
+use crate::body::AnswerBody;
+use crate::clock::{Clock, wall_clock};
+use crate::control::ControlAddresses;
+use crate::peers::PeerPool;
+use crate::sync::lock;
+
+pub(crate) use coordinate::{ClaimVerdict, ClaimedCall, DispatchPermit};
+pub(super) use replica::run as run_replica;
+
+/// Path on the control listener that takes claim messages.
+const PATH: &str = "/wharfquay/claims";
+/// Largest claim message that is accepted, in bytes: a page of records with their answers.
+const MAXIMUM_MESSAGE: usize = envelope::MAX_STREAM_MESSAGE;
+
+/// Claims in one daemon.
+#[derive(Debug)]
+pub struct Claims {
+    own_id: ReplicaId,
+    replica: Mutex<Replica>,
+    clock: Clock,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
+    addresses: watch::Receiver<Arc<ControlAddresses>>,
+    peers: PeerPool,
+    tasks: TaskTracker,
+}
+
+/// What the replica in this daemon holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplicaStatus {
+    /// Epoch of its group; zero without a group.
+    pub epoch: Epoch,
+    /// Whether it votes.
+    pub voting: bool,
+    /// Keys that it remembers.
+    pub records: usize,
+    /// Bytes of answers that it keeps for repeats.
+    pub content_bytes: usize,
+}
+
+impl Claims {
+    pub(super) fn new(
+        id: &str,
+        clock: Clock,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+        addresses: watch::Receiver<Arc<ControlAddresses>>,
+        peers: PeerPool,
+        tasks: TaskTracker,
+    ) -> Self {
+        let own_id = ReplicaId::new(id);
+        let replica = Replica::new(own_id.clone(), ReplicaSettings::default(), wall_clock());
+        Self {
+            own_id,
+            replica: Mutex::new(replica),
+            clock,
+            snapshot,
+            addresses,
+            peers,
+            tasks,
+        }
+    }
+
+    /// What the replica in this daemon holds.
+    #[must_use]
+    pub fn status(&self) -> ReplicaStatus {
+        let replica = lock(&self.replica);
+        ReplicaStatus {
+            epoch: replica.epoch(),
+            voting: replica.is_voting(),
+            records: replica.store().len(),
+            content_bytes: replica.store().content_bytes(),
+        }
+    }
+
+    /// Serves a request on the control listener.
+    pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        if request.method() != http::Method::POST || request.uri().path() != PATH {
+            return plain(StatusCode::NOT_FOUND, Bytes::new());
+        }
+        let body = Limited::new(request.into_body(), MAXIMUM_MESSAGE);
+        let Ok(body) = body.collect().await else {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, Bytes::new());
+        };
+        let message = envelope::decode(&body.to_bytes(), MAXIMUM_MESSAGE);
+        let message: ReplicaRequest = match message {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!("event=claim_message_rejected error=\"{error}\"");
+                return plain(StatusCode::BAD_REQUEST, Bytes::new());
+            }
+        };
+        match envelope::encode(&self.handle(message)) {
+            Ok(reply) => plain(StatusCode::OK, reply.into()),
+            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        }
+    }
+
+    fn handle(&self, request: ReplicaRequest) -> ReplicaReply {
+        lock(&self.replica).handle(wall_clock(), request)
+    }
+
+    fn address(&self, replica: &ReplicaId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(replica.as_str()).copied()
+    }
+}
+
+fn plain(status: StatusCode, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::own(body));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -11,6 +11,7 @@
 use wharfquay_platform::wire::Machine;
 use wharfquay_resources::snapshot::Snapshot;
 
+use crate::control::ControlAddresses;
 use crate::control::endpoints::{self, EndpointTable, Placement};
 
 /// Polls are spread by up to this share of the interval, so that daemons don't poll together.
@@ -26,6 +27,7 @@
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
     pub(super) endpoints: watch::Sender<Arc<EndpointTable>>,
     pub(super) leaving: watch::Sender<bool>,
+    pub(super) addresses: watch::Sender<Arc<ControlAddresses>>,
 }
 
 impl Poller {
@@ -72,6 +74,9 @@
             }
             changed
         });
+        let addresses = machines.iter();
+        let addresses = addresses.map(|machine| (machine.id.clone(), machine.control_address));
+        self.addresses.send_replace(Arc::new(addresses.collect()));
         let placement = Placement {
             id: &self.own_id,
             zone: &self.own_zone,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! The rest of the daemon sees [`ControlView`] only, whatever fills it.
 
+pub mod claims;
 mod configuration;
 mod endpoints;
 mod machines;
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::sync::watch;
@@ -15,10 +18,16 @@
 use wharfquay_platform::Client;
 use wharfquay_resources::snapshot::Snapshot;
 
+use crate::clock::Clock;
+use crate::control::claims::Claims;
+use crate::peers::PeerPool;
 use crate::settings::Settings;
 
 pub use endpoints::{EndpointRecord, EndpointTable};
 
+/// Where each daemon of the machine list takes control messages.
+pub type ControlAddresses = BTreeMap<String, SocketAddr>;
+
 /// What the rest of the daemon sees of the control side.
 #[derive(Clone, Debug)]
 pub struct ControlView {
@@ -28,12 +37,15 @@
     pub endpoints: watch::Receiver<Arc<EndpointTable>>,
     /// Whether this daemon's own back end is leaving.
     pub leaving: watch::Receiver<bool>,
+    /// Claims on idempotency keys.
+    pub claims: Arc<Claims>,
 }
 
 /// Starts the tasks that keep the view up to date until `stop`.
 #[must_use]
 pub fn start(
     settings: &Settings,
+    clock: Clock,
     client: Arc<Client>,
     tasks: &TaskTracker,
     stop: &CancellationToken,
@@ -41,6 +53,16 @@
     let (snapshot_sender, snapshot) = watch::channel(Arc::new(Snapshot::default()));
     let (endpoints_sender, endpoints) = watch::channel(Arc::new(EndpointTable::default()));
     let (leaving_sender, leaving) = watch::channel(false);
+    let (addresses_sender, addresses) = watch::channel(Arc::new(ControlAddresses::default()));
+    let limits = &settings.limits;
+    let claims = Arc::new(Claims::new(
+        &settings.id,
+        clock,
+        snapshot.clone(),
+        addresses,
+        PeerPool::new(limits.connect_timeout(), limits.header_bytes),
+        tasks.clone(),
+    ));
     let reader = configuration::Reader::new(Arc::clone(&client), snapshot_sender);
     let poller = machines::Poller {
         client,
@@ -54,13 +76,16 @@
         snapshot: snapshot.clone(),
         endpoints: endpoints_sender,
         leaving: leaving_sender,
+        addresses: addresses_sender,
     };
     spawn_until(tasks, stop, reader.run());
     spawn_until(tasks, stop, poller.run());
+    spawn_until(tasks, stop, claims::run_replica(Arc::clone(&claims)));
     ControlView {
         snapshot,
         endpoints,
         leaving,
+        claims,
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -67,6 +67,8 @@
     pub inbound: Option<SocketAddr>,
     /// For the local back end's own calls.
     pub outbound: Option<SocketAddr>,
+    /// For control messages of other daemons.
+    pub control: Option<SocketAddr>,
     /// For operators.
     pub admin: Option<SocketAddr>,
 }
@@ -106,6 +108,7 @@
     edge: Option<BoundListener>,
     inbound: Option<BoundListener>,
     outbound: Option<BoundListener>,
+    control: Option<BoundListener>,
     admin: BoundListener,
 }
 
@@ -115,6 +118,7 @@
             edge: bind_optional("edge.listen", settings.edge).await?,
             inbound: bind_optional("inbound.listen", settings.inbound).await?,
             outbound: bind_optional("outbound.listen", settings.outbound).await?,
+            control: bind_optional("control.listen", settings.control).await?,
             admin: bind("admin.listen", settings.admin.listen).await?,
         })
     }
@@ -125,6 +129,7 @@
             edge: address(&self.edge),
             inbound: address(&self.inbound),
             outbound: address(&self.outbound),
+            control: address(&self.control),
             admin: Some(self.admin.address),
         }
     }
@@ -159,7 +164,7 @@
         ..ClientSettings::default()
     };
     let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
-    let control = control::start(&settings, client, tasks, stop);
+    let control = control::start(&settings, clock, client, tasks, stop);
     let routes = RouteTable::new(Zone::from(settings.zone.as_str()));
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
@@ -239,12 +244,13 @@
             address.map_or_else(|| "none".to_owned(), |address| address.to_string())
         };
         log::info!(
-            "event=started id={} zone={} edge={} inbound={} outbound={} admin={}",
+            "event=started id={} zone={} edge={} inbound={} outbound={} control={} admin={}",
             settings.id,
             settings.zone,
             show(self.addresses.edge),
             show(self.addresses.inbound),
             show(self.addresses.outbound),
+            show(self.addresses.control),
             show(self.addresses.admin),
         );
     }
@@ -295,6 +301,13 @@
                 async move { handler.handle(request).await }
             });
         }
+        if let Some(listener) = listeners.control {
+            let claims = Arc::clone(&self.node.control.claims);
+            self.spawn_listener(listener, Protocols::Http2, move |request| {
+                let claims = Arc::clone(&claims);
+                async move { claims.serve(request).await }
+            });
+        }
         self.spawn_admin(listeners.admin);
     }
 
--- /dev/null
+++ b/crates/daemon/src/edge/claimed.rs
@@ -0,0 +1,234 @@
+//! Calls that take effect at most once under the caller's idempotency key.
+//!
+//! Such a call runs to its end even when the caller goes away, so that its outcome is on record when
+//! the caller repeats it.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http::response::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use sha2::{Digest, Sha256};
+use wharfquay_core::call::{CallContext, IdempotencyKey};
+use wharfquay_core::idempotency::claim::coordinator::ExecutionOutcome;
+use wharfquay_core::idempotency::claim::message::{Fingerprint, RecordedAnswer};
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::time::Timestamp;
+use wharfquay_resources::kinds::RequestKind;
+use wharfquay_resources::snapshot::{CLAIM_GROUP_IN_USE, Snapshot};
+
+use crate::answer::{Failure, set_result};
+use crate::body::AnswerBody;
+use crate::control::claims::{ClaimVerdict, ClaimedCall, DispatchPermit};
+use crate::node::Node;
+use crate::outbound::call::{CallBody, OutgoingCall};
+
+/// Largest answer that is kept for repeats, in bytes of its body.
+const MAXIMUM_KEPT_BODY: usize = 8 * 1_024;
+/// Part of the time to the deadline that is kept back, so that the refusal of a claim which is still
+/// undecided reaches the caller in time.
+const GIVE_UP_MARGIN_SHARE: u32 = 16;
+
+/// The key under which a call must be claimed before its dispatch.
+///
+/// Without a claim group a key that the request kind doesn't require is passed on unclaimed.
+pub(super) fn key_to_claim(
+    snapshot: &Snapshot,
+    kind: &RequestKind,
+    key: Option<IdempotencyKey>,
+) -> Option<IdempotencyKey> {
+    let has_group = snapshot.claim_groups.contains_key(CLAIM_GROUP_IN_USE);
+    let claims = !kind.repeatable && (has_group || kind.idempotency_key_required);
+    key.filter(|_| claims)
+}
+
+/// What to say in place of a "not run" that was found without asking the claim group: an earlier
+/// attempt with the same key may have run.
+pub(super) fn before_claim(failure: Failure) -> Failure {
+    if failure.code.outcome() == OutcomeClass::NotRun && failure.code.wants_retry_after() {
+        return Failure::with_retry_after(ResultCode::ClaimUndetermined, failure.retry_after);
+    }
+    failure
+}
+
+/// Claims the key of a call and takes the call to a back end, or answers from the record.
+pub(super) async fn run(
+    node: Arc<Node>,
+    call: OutgoingCall,
+    key: IdempotencyKey,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Failure> {
+    let running = tokio::spawn(async move {
+        let _in_flight = node.begin_call();
+        claim_and_forward(&node, &call, key, body).await
+    });
+    let lost = |_| Err(Failure::new(ResultCode::ClaimUncertain));
+    running.await.unwrap_or_else(lost)
+}
+
+async fn claim_and_forward(
+    node: &Node,
+    call: &OutgoingCall,
+    key: IdempotencyKey,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Failure> {
+    node.forwarder.check_level(call).map_err(before_claim)?;
+    let body = node.forwarder.read_body(call, body).await;
+    let body = body.map_err(before_claim)?;
+    let claimed = ClaimedCall {
+        key,
+        fingerprint: fingerprint(call, &body),
+        give_up_at: give_up_at(&call.context, node.clock.now()),
+    };
+    match node.control.claims.claim(claimed).await {
+        ClaimVerdict::Dispatch(permit) => dispatch(node, call, body, permit).await,
+        ClaimVerdict::Replay(answer) => replay(&answer),
+        ClaimVerdict::Refuse(failure) => Err(failure),
+    }
+}
+
+fn give_up_at(context: &CallContext, now: Timestamp) -> Timestamp {
+    context.deadline - context.remaining(now) / GIVE_UP_MARGIN_SHARE
+}
+
+/// Digest of the request. Of a body that is not held, only the stated length counts.
+fn fingerprint(call: &OutgoingCall, body: &CallBody) -> Fingerprint {
+    let mut digest = Sha256::new();
+    let length = call.head.headers.get(http::header::CONTENT_LENGTH);
+    let body: &[u8] = match body {
+        CallBody::Held(bytes) => bytes,
+        CallBody::Stream(_) => length.map_or(&[], HeaderValue::as_bytes),
+    };
+    let method = call.head.method.as_str();
+    let path = call.head.path.as_str();
+    for field in [
+        call.service.as_bytes(),
+        method.as_bytes(),
+        path.as_bytes(),
+        body,
+    ] {
+        digest.update((field.len() as u64).to_be_bytes());
+        digest.update(field);
+    }
+    let digest = digest.finalize();
+    let (half, _) = digest.split_at(size_of::<u128>());
+    let bits = half
+        .iter()
+        .fold(0, |bits: u128, byte| (bits << 8) | u128::from(*byte));
+    Fingerprint::from_u128(bits)
+}
+
+async fn dispatch(
+    node: &Node,
+    call: &OutgoingCall,
+    body: CallBody,
+    permit: DispatchPermit,
+) -> Result<Response<AnswerBody>, Failure> {
+    let result = node.forwarder.forward_body(call, body).await;
+    let (outcome, result) = match result {
+        Ok(response) => keep(response).await,
+        Err(failure) => (outcome_of(failure.code), Err(failure)),
+    };
+    permit.complete(outcome);
+    result
+}
+
+const fn outcome_of(code: ResultCode) -> ExecutionOutcome {
+    match code.outcome() {
+        OutcomeClass::NotRun => ExecutionOutcome::NotRun,
+        OutcomeClass::Unknown | OutcomeClass::Run => ExecutionOutcome::Unknown,
+    }
+}
+
+/// Reads an answer that is small enough to be kept; a larger one is passed on as it comes.
+async fn keep(
+    response: Response<AnswerBody>,
+) -> (ExecutionOutcome, Result<Response<AnswerBody>, Failure>) {
+    let (parts, mut rest) = response.into_parts();
+    let status = parts.status.as_u16();
+    let executed = |content| ExecutionOutcome::Run(RecordedAnswer { status, content });
+    let mut body = BytesMut::new();
+    while let Some(frame) = rest.frame().await {
+        let Ok(frame) = frame else {
+            return (
+                executed(None),
+                Err(Failure::new(ResultCode::ConnectionLost)),
+            );
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        body.extend_from_slice(&data);
+        if body.len() > MAXIMUM_KEPT_BODY {
+            let body = AnswerBody::resumed(body.freeze(), rest);
+            return (executed(None), Ok(Response::from_parts(parts, body)));
+        }
+    }
+    let body = body.freeze();
+    let content = KeptAnswer::new(&parts.headers, &body).encode();
+    let response = Response::from_parts(parts, AnswerBody::own(body));
+    (executed(content), Ok(response))
+}
+
+/// Headers and body of an answer as the replicas keep them.
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptAnswer {
+    #[serde(rename = "h")]
+    headers: Vec<KeptHeader>,
+    #[serde(rename = "b")]
+    body: ByteBuf,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct KeptHeader {
+    #[serde(rename = "n")]
+    name: String,
+    #[serde(rename = "v")]
+    value: ByteBuf,
+}
+
+impl KeptAnswer {
+    fn new(headers: &HeaderMap, body: &Bytes) -> Self {
+        let headers = headers.iter().map(|(name, value)| KeptHeader {
+            name: name.as_str().to_owned(),
+            value: ByteBuf::from(value.as_bytes()),
+        });
+        Self {
+            headers: headers.collect(),
+            body: ByteBuf::from(body.as_ref()),
+        }
+    }
+
+    fn encode(&self) -> Option<ByteBuf> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).ok()?;
+        Some(ByteBuf::from(bytes))
+    }
+}
+
+/// The recorded answer as a response.
+fn replay(answer: &RecordedAnswer) -> Result<Response<AnswerBody>, Failure> {
+    let kept = answer.content.as_ref();
+    let kept = kept.and_then(|bytes| ciborium::from_reader(bytes.as_slice()).ok());
+    let kept: KeptAnswer = kept.ok_or_else(|| Failure::new(ResultCode::AnsweredEarlier))?;
+    let (mut parts, ()) = Response::new(()).into_parts();
+    restore_head(&mut parts, answer.status, &kept.headers);
+    set_result(&mut parts.headers, ResultCode::Answered);
+    let body = AnswerBody::own(kept.body.into_vec());
+    Ok(Response::from_parts(parts, body))
+}
+
+fn restore_head(parts: &mut Parts, status: u16, headers: &[KeptHeader]) {
+    parts.status = StatusCode::from_u16(status).unwrap_or_default();
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            parts.headers.append(name, value);
+        }
+    }
+}
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,5 +1,7 @@
 //! The edge: requests of callers, which become originating requests here.
 
+mod claimed;
+
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -49,16 +51,20 @@
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
         check_head_size(&request, self.node.settings.limits.header_bytes)?;
-        if self.node.is_stopping() {
-            let code = ResultCode::Draining;
-            return Err(Failure::with_retry_after(code, STOPPING_RETRY_AFTER));
-        }
-        let snapshot = self.node.configuration()?;
+        let snapshot = self.open_configuration().map_err(|failure| {
+            let keyed = request.headers().contains_key(names::IDEMPOTENCY_KEY);
+            if keyed {
+                claimed::before_claim(failure)
+            } else {
+                failure
+            }
+        })?;
         let service = service_name(&request)?;
         let kind = snapshot
             .match_request(&service, request.method().as_str(), request.uri().path())
             .ok_or_else(|| Failure::new(ResultCode::UnknownService))?;
         let context = self.context(&snapshot, kind, request.headers())?;
+        let key_to_claim = claimed::key_to_claim(&snapshot, kind, context.idempotency_key);
         let account = RetryAccount {
             ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
             backoff: backoff_for(&snapshot, &context.request_kind),
@@ -70,7 +76,19 @@
             head,
             account,
         };
-        self.node.forwarder.forward(&call, body).await
+        match key_to_claim {
+            Some(key) => claimed::run(Arc::clone(&self.node), call, key, body).await,
+            None => self.node.forwarder.forward(&call, body).await,
+        }
+    }
+
+    /// The configuration in force, while new calls are taken.
+    fn open_configuration(&self) -> Result<Arc<Snapshot>, Failure> {
+        if self.node.is_stopping() {
+            let code = ResultCode::Draining;
+            return Err(Failure::with_retry_after(code, STOPPING_RETRY_AFTER));
+        }
+        self.node.configuration()
     }
 
     fn context(
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -110,13 +110,36 @@
         call: &OutgoingCall,
         body: Incoming,
     ) -> Result<Response<AnswerBody>, Failure> {
-        let route = self.routes.get(&call.service);
-        let route = route.ok_or_else(|| Failure::new(ResultCode::UnknownService))?;
+        let route = self.route(call)?;
         self.check_level(call)?;
+        let body = self.read_body(call, body).await?;
+        self.run(call, body, &route).await
+    }
+
+    /// As [`Self::forward`], for a call whose level was checked and whose body was read.
+    pub(crate) async fn forward_body(
+        &self,
+        call: &OutgoingCall,
+        body: CallBody,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let route = self.route(call)?;
+        self.run(call, body, &route).await
+    }
+
+    fn route(&self, call: &OutgoingCall) -> Result<Arc<Route>, Failure> {
+        let route = self.routes.get(&call.service);
+        route.ok_or_else(|| Failure::new(ResultCode::UnknownService))
+    }
+
+    /// Reads the body of a call until its deadline.
+    pub(crate) async fn read_body(
+        &self,
+        call: &OutgoingCall,
+        body: Incoming,
+    ) -> Result<CallBody, Failure> {
         let deadline = self.clock.instant(call.context.deadline);
         let body = tokio::time::timeout_at(deadline, CallBody::read(body)).await;
-        let body = body.map_err(|_| Failure::new(ResultCode::DeadlineUnreachable))??;
-        self.run(call, body, &route).await
+        body.map_err(|_| Failure::new(ResultCode::DeadlineUnreachable))?
     }
 
     async fn run(
@@ -147,7 +170,8 @@
         }
     }
 
-    fn check_level(&self, call: &OutgoingCall) -> Result<(), Failure> {
+    /// Refuses a call that the path would refuse.
+    pub(crate) fn check_level(&self, call: &OutgoingCall) -> Result<(), Failure> {
         let now = self.clock.now();
         let key = call.context.admission_key();
         let kind = &call.context.request_kind;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod deployment;
 pub mod platform;
+pub mod process;
 pub mod raw;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/daemon/tests/support/process.rs
@@ -0,0 +1,89 @@
+//! A daemon in a process of its own, which a test can freeze and kill.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use super::eventually;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wharfquayd");
+
+/// A daemon in a process of its own; it is killed when dropped.
+pub struct Process {
+    child: Child,
+    started: String,
+}
+
+impl Process {
+    /// Starts a daemon and waits for its log line that names the addresses.
+    pub fn start(name: &str, text: &str) -> Self {
+        let mut child = Command::new(PROGRAM)
+            .arg("--config")
+            .arg(settings_file(name, text))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut started = String::new();
+        while !started.contains("event=started") {
+            started.clear();
+            assert_ne!(log.read_line(&mut started).unwrap(), 0, "no start: {name}");
+        }
+        // The rest of the log is read, so that the daemon never waits for a reader.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Self { child, started }
+    }
+
+    /// Where one side of the daemon listens.
+    pub fn address(&self, side: &str) -> SocketAddr {
+        let key = format!("{side}=");
+        let mut pairs = self.started.split_whitespace();
+        let value = pairs.find_map(|pair| pair.strip_prefix(&key));
+        value.unwrap().parse().unwrap()
+    }
+
+    /// Freezes the process and waits until it is frozen.
+    pub async fn freeze(&self) {
+        self.signal("STOP");
+        let path = format!("/proc/{}/stat", self.child.id());
+        eventually("the process is frozen", async || {
+            let stat = std::fs::read_to_string(&path).unwrap();
+            let state = stat.rsplit(')').next().unwrap();
+            state.trim_start().starts_with('T')
+        })
+        .await;
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status();
+        assert!(status.unwrap().success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = directory.join(format!("{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
