--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -339,6 +339,28 @@
     assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
 }
 
+/// What a handover brings beyond the capacity is forgotten, and never voted on again.
+#[test]
+fn a_new_member_abstains_on_what_it_has_no_room_for() {
+    let keys = [1, 2, 3, 4].map(|offset| key_minted_at(READY + offset));
+    let mut a = replica("a", START, first_group());
+    let mut b = replica("b", START, first_group());
+    for pair in keys.chunks(2) {
+        claim(&mut a, READY, &claim_on(pair[0], 1));
+        claim(&mut b, READY, &claim_on(pair[1], 1));
+    }
+    let mut d = replica("d", START, second_group());
+    hand_over(&mut d, &mut [("a", &mut a), ("b", &mut b)], READY);
+    assert_eq!(d.store().len(), 2);
+    let votes = keys.map(|key| claim(&mut d, READY, &in_second_epoch(claim_on(key, 2))));
+    let forgotten = Vote::Abstained(Abstention::BeforeHorizon);
+    let held = Vote::Held {
+        by: claim_id(1),
+        same_request: true,
+    };
+    assert_eq!(votes, [forgotten.clone(), forgotten, held.clone(), held]);
+}
+
 #[test]
 fn a_split_vote_is_resolved_or_contested_at_handover() {
     let key = key_minted_at(READY);
