Stop voting when a claim group changes its members without a new epoch

Cause: two groups under one epoch number could be disjoint, and both give a key away. Change: a replica that is configured with other members under its own epoch seals that epoch; claims are refused until the operator writes the next one.

--- a/crates/core/src/idempotency/claim/group.rs
+++ b/crates/core/src/idempotency/claim/group.rs
@@ -21,6 +21,12 @@
         Self(number)
     }
 
+    /// The epoch after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+
     /// The epoch number.
     #[must_use]
     pub const fn number(self) -> u64 {
--- a/crates/core/src/idempotency/claim/replica.rs
+++ b/crates/core/src/idempotency/claim/replica.rs
@@ -124,9 +124,14 @@
         self.horizon
     }
 
-    /// Takes a configured group; an epoch that is not newer changes nothing.
+    /// Takes a configured group; an older epoch changes nothing. Other members under the same epoch
+    /// are an error of the operator: the replica stops voting in it, since two groups with the same
+    /// number could both give a key away.
     pub fn configure(&mut self, now: Timestamp, group: Group) -> Vec<PeerRequest> {
         if group.epoch <= self.epoch() {
+            if self.contradicts(&group) {
+                self.seal_below(group.epoch.next());
+            }
             return Vec::new();
         }
         self.seal_below(group.epoch);
@@ -139,6 +144,11 @@
         self.enter(now, group)
     }
 
+    fn contradicts(&self, group: &Group) -> bool {
+        let known = self.next_group.as_ref().or(self.group.as_ref());
+        known.is_some_and(|known| known.epoch == group.epoch && known.replicas != group.replicas)
+    }
+
     fn enter(&mut self, now: Timestamp, group: Group) -> Vec<PeerRequest> {
         self.next_group = None;
         self.raise_horizon(group.window.horizon(self.started));
--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -403,6 +403,22 @@
     }
 }
 
+#[test]
+fn other_members_under_the_same_epoch_stop_the_vote() {
+    let key = key_minted_at(READY);
+    let mut a = replica("a", START, first_group());
+    a.configure(Timestamp::ZERO, first_group());
+    assert!(a.is_voting(), "the same group again");
+    a.configure(
+        Timestamp::ZERO,
+        group(1, &["a", "d", "e"], Predecessor::None),
+    );
+    let vote = claim(&mut a, READY, &claim_on(key, 1));
+    assert_eq!(vote, Vote::Abstained(Abstention::OtherEpoch));
+    a.configure(Timestamp::ZERO, first_group());
+    assert!(!a.is_voting(), "not even when the first one comes back");
+}
+
 #[test]
 fn a_replica_says_how_far_it_speaks_for_the_group_before() {
     let fetch = |target| {
