--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -323,6 +323,44 @@
     assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
 }
 
+/// The votes that a member gave in its new group before a restart are not in what it copies.
+#[test]
+fn a_restarted_member_keeps_its_own_horizon() {
+    let restart = READY + RETENTION / 2;
+    let key = key_minted_at(restart);
+    let mut a = replica("a", START, first_group());
+    let mut b = replica("b", START, first_group());
+    let mut d = replica("d", START, second_group());
+    hand_over(&mut d, &mut [("a", &mut a), ("b", &mut b)], READY);
+    let mut c = replica("c", restart, second_group());
+    hand_over(&mut c, &mut [("d", &mut d)], restart);
+    assert!(c.is_voting(), "one peer that votes in the group is enough");
+    let vote = claim(&mut c, restart, &in_second_epoch(claim_on(key, 2)));
+    assert_eq!(vote, Vote::Abstained(Abstention::BeforeHorizon));
+}
+
+/// What a handover brings beyond the capacity is forgotten, and never voted on again.
+#[test]
+fn a_new_member_abstains_on_what_it_has_no_room_for() {
+    let keys = [1, 2, 3, 4].map(|offset| key_minted_at(READY + offset));
+    let mut a = replica("a", START, first_group());
+    let mut b = replica("b", START, first_group());
+    for pair in keys.chunks(2) {
+        claim(&mut a, READY, &claim_on(pair[0], 1));
+        claim(&mut b, READY, &claim_on(pair[1], 1));
+    }
+    let mut d = replica("d", START, second_group());
+    hand_over(&mut d, &mut [("a", &mut a), ("b", &mut b)], READY);
+    assert_eq!(d.store().len(), 2);
+    let votes = keys.map(|key| claim(&mut d, READY, &in_second_epoch(claim_on(key, 2))));
+    let forgotten = Vote::Abstained(Abstention::BeforeHorizon);
+    let held = Vote::Held {
+        by: claim_id(1),
+        same_request: true,
+    };
+    assert_eq!(votes, [forgotten.clone(), forgotten, held.clone(), held]);
+}
+
 #[test]
 fn a_split_vote_is_resolved_or_contested_at_handover() {
     let key = key_minted_at(READY);
@@ -365,6 +403,22 @@
     }
 }
 
+#[test]
+fn other_members_under_the_same_epoch_stop_the_vote() {
+    let key = key_minted_at(READY);
+    let mut a = replica("a", START, first_group());
+    a.configure(Timestamp::ZERO, first_group());
+    assert!(a.is_voting(), "the same group again");
+    a.configure(
+        Timestamp::ZERO,
+        group(1, &["a", "d", "e"], Predecessor::None),
+    );
+    let vote = claim(&mut a, READY, &claim_on(key, 1));
+    assert_eq!(vote, Vote::Abstained(Abstention::OtherEpoch));
+    a.configure(Timestamp::ZERO, first_group());
+    assert!(!a.is_voting(), "not even when the first one comes back");
+}
+
 #[test]
 fn a_replica_says_how_far_it_speaks_for_the_group_before() {
     let fetch = |target| {
