Build statuses from an acceptance and the reports of daemons

Cause: the readers of the platform have to write what became of each resource, and the store bears few writes. Change: a pure function from acceptance and daemon reports to the status of each resource, and the changes against what is written. A zone's revision is shown up to the version that the status is about, so that a status is final once its version is in force everywhere and later revisions write nothing. Ruled out: the plain revision of each zone in every status, which makes one write per resource out of each change.

--- a/crates/cli/src/drain/follow.rs
+++ b/crates/cli/src/drain/follow.rs
@@ -103,7 +103,7 @@
     if let Verdict::Rejected { reason, .. } = &status.verdict {
         return Look::Rejected(reason.clone());
     }
-    let in_flight: u64 = status.zones.values().map(|zone| zone.in_flight).sum();
+    let in_flight = status.in_flight();
     if !status.is_in_force_everywhere() {
         return Look::Pending("not in force at every daemon yet".to_owned());
     }
--- /dev/null
+++ b/crates/resources/src/status/aggregate.rs
@@ -0,0 +1,146 @@
+//! Statuses from the acceptance of a revision and the reports of daemons.
+//!
+//! A zone's revision is shown up to the version that a status is about. A status is therefore final
+//! once its version is in force everywhere, and later revisions of other resources write nothing.
+
+use std::collections::BTreeMap;
+
+use crate::acceptance::Acceptance;
+use crate::kinds::{DrainTarget, ResourceId, ResourceKind};
+use crate::snapshot::{Revision, Snapshot};
+use crate::status::{Status, ZoneStatus, verdicts};
+
+/// What is known of one live daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonReport {
+    /// Id of the daemon.
+    pub id: String,
+    /// Zone of the daemon.
+    pub zone: String,
+    /// Service of its back end; absent at an edge.
+    pub service: Option<String>,
+    /// Revision that it has in force; absent while it has not reported one.
+    pub revision: Option<Revision>,
+    /// Calls that run or wait at its back end.
+    pub calls_in_flight: u64,
+}
+
+/// A status to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StatusChange {
+    /// The status of this resource is now this one.
+    Put(ResourceId, Status),
+    /// The resource is gone.
+    Delete(ResourceId),
+}
+
+/// The status of every judged resource.
+#[must_use]
+pub fn build_statuses(
+    acceptance: &Acceptance,
+    reports: &[DaemonReport],
+) -> BTreeMap<ResourceId, Status> {
+    let zones = Zones::of(reports);
+    let verdicts = verdicts(acceptance).into_iter();
+    verdicts
+        .map(|(id, (version, verdict))| {
+            let status = Status {
+                observed_version: version,
+                zones: zones.up_to(version, drain_target(&acceptance.snapshot, &id)),
+                verdict,
+            };
+            (id, status)
+        })
+        .collect()
+}
+
+/// What has to be written so that the written statuses say what the wanted ones say.
+///
+/// Where both say that a version is in force everywhere, other counts of daemons are no reason to
+/// write.
+#[must_use]
+pub fn status_changes(
+    written: &BTreeMap<ResourceId, Status>,
+    wanted: &BTreeMap<ResourceId, Status>,
+) -> Vec<StatusChange> {
+    let gone = written.keys().filter(|id| !wanted.contains_key(id));
+    let deletions = gone.map(|id| StatusChange::Delete(id.clone()));
+    let outdated = wanted.iter().filter(|(id, status)| {
+        let written = written.get(id);
+        written.is_none_or(|written| !says_the_same(written, status))
+    });
+    let puts = outdated.map(|(id, status)| StatusChange::Put(id.clone(), status.clone()));
+    deletions.chain(puts).collect()
+}
+
+fn says_the_same(written: &Status, wanted: &Status) -> bool {
+    if written == wanted {
+        return true;
+    }
+    let is_final = |status: &Status| status.is_in_force_everywhere() && status.in_flight() == 0;
+    let has_same_zones = written.zones.keys().eq(wanted.zones.keys());
+    written.observed_version == wanted.observed_version
+        && has_same_zones
+        && is_final(written)
+        && is_final(wanted)
+}
+
+fn drain_target<'a>(snapshot: &'a Snapshot, id: &ResourceId) -> Option<&'a DrainTarget> {
+    if id.kind != ResourceKind::Drain {
+        return None;
+    }
+    let drain = snapshot.drains.get(&id.name)?;
+    Some(&drain.target)
+}
+
+/// The reports by zone.
+struct Zones<'a> {
+    reports: BTreeMap<&'a str, Vec<&'a DaemonReport>>,
+}
+
+impl<'a> Zones<'a> {
+    fn of(reports: &'a [DaemonReport]) -> Self {
+        let mut zones: BTreeMap<&str, Vec<&DaemonReport>> = BTreeMap::new();
+        for report in reports {
+            zones.entry(&report.zone).or_default().push(report);
+        }
+        Self { reports: zones }
+    }
+
+    /// How far each zone is with a version; calls in flight are those that the drain covers.
+    fn up_to(
+        &self,
+        version: Revision,
+        drain: Option<&DrainTarget>,
+    ) -> BTreeMap<String, ZoneStatus> {
+        let zones = self.reports.iter();
+        zones
+            .map(|(zone, reports)| ((*zone).to_owned(), zone_status(reports, version, drain)))
+            .collect()
+    }
+}
+
+fn zone_status(
+    reports: &[&DaemonReport],
+    version: Revision,
+    drain: Option<&DrainTarget>,
+) -> ZoneStatus {
+    let revisions = reports.iter().filter_map(|report| report.revision);
+    let lowest = revisions.clone().min().unwrap_or_default();
+    let is_covered = |report: &&&DaemonReport| {
+        drain.is_some_and(|target| {
+            target.covers(&report.id, &report.zone, report.service.as_deref())
+        })
+    };
+    let covered = reports.iter().filter(is_covered);
+    ZoneStatus {
+        revision: lowest.min(version),
+        daemons: count(reports.len()),
+        reported: count(revisions.count()),
+        in_flight: covered.map(|report| report.calls_in_flight).sum(),
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/crates/resources/src/status.rs
+++ b/crates/resources/src/status/mod.rs
@@ -3,6 +3,8 @@
 //! A status is stored beside the resource in the platform's status keyspace, under the resource's
 //! kind and name. Writing one makes no new configuration revision.
 
+mod aggregate;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -11,6 +13,8 @@
 use crate::kinds::ResourceId;
 use crate::snapshot::Revision;
 
+pub use aggregate::{DaemonReport, StatusChange, build_statuses, status_changes};
+
 /// Status of one resource.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -46,7 +50,7 @@
 /// How far the daemons of one zone are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneStatus {
-    /// Lowest revision in force among the daemons that reported one.
+    /// Lowest revision in force among the daemons that reported one, up to the observed version.
     pub revision: Revision,
     /// Live daemons of the zone.
     pub daemons: u32,
@@ -58,6 +62,12 @@
 }
 
 impl Status {
+    /// Calls in flight at the back ends that a drain covers, in all zones.
+    #[must_use]
+    pub fn in_flight(&self) -> u64 {
+        self.zones.values().map(|zone| zone.in_flight).sum()
+    }
+
     /// Whether the observed version is accepted and in force at every daemon of every zone.
     #[must_use]
     pub fn is_in_force_everywhere(&self) -> bool {
