--- a/crates/cli/src/drain/follow.rs
+++ b/crates/cli/src/drain/follow.rs
@@ -1,4 +1,4 @@
-//! Following a drain until no call is left.
+//! Following a drain until no call is left, and its withdrawal until the back ends take part again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use wharfquay_platform::Client;
 use wharfquay_platform::conversion::object_key;
-use wharfquay_resources::kinds::{Drain, Resource};
+use wharfquay_resources::kinds::{Drain, DrainTarget, Resource};
 use wharfquay_resources::snapshot::Revision;
 use wharfquay_resources::status::{Status, Verdict};
 
@@ -76,6 +76,32 @@
     }
 }
 
+/// Looks again and again until no daemon that the target covers is leaving any more.
+pub(super) async fn follow_until_back(
+    target: &DrainTarget,
+    daemons: &[SocketAddr],
+    output: &mut Output,
+) -> Result<Finish, CliError> {
+    let started = Instant::now();
+    loop {
+        let views = read_daemons(daemons, DAEMON_TIMEOUT).await;
+        let statuses = views.iter().filter_map(|view| view.status.as_ref());
+        let leaving = statuses.filter(|status| status.leaving && covers(target, status));
+        let ids: Vec<&str> = leaving.map(|status| status.id.as_str()).collect();
+        if ids.is_empty() {
+            let millis = started.elapsed().as_millis();
+            output.line(&format!("taking part again after {millis} ms"))?;
+            return Ok(Finish::Done);
+        }
+        if started.elapsed() >= REPORT_ALLOWANCE {
+            let ids = ids.join(", ");
+            eprintln!("wharfquay: 7020: still leaving after {REPORT_ALLOWANCE:?}: {ids}");
+            return Ok(Finish::ProblemFound);
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn look(options: &FollowOptions<'_>, covered: &mut CoveredDaemons) -> Look {
     let by_status = look_at_status(options).await;
     if options.daemons.is_empty() || !matches!(by_status, Look::Pending(_)) {
@@ -132,7 +158,7 @@
     fn update(&mut self, options: &FollowOptions<'_>, views: &[DaemonView]) {
         for view in views {
             match &view.status {
-                Some(status) if covers(options.drain, status) => {
+                Some(status) if covers(&options.drain.target, status) => {
                     let state = if status.leaving {
                         CoveredState::Leaving(status.pending_calls())
                     } else {
@@ -173,7 +199,6 @@
     }
 }
 
-fn covers(drain: &Drain, status: &DaemonStatus) -> bool {
-    let target = &drain.target;
+fn covers(target: &DrainTarget, status: &DaemonStatus) -> bool {
     target.covers(&status.id, &status.zone, status.service.as_deref())
 }
--- a/crates/cli/src/drain/mod.rs
+++ b/crates/cli/src/drain/mod.rs
@@ -31,8 +31,7 @@
 const LIMIT_FORM: &str = "0 to 3600000, in milliseconds";
 const DEFAULT_LIMIT_MS: u32 = 30_000;
 
-pub(crate) const NO_WAIT: Flag =
-    Flag::switch("no-wait", "Write the intention and do not follow it");
+pub(crate) const NO_WAIT: Flag = Flag::switch("no-wait", "Write and do not follow");
 
 pub(crate) const COMMAND: CommandSpec = CommandSpec {
     name: "drain",
--- a/crates/cli/src/drain/undrain.rs
+++ b/crates/cli/src/drain/undrain.rs
@@ -7,8 +7,10 @@
 use crate::arguments::Arguments;
 use crate::commands::{CommandSpec, Example, Flag, Positionals};
 use crate::connection::{AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect};
+use crate::daemon_status::{DAEMON, daemon_addresses};
 use crate::delete::delete;
-use crate::drain::read_target;
+use crate::drain::follow::follow_until_back;
+use crate::drain::{NO_WAIT, read_target};
 use crate::error::{CliError, Finish};
 use crate::output::Output;
 
@@ -18,7 +20,8 @@
     details: "\
 Deletes the drain resources with exactly this target. A back end that leaves for another reason (the
 machine list, its own health endpoint, a stop of its daemon, or a drain of another target) goes on
-leaving.",
+leaving. With --daemon the command follows until those daemons take part again, and ends with exit
+code 1 when one of them still leaves after 10 s.",
     positionals: Positionals {
         usage: "zone|service|backend NAME",
         minimum: 2,
@@ -26,6 +29,8 @@
     },
     flags: &[
         Flag::switch("dry-run", "Show what would be deleted and delete nothing"),
+        NO_WAIT,
+        DAEMON,
         PLATFORM,
         AUTHOR,
         TIMEOUT,
@@ -45,6 +50,7 @@
 
 fn run(arguments: &Arguments, output: &mut Output) -> Result<Finish, CliError> {
     let target = read_target(arguments)?;
+    let daemons = daemon_addresses(arguments)?;
     let client = connect(arguments)?;
     block_on(async {
         let view = PlatformView::read(&client).await?;
@@ -62,7 +68,11 @@
             delete(&client, id, object, object.version, &author(arguments)).await?;
             output.line(&format!("{id}: deleted"))?;
         }
-        Ok(Finish::Done)
+        let is_followed = !arguments.has("dry-run") && !arguments.has(NO_WAIT.name);
+        if daemons.is_empty() || !is_followed {
+            return Ok(Finish::Done);
+        }
+        follow_until_back(&target, &daemons, output).await
     })
 }
 
--- /dev/null
+++ b/crates/cli/tests/with_daemon.rs
@@ -0,0 +1,92 @@
+//! The commands against a daemon that runs.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::{TestPlatform, closed_address, repository_file, run};
+use wharfquay_daemon::settings::parse;
+use wharfquay_daemon::{Daemon, RunningDaemon};
+use wharfquay_platform::wire::{Machine, MachineState};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A daemon beside a back end that nobody runs, in the machine list of the platform.
+fn start_daemon(platform: &TestPlatform) -> RunningDaemon {
+    let text = format!(
+        "id = \"booking-1\"\nzone = \"ikeja\"\n\
+         [backend]\nservice = \"booking\"\naddress = \"{}\"\n\
+         [inbound]\nlisten = \"127.0.0.1:0\"\n\
+         [outbound]\nlisten = \"127.0.0.1:0\"\n\
+         [admin]\nlisten = \"127.0.0.1:0\"\n\
+         [control]\nlisten = \"127.0.0.1:0\"\n\
+         [platform]\naddresses = [\"{}\"]\npoll_interval_ms = 50\n",
+        closed_address(),
+        platform.address()
+    );
+    let settings = parse("settings", &text, &[]).expect("valid settings");
+    let daemon = platform
+        .block_on(Daemon::start(settings))
+        .expect("the daemon starts");
+    let address = daemon.addresses().inbound.expect("an address");
+    for (id, zone) in [("booking-1", "ikeja"), ("booking-2", "yaba")] {
+        let machine = Machine {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            service: Some("booking".to_owned()),
+            state: MachineState::Live,
+            call_address: address,
+            control_address: address,
+        };
+        let client = platform.client();
+        platform
+            .block_on(client.put_machine(&machine))
+            .expect("the machine is added");
+    }
+    daemon
+}
+
+fn wait_until_ready(admin: &str) -> String {
+    let give_up_at = Instant::now() + PATIENCE;
+    loop {
+        let shown = run(&["status", "--daemon", admin]);
+        if shown.stdout.contains("ready  ") && !shown.stdout.contains("not ready") {
+            return shown.stdout;
+        }
+        assert!(Instant::now() < give_up_at, "not ready: {}", shown.stdout);
+    }
+}
+
+#[test]
+fn a_running_daemon_is_shown_drained_and_taken_back() {
+    let platform = TestPlatform::start();
+    let resources = repository_file("scenarios/lagos.resources.toml");
+    assert_eq!(platform.run(&["apply", &resources]).code, 0);
+    let daemon = start_daemon(&platform);
+    let admin = daemon.addresses().admin.expect("an address").to_string();
+
+    let shown = wait_until_ready(&admin);
+    let row = shown.lines().nth(1).expect("a row");
+    let cells: Vec<&str> = row.split_whitespace().collect();
+    assert_eq!(
+        cells[..4],
+        ["booking-1", "ikeja", "booking", "ready"],
+        "{row}"
+    );
+    assert_eq!(cells[8], "open", "{row}");
+
+    let drained = platform.run(&["drain", "zone", "ikeja", "--daemon", &admin]);
+    assert_eq!(drained.code, 0, "{}", drained.stderr);
+    assert!(drained.stdout.contains("empty after"), "{}", drained.stdout);
+    let leaving = run(&["status", "--daemon", &admin]);
+    assert!(leaving.stdout.contains("leaving"), "{}", leaving.stdout);
+
+    let back = platform.run(&["undrain", "zone", "ikeja", "--daemon", &admin]);
+    assert_eq!(back.code, 0, "{}{}", back.stdout, back.stderr);
+    assert!(
+        back.stdout.contains("taking part again after"),
+        "{}",
+        back.stdout
+    );
+    platform.block_on(daemon.shutdown());
+}
