--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -19,7 +19,7 @@
 };
 use crate::error::{CliError, Finish};
 use crate::input::read_files;
-use crate::output::{Output, print_error_lines};
+use crate::output::{Output, notice, print_error_lines};
 
 pub(crate) const COMMAND: CommandSpec = CommandSpec {
     name: "apply",
@@ -230,7 +230,7 @@
 
 fn print_conflict(write: &PlannedWrite, met: &Conflict) {
     for line in conflict_lines(&write.id, write.current.as_ref(), met) {
-        eprintln!("{line}");
+        notice(&line);
     }
 }
 
--- a/crates/cli/src/configuration.rs
+++ b/crates/cli/src/configuration.rs
@@ -8,7 +8,7 @@
 use crate::connection::{PlatformView, block_on, connect, names_platform};
 use crate::error::CliError;
 use crate::input::read_files;
-use crate::output::print_error_lines;
+use crate::output::{print_error_lines, progress};
 
 pub(crate) const FILE: Flag = Flag::with_value(
     "file",
@@ -42,10 +42,10 @@
     let client = connect(arguments)?;
     let view = block_on(PlatformView::read(&client))?;
     for rejection in &view.acceptance.rejections {
-        eprintln!(
-            "wharfquay: {} is left out, since it is rejected",
+        progress(&format!(
+            "{} is left out, since it is rejected",
             rejection.id
-        );
+        ));
     }
     Ok(view.acceptance.snapshot)
 }
--- a/crates/cli/src/delete.rs
+++ b/crates/cli/src/delete.rs
@@ -16,7 +16,7 @@
     AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, parse_id, with_progress,
 };
 use crate::error::{CliError, Finish};
-use crate::output::Output;
+use crate::output::{Output, notice, progress};
 
 const VERSION_FORM: &str = "the version that `wharfquay get` shows";
 
@@ -68,7 +68,7 @@
         let users = references_to(&id, &view);
         if !users.is_empty() {
             for finding in users {
-                eprintln!("wharfquay: {finding}");
+                progress(&finding.to_string());
             }
             return Err(CliError::StillReferenced(id.to_string()));
         }
@@ -126,7 +126,7 @@
     let result = with_progress(&what, client.write_with_retry(&request)).await;
     if let Err(PlatformError::Conflict(met)) = &result {
         for line in conflict_lines(id, Some(seen), met) {
-            eprintln!("{line}");
+            notice(&line);
         }
     }
     result?;
--- a/crates/cli/src/drain/follow.rs
+++ b/crates/cli/src/drain/follow.rs
@@ -59,14 +59,13 @@
                 return Ok(Finish::Done);
             }
             Look::Rejected(reason) => {
-                eprintln!("wharfquay: 7016: the drain is rejected: {reason}");
-                return Ok(Finish::ProblemFound);
+                return Err(CliError::DrainRejected(reason));
             }
             Look::Pending(state) => state,
         };
         if started.elapsed() >= limit {
-            eprintln!("wharfquay: 7017: not known to be empty after {limit:?}: {pending}");
-            return Ok(Finish::ProblemFound);
+            let state = pending;
+            return Err(CliError::NotEmpty { limit, state });
         }
         if shown.elapsed() >= PROGRESS_INTERVAL {
             shown = Instant::now();
@@ -94,9 +93,10 @@
             return Ok(Finish::Done);
         }
         if started.elapsed() >= REPORT_ALLOWANCE {
-            let ids = ids.join(", ");
-            eprintln!("wharfquay: 7020: still leaving after {REPORT_ALLOWANCE:?}: {ids}");
-            return Ok(Finish::ProblemFound);
+            return Err(CliError::StillLeaving {
+                limit: REPORT_ALLOWANCE,
+                daemons: ids.join(", "),
+            });
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/cli/src/drain/mod.rs
+++ b/crates/cli/src/drain/mod.rs
@@ -22,7 +22,7 @@
 use crate::drain::estimate::{Estimate, estimate};
 use crate::drain::follow::{FollowOptions, follow_until_empty};
 use crate::error::{CliError, Finish};
-use crate::output::Output;
+use crate::output::{Output, notice, progress};
 use crate::plan::options::drain_target;
 
 pub(crate) use undrain::COMMAND as UNDRAIN;
@@ -101,9 +101,7 @@
         let machines = with_progress("reading the machine list", client.machines()).await?;
         let estimate = estimate(&view.acceptance.snapshot, &drain.target, &machines.machines);
         output.text(&estimate.render())?;
-        if let Some(finish) = refuse(arguments, &view.acceptance.snapshot, &drain, &estimate) {
-            return Ok(finish);
-        }
+        check_drain(arguments, &view.acceptance.snapshot, &drain, &estimate)?;
         if arguments.has("dry-run") {
             return Ok(Finish::Done);
         }
@@ -158,13 +156,13 @@
     format!("{kind}-{}", name.chars().map(safe).collect::<String>())
 }
 
-/// The exit code when the drain must not be written.
-fn refuse(
+/// Refuses a drain that must not be written.
+fn check_drain(
     arguments: &Arguments,
     base: &Snapshot,
     drain: &Drain,
     estimate: &Estimate,
-) -> Option<Finish> {
+) -> Result<(), CliError> {
     let mut snapshot = base.clone();
     snapshot.insert(Resource::Drain(drain.clone()));
     let id = Resource::Drain(drain.clone()).id();
@@ -174,19 +172,19 @@
         .filter(|finding| finding.resource.as_ref() == Some(&id));
     let mut has_error = false;
     for finding in findings {
-        eprintln!("wharfquay: {finding}");
+        progress(&finding.to_string());
         has_error |= finding.severity() == Severity::Error;
     }
     if has_error {
-        return Some(Finish::ProblemFound);
+        let id = id.to_string();
+        return Err(CliError::InvalidDrain(id));
     }
     let emptied = estimate.emptied_services();
     if emptied.is_empty() || arguments.has("force") {
-        return None;
+        return Ok(());
     }
     let services = emptied.join(", ");
-    eprintln!("wharfquay: 7019: no back end of {services} would be left (allowed: --force)");
-    Some(Finish::ProblemFound)
+    Err(CliError::LeavesNoBackend(services))
 }
 
 async fn write_drain(
@@ -208,7 +206,7 @@
     let result = with_progress(&what, client.write_with_retry(&request)).await;
     if let Err(PlatformError::Conflict(met)) = &result {
         for line in conflict_lines(&id, current, met) {
-            eprintln!("{line}");
+            notice(&line);
         }
     }
     Ok(result?.version.unwrap_or(expected))
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use displaydoc::Display;
 use wharfquay_emulator::demo::DeploymentError;
@@ -95,6 +96,15 @@
     NotFound(String),
     /// 7010: {0} is not deleted, since other resources refer to it
     StillReferenced(String),
+    /// 7011: {path}:{line}: record: {problem} (allowed: a decision record)
+    MalformedRecord {
+        /// The file.
+        path: String,
+        /// Line of the file, from 1.
+        line: usize,
+        /// What is wrong.
+        problem: String,
+    },
     /// 7012: {path}: can't be read: {source} (allowed: a readable file)
     Unreadable {
         /// The file.
@@ -108,8 +118,28 @@
     Scenario(ScenarioError),
     /// 7015: the demonstration can't run: {0}
     Demonstration(DeploymentError),
+    /// 7016: the drain is rejected: {0}
+    DrainRejected(String),
+    /// 7017: not known to be empty after {limit:?}: {state}
+    NotEmpty {
+        /// How long the drain was followed.
+        limit: Duration,
+        /// How far it was.
+        state: String,
+    },
     /// 7018: {0}
     InvalidResource(String),
+    /// 7019: no back end of {0} would be left (allowed: with --force)
+    LeavesNoBackend(String),
+    /// 7021: {0} is not written, since it has errors
+    InvalidDrain(String),
+    /// 7020: still leaving after {limit:?}: {daemons}
+    StillLeaving {
+        /// How long the daemons were followed.
+        limit: Duration,
+        /// Their ids.
+        daemons: String,
+    },
 }
 
 impl CliError {
@@ -126,6 +156,12 @@
             | Self::NotFound(_)
             | Self::BrokenConfiguration
             | Self::Demonstration(_)
+            | Self::MalformedRecord { .. }
+            | Self::DrainRejected(_)
+            | Self::NotEmpty { .. }
+            | Self::LeavesNoBackend(_)
+            | Self::InvalidDrain(_)
+            | Self::StillLeaving { .. }
             | Self::StillReferenced(_) => Finish::ProblemFound,
             Self::Platform(error) => finish_of(error),
             _ => Finish::BadUse,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -33,7 +33,7 @@
 use crate::arguments::{Arguments, Parsed};
 use crate::commands::{COMMANDS, CommandSpec, find_command};
 use crate::error::{CliError, Finish};
-use crate::output::Output;
+use crate::output::{Output, progress};
 
 /// Runs the program with these arguments, the program's name left out.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -50,7 +50,7 @@
     if error.is_closed_output() {
         return Finish::Done.exit_code();
     }
-    eprintln!("wharfquay: {error}");
+    progress(&error.to_string());
     error.exit_code()
 }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -44,14 +44,20 @@
     }
 }
 
+/// Writes one line to the standard error. A line that can't be written is lost, since there is no
+/// other place to report that.
+pub(crate) fn notice(line: &str) {
+    let _ = writeln!(io::stderr(), "{line}");
+}
+
 /// Reports progress of something that takes long, on the standard error.
 pub(crate) fn progress(message: &str) {
-    eprintln!("wharfquay: {message}");
+    notice(&format!("wharfquay: {message}"));
 }
 
 /// Writes one line for each problem to the standard error.
 pub(crate) fn print_error_lines(problems: &[Problem]) {
     for problem in problems {
-        eprintln!("{problem}");
+        notice(&problem.to_string());
     }
 }
--- a/crates/cli/src/replay.rs
+++ b/crates/cli/src/replay.rs
@@ -13,7 +13,7 @@
 use crate::configuration::{FILE, read_configuration};
 use crate::connection::{PLATFORM, TIMEOUT};
 use crate::error::{CliError, Finish};
-use crate::output::Output;
+use crate::output::{Output, progress};
 use crate::table::TextTable;
 
 /// Differing decisions that are printed unless a flag says otherwise.
@@ -129,8 +129,12 @@
             Ok(record) => self.replay(line, record),
             Err(error) => {
                 self.report.malformed += 1;
-                let path = self.path;
-                eprintln!("{path}:{line}: record: {error} (allowed: a decision record) [7011]");
+                let malformed = CliError::MalformedRecord {
+                    path: self.path.to_owned(),
+                    line,
+                    problem: error.to_string(),
+                };
+                progress(&malformed.to_string());
             }
         }
     }
--- a/crates/cli/tests/drain.rs
+++ b/crates/cli/tests/drain.rs
@@ -111,7 +111,7 @@
     assert!(
         refused
             .stderr
-            .contains("7019: no back end of slot would be left (allowed: --force)"),
+            .contains("7019: no back end of slot would be left (allowed: with --force)"),
         "{}",
         refused.stderr
     );
