--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -2,7 +2,6 @@
 
 use serde::Serialize;
 use wharfquay_platform::conversion::object_key;
-use wharfquay_platform::error::Conflict;
 use wharfquay_platform::wire::Object;
 use wharfquay_platform::{Client, PlatformError, WriteRequest};
 use wharfquay_resources::diff::{Change, changed_fields};
@@ -12,14 +11,13 @@
 use wharfquay_resources::spec::to_spec;
 
 use crate::arguments::Arguments;
-use crate::change_text::{change_lines, conflict_lines};
+use crate::change_text::change_lines;
 use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
-use crate::connection::{
-    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, with_progress,
-};
+use crate::connection::{AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect};
 use crate::error::{CliError, Finish};
 use crate::input::read_files;
-use crate::output::{Output, notice, print_error_lines};
+use crate::output::{Output, print_error_lines};
+use crate::write::write_or_report;
 
 pub(crate) const COMMAND: CommandSpec = CommandSpec {
     name: "apply",
@@ -198,7 +196,6 @@
         match write_one(client, &write, &author).await {
             Ok(version) => results.push(applied(write, WriteOutcome::Written, version)),
             Err(PlatformError::Conflict(met)) => {
-                print_conflict(&write, &met);
                 failure = Some(PlatformError::Conflict(met));
                 results.push(applied(write, WriteOutcome::Conflict, None));
             }
@@ -223,17 +220,10 @@
         .map_or(Revision::ZERO, |object| object.version);
     let spec = to_spec(&write.resource);
     let request = WriteRequest::put(object_key(&write.id), expected, author, spec);
-    let what = format!("writing {}", write.id);
-    let receipt = with_progress(&what, client.write_with_retry(&request)).await?;
+    let receipt = write_or_report(client, &request, &write.id, write.current.as_ref()).await?;
     Ok(receipt.version)
 }
 
-fn print_conflict(write: &PlannedWrite, met: &Conflict) {
-    for line in conflict_lines(&write.id, write.current.as_ref(), met) {
-        notice(&line);
-    }
-}
-
 fn print_applied(
     results: &[Applied],
     arguments: &Arguments,
--- a/crates/cli/src/completion.rs
+++ b/crates/cli/src/completion.rs
@@ -42,12 +42,12 @@
         "zsh" => zsh(),
         "fish" => fish(),
         _ => {
-            return Err(CliError::InvalidValue {
-                name: "shell".to_owned(),
-                given: shell,
-                problem: "unknown shell".to_owned(),
-                allowed: "bash, zsh, fish".to_owned(),
-            });
+            return Err(CliError::invalid_value(
+                "shell",
+                &shell,
+                "unknown shell",
+                "bash, zsh, fish",
+            ));
         }
     };
     output.text(&script)?;
@@ -116,7 +116,7 @@
         for flag in command.flags {
             let value = flag
                 .value
-                .map_or_else(String::new, |value| format!(":{value}:_files"));
+                .map_or_else(String::new, |value| format!(":{}:_files", escape(value)));
             let _ = write!(script, " '--{}[{}]{value}'", flag.name, escape(flag.help));
         }
         script.push_str(" '--help[Show help]' '*:file:_files' ;;\n");
@@ -150,5 +150,5 @@
 
 /// Text without the characters that end a quoted word or a description in the shells.
 fn escape(text: &str) -> String {
-    text.replace('\'', "").replace(['[', ']', ':'], " ")
+    text.replace('\'', "’").replace(['[', ']', ':'], " ")
 }
--- a/crates/cli/src/connection.rs
+++ b/crates/cli/src/connection.rs
@@ -121,12 +121,12 @@
     if (1..=MAXIMUM_TIMEOUT_MS).contains(&millis) {
         return Ok(Duration::from_millis(millis));
     }
-    Err(CliError::InvalidValue {
-        name: "--timeout-ms".to_owned(),
-        given: millis.to_string(),
-        problem: "out of range".to_owned(),
-        allowed: TIMEOUT_FORM.to_owned(),
-    })
+    Err(CliError::invalid_value(
+        "--timeout-ms",
+        &millis.to_string(),
+        "out of range",
+        TIMEOUT_FORM,
+    ))
 }
 
 /// The author of writes.
@@ -149,11 +149,8 @@
     let found = ResourceKind::ALL
         .into_iter()
         .find(|kind| kind.as_str() == text);
-    found.ok_or_else(|| CliError::InvalidValue {
-        name: "KIND".to_owned(),
-        given: text.to_owned(),
-        problem: "unknown resource kind".to_owned(),
-        allowed: names.join(", "),
+    found.ok_or_else(|| {
+        CliError::invalid_value("KIND", text, "unknown resource kind", &names.join(", "))
     })
 }
 
--- a/crates/cli/src/delete.rs
+++ b/crates/cli/src/delete.rs
@@ -1,22 +1,21 @@
 //! `delete`: removes a resource from the platform by compare-and-swap.
 
-use wharfquay_platform::WriteRequest;
 use wharfquay_platform::conversion::object_key;
 use wharfquay_platform::wire::Object;
-use wharfquay_platform::{Client, PlatformError};
+use wharfquay_platform::{Client, WriteRequest};
 use wharfquay_resources::kinds::ResourceId;
 use wharfquay_resources::problem::Finding;
 use wharfquay_resources::snapshot::Revision;
 use wharfquay_resources::validate::{KnownResources, find_errors};
 
 use crate::arguments::Arguments;
-use crate::change_text::conflict_lines;
 use crate::commands::{CommandSpec, Example, Flag, Positionals};
 use crate::connection::{
-    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, parse_id, with_progress,
+    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, parse_id,
 };
 use crate::error::{CliError, Finish};
-use crate::output::{Output, notice, progress};
+use crate::output::{Output, progress};
+use crate::write::write_or_report;
 
 const VERSION_FORM: &str = "the version that `wharfquay get` shows";
 
@@ -122,13 +121,6 @@
     author: &str,
 ) -> Result<(), CliError> {
     let request = WriteRequest::delete(object_key(id), expected, author);
-    let what = format!("deleting {id}");
-    let result = with_progress(&what, client.write_with_retry(&request)).await;
-    if let Err(PlatformError::Conflict(met)) = &result {
-        for line in conflict_lines(id, Some(seen), met) {
-            notice(&line);
-        }
-    }
-    result?;
+    write_or_report(client, &request, id, Some(seen)).await?;
     Ok(())
 }
--- a/crates/cli/src/drain/mod.rs
+++ b/crates/cli/src/drain/mod.rs
@@ -5,7 +5,7 @@
 mod undrain;
 
 use wharfquay_platform::conversion::object_key;
-use wharfquay_platform::{Client, PlatformError, WriteRequest};
+use wharfquay_platform::{Client, WriteRequest};
 use wharfquay_resources::kinds::{Drain, DrainTarget, Resource, ResourceId, ResourceKind};
 use wharfquay_resources::problem::{Finding, Severity};
 use wharfquay_resources::snapshot::{Revision, Snapshot};
@@ -13,7 +13,6 @@
 use wharfquay_resources::validate::validate_snapshot;
 
 use crate::arguments::Arguments;
-use crate::change_text::conflict_lines;
 use crate::commands::{CommandSpec, Example, Flag, Positionals};
 use crate::connection::{
     AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, with_progress,
@@ -22,8 +21,9 @@
 use crate::drain::estimate::{Estimate, estimate};
 use crate::drain::follow::{FollowOptions, follow_until_empty};
 use crate::error::{CliError, Finish};
-use crate::output::{Output, notice, progress};
+use crate::output::{Output, progress};
 use crate::plan::options::drain_target;
+use crate::write::write_or_report;
 
 pub(crate) use undrain::COMMAND as UNDRAIN;
 
@@ -84,11 +84,8 @@
 /// Reads the target from two words.
 fn read_target(arguments: &Arguments) -> Result<DrainTarget, CliError> {
     let words = arguments.words();
-    drain_target(&words[0], &words[1]).ok_or_else(|| CliError::InvalidValue {
-        name: "target".to_owned(),
-        given: words.join(" "),
-        problem: "no target".to_owned(),
-        allowed: TARGET_FORM.to_owned(),
+    drain_target(&words[0], &words[1]).ok_or_else(|| {
+        CliError::invalid_value("target", &words.join(" "), "no target", TARGET_FORM)
     })
 }
 
@@ -202,12 +199,6 @@
     }
     let expected = current.map_or(Revision::ZERO, |object| object.version);
     let request = WriteRequest::put(object_key(&id), expected, author, spec);
-    let what = format!("writing {id}");
-    let result = with_progress(&what, client.write_with_retry(&request)).await;
-    if let Err(PlatformError::Conflict(met)) = &result {
-        for line in conflict_lines(&id, current, met) {
-            notice(&line);
-        }
-    }
-    Ok(result?.version.unwrap_or(expected))
+    let receipt = write_or_report(client, &request, &id, current).await?;
+    Ok(receipt.version.unwrap_or(expected))
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -143,6 +143,16 @@
 }
 
 impl CliError {
+    /// The error about the value of a flag or argument.
+    pub(crate) fn invalid_value(name: &str, given: &str, problem: &str, allowed: &str) -> Self {
+        Self::InvalidValue {
+            name: name.to_owned(),
+            given: given.to_owned(),
+            problem: problem.to_owned(),
+            allowed: allowed.to_owned(),
+        }
+    }
+
     /// Whether the reader of the output went away, as `head` does, which is no failure.
     pub(crate) fn is_closed_output(&self) -> bool {
         matches!(self, Self::Output(error) if error.kind() == io::ErrorKind::BrokenPipe)
--- a/crates/cli/src/explain/request.rs
+++ b/crates/cli/src/explain/request.rs
@@ -49,7 +49,7 @@
 fn read_request_line(line: &str) -> Result<(String, String), CliError> {
     let mut parts = line.split_whitespace();
     let (Some(method), Some(target)) = (parts.next(), parts.next()) else {
-        return Err(invalid(
+        return Err(CliError::invalid_value(
             "request line",
             line,
             "no method and path",
@@ -58,7 +58,7 @@
     };
     let path = target.split(['?', '#']).next().unwrap_or_default();
     if !path.starts_with('/') {
-        return Err(invalid(
+        return Err(CliError::invalid_value(
             "request line",
             line,
             "the path does not start with a slash",
@@ -72,7 +72,9 @@
     let (name, value) = text
         .split_once(':')
         .filter(|(name, _)| !name.trim().is_empty())
-        .ok_or_else(|| invalid("--header", text, "no name before a colon", HEADER_FORM))?;
+        .ok_or_else(|| {
+            CliError::invalid_value("--header", text, "no name before a colon", HEADER_FORM)
+        })?;
     Ok(Header {
         name: name.trim().to_ascii_lowercase(),
         value: value.trim().to_owned(),
@@ -109,14 +111,10 @@
     if key.get_version_num() == KEY_VERSION {
         return Ok(true);
     }
-    Err(invalid(name, value, "another UUID version", KEY_FORM))
-}
-
-fn invalid(name: &str, given: &str, problem: &str, allowed: &str) -> CliError {
-    CliError::InvalidValue {
-        name: name.to_owned(),
-        given: given.to_owned(),
-        problem: problem.to_owned(),
-        allowed: allowed.to_owned(),
-    }
+    Err(CliError::invalid_value(
+        name,
+        value,
+        "another UUID version",
+        KEY_FORM,
+    ))
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,6 +26,7 @@
 mod status;
 mod table;
 mod watch;
+mod write;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
--- a/crates/cli/src/plan/options.rs
+++ b/crates/cli/src/plan/options.rs
@@ -81,7 +81,7 @@
     if (0.0..=MAXIMUM_FACTOR).contains(&factor) {
         return Ok(factor);
     }
-    Err(invalid(
+    Err(CliError::invalid_value(
         "--factor",
         &factor.to_string(),
         "out of range",
@@ -98,16 +98,26 @@
 }
 
 fn read_rate(text: &str, scenario: &Scenario) -> Result<(String, f64), CliError> {
-    let malformed = || invalid("--rate", text, "no kind and number", RATE_FORM);
+    let malformed = || CliError::invalid_value("--rate", text, "no kind and number", RATE_FORM);
     let (kind, number) = text.split_once('=').ok_or_else(malformed)?;
     if !scenario.requests.iter().any(|request| request.kind == kind) {
-        return Err(invalid("--rate", text, "unknown request kind", RATE_FORM));
+        return Err(CliError::invalid_value(
+            "--rate",
+            text,
+            "unknown request kind",
+            RATE_FORM,
+        ));
     }
     let rate: f64 = parse_value("--rate", number, RATE_FORM)?;
     if rate.is_finite() && rate >= 0.0 {
         return Ok((kind.to_owned(), rate));
     }
-    Err(invalid("--rate", text, "not a rate", RATE_FORM))
+    Err(CliError::invalid_value(
+        "--rate",
+        text,
+        "not a rate",
+        RATE_FORM,
+    ))
 }
 
 fn read_drains(arguments: &Arguments) -> Result<Vec<DrainTarget>, CliError> {
@@ -120,7 +130,8 @@
 
 fn read_drain(text: &str) -> Result<DrainTarget, CliError> {
     let (kind, name) = text.split_once('=').unwrap_or((text, ""));
-    drain_target(kind, name).ok_or_else(|| invalid("--drain", text, "no target", DRAIN_FORM))
+    drain_target(kind, name)
+        .ok_or_else(|| CliError::invalid_value("--drain", text, "no target", DRAIN_FORM))
 }
 
 /// The drain target of a kind and a name; `None` when the kind is unknown or the name empty.
@@ -219,14 +230,5 @@
     };
     known.sort_unstable();
     known.dedup();
-    invalid("target", given, "no back end is covered", &known.join(", "))
-}
-
-fn invalid(name: &str, given: &str, problem: &str, allowed: &str) -> CliError {
-    CliError::InvalidValue {
-        name: name.to_owned(),
-        given: given.to_owned(),
-        problem: problem.to_owned(),
-        allowed: allowed.to_owned(),
-    }
+    CliError::invalid_value("target", given, "no back end is covered", &known.join(", "))
 }
--- a/crates/cli/src/status/mod.rs
+++ b/crates/cli/src/status/mod.rs
@@ -131,12 +131,12 @@
     let interval: Option<u64> = arguments.value("interval-ms", INTERVAL_FORM)?;
     let interval = interval.unwrap_or(DEFAULT_INTERVAL_MS);
     if !(100..=3_600_000).contains(&interval) {
-        return Err(CliError::InvalidValue {
-            name: "--interval-ms".to_owned(),
-            given: interval.to_string(),
-            problem: "out of range".to_owned(),
-            allowed: INTERVAL_FORM.to_owned(),
-        });
+        return Err(CliError::invalid_value(
+            "--interval-ms",
+            &interval.to_string(),
+            "out of range",
+            INTERVAL_FORM,
+        ));
     }
     let count = arguments.value("count", COUNT_FORM)?;
     Ok(StatusOptions {
