--- a/crates/cli/src/drain/estimate.rs
+++ b/crates/cli/src/drain/estimate.rs
@@ -1,4 +1,5 @@
-//! What a drain leaves of each service, by the platform's machine list.
+//! What a drain leaves of each service: back ends by the platform's machine list, and load by the
+//! status pages of daemons.
 
 use std::collections::BTreeMap;
 
@@ -6,6 +7,7 @@
 use wharfquay_resources::kinds::DrainTarget;
 use wharfquay_resources::snapshot::Snapshot;
 
+use crate::daemon_status::DaemonStatus;
 use crate::table::TextTable;
 
 /// Live back ends of one service.
@@ -15,10 +17,26 @@
     after: u32,
 }
 
+/// Calls of one service, and the concurrency limits of the back ends that stay.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ServiceLoad {
+    calls: u64,
+    limit_left: u64,
+}
+
+impl ServiceLoad {
+    /// Share of the limits that stay which the calls would take; `None` when no limit stays.
+    fn utilisation_after(self) -> Option<f64> {
+        (self.limit_left > 0).then(|| self.calls as f64 / self.limit_left as f64)
+    }
+}
+
 /// What a drain leaves of each service that it covers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Estimate {
     services: BTreeMap<String, BackendCount>,
+    /// Only of services whose daemons were asked.
+    loads: BTreeMap<String, ServiceLoad>,
 }
 
 impl Estimate {
@@ -32,22 +50,64 @@
             .collect()
     }
 
+    /// Services whose calls would not fit into the limits that stay.
+    pub(super) fn overloaded_services(&self) -> Vec<&str> {
+        let is_over = |load: &ServiceLoad| load.utilisation_after().is_none_or(|share| share > 1.0);
+        let loads = self.loads.iter();
+        loads
+            .filter(|(_, load)| load.calls > 0 && is_over(load))
+            .map(|(service, _)| service.as_str())
+            .collect()
+    }
+
+    /// The same estimate with the load that daemons report, of those services that the drain covers.
+    pub(super) fn with_load(mut self, target: &DrainTarget, statuses: &[DaemonStatus]) -> Self {
+        for status in statuses {
+            let (Some(service), Some(admission)) = (&status.service, status.admission) else {
+                continue;
+            };
+            if !self.services.contains_key(service) {
+                continue;
+            }
+            let load = self.loads.entry(service.clone()).or_default();
+            load.calls += u64::from(admission.in_flight) + u64::from(admission.queued);
+            let stays = !status.leaving && !target.covers(&status.id, &status.zone, Some(service));
+            if stays {
+                load.limit_left += u64::from(admission.limit);
+            }
+        }
+        self
+    }
+
     /// The table of services.
     pub(super) fn render(&self) -> String {
         if self.services.is_empty() {
             return "the machine list has no live back end that the drain covers\n".to_owned();
         }
-        let mut table = TextTable::new(&["SERVICE", "LIVE BACK ENDS", "LEFT"]);
+        let mut table = TextTable::new(&["SERVICE", "LIVE BACK ENDS", "LEFT", "LOAD AFTER"]);
         for (service, count) in &self.services {
             let share = f64::from(count.after) * 100.0 / f64::from(count.before.max(1));
             table.row([
                 service.clone(),
                 format!("{} -> {}", count.before, count.after),
                 format!("{share:.0}%"),
+                self.describe_load(service),
             ]);
         }
         table.render()
     }
+
+    /// Busy share of the limits that stay; unknown when no daemon of the service was asked.
+    fn describe_load(&self, service: &str) -> String {
+        let Some(load) = self.loads.get(service) else {
+            return "unknown".to_owned();
+        };
+        let share = load.utilisation_after();
+        share.map_or_else(
+            || "none left".to_owned(),
+            |share| format!("{:.0}%", share * 100.0),
+        )
+    }
 }
 
 /// Counts the back ends before and after the drain, those that other drains cover left out.
@@ -69,7 +129,10 @@
         count.after += u32::from(!covers(target, machine));
     }
     services.retain(|_, count| count.after < count.before);
-    Estimate { services }
+    Estimate {
+        services,
+        loads: BTreeMap::new(),
+    }
 }
 
 fn is_live(snapshot: &Snapshot, target: &DrainTarget, machine: &Machine) -> bool {
--- a/crates/cli/src/drain/mod.rs
+++ b/crates/cli/src/drain/mod.rs
@@ -4,6 +4,9 @@
 mod follow;
 mod undrain;
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use wharfquay_platform::conversion::object_key;
 use wharfquay_platform::{Client, WriteRequest};
 use wharfquay_resources::kinds::{Drain, DrainTarget, Resource, ResourceId, ResourceKind};
@@ -15,14 +18,15 @@
 use crate::arguments::Arguments;
 use crate::commands::{CommandSpec, Example, Flag, Positionals};
 use crate::connection::{
-    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, with_progress,
+    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, timeout, with_progress,
 };
-use crate::daemon_status::{DAEMON, daemon_addresses};
+use crate::daemon_status::{DAEMON, DaemonStatus, daemon_addresses};
 use crate::drain::estimate::{Estimate, estimate};
 use crate::drain::follow::{FollowOptions, follow_until_empty};
 use crate::error::{CliError, Finish};
 use crate::output::{Output, progress};
 use crate::plan::options::drain_target;
+use crate::status::daemons::read_daemons;
 use crate::write::write_or_report;
 
 pub(crate) use undrain::COMMAND as UNDRAIN;
@@ -38,8 +42,9 @@
     summary: "Make a zone, a service or one back end leave, and follow until it is empty",
     details: "\
 Writes a drain resource and follows it: until the resource's status says that every daemon has it in
-force and no call is in flight, or until the daemons given by --daemon say so. A drain after which
-a service would have no back end is refused without --force. Following ends with exit code 1 when
+force and no call is in flight, or until the daemons given by --daemon say so. From those daemons'
+calls and limits follows whether the rest can carry the load. A drain that leaves a service without
+a back end, or with more calls than its limits, is refused without --force. Following ends with exit code 1 when
 calls are left after the drain's limit.",
     positionals: Positionals {
         usage: "zone|service|backend NAME",
@@ -59,7 +64,7 @@
         ),
         Flag::switch(
             "force",
-            "Drain even if a service is left without a back end",
+            "Drain even if the rest can't carry the load",
         ),
         Flag::switch("dry-run", "Show the estimate and write nothing"),
         NO_WAIT,
@@ -81,6 +86,12 @@
     run,
 };
 
+/// The status of every daemon that answers.
+async fn read_statuses(addresses: &[SocketAddr], timeout: Duration) -> Vec<DaemonStatus> {
+    let views = read_daemons(addresses, timeout).await;
+    views.into_iter().filter_map(|view| view.status).collect()
+}
+
 /// Reads the target from two words.
 fn read_target(arguments: &Arguments) -> Result<DrainTarget, CliError> {
     let words = arguments.words();
@@ -96,9 +107,12 @@
     block_on(async {
         let view = PlatformView::read(&client).await?;
         let machines = with_progress("reading the machine list", client.machines()).await?;
-        let estimate = estimate(&view.acceptance.snapshot, &drain.target, &machines.machines);
+        let snapshot = &view.acceptance.snapshot;
+        let statuses = read_statuses(&daemons, timeout(arguments)?).await;
+        let estimate = estimate(snapshot, &drain.target, &machines.machines)
+            .with_load(&drain.target, &statuses);
         output.text(&estimate.render())?;
-        check_drain(arguments, &view.acceptance.snapshot, &drain, &estimate)?;
+        check_drain(arguments, snapshot, &drain, &estimate)?;
         if arguments.has("dry-run") {
             return Ok(Finish::Done);
         }
@@ -176,12 +190,18 @@
         let id = id.to_string();
         return Err(CliError::InvalidDrain(id));
     }
-    let emptied = estimate.emptied_services();
-    if emptied.is_empty() || arguments.has("force") {
+    if arguments.has("force") {
         return Ok(());
     }
-    let services = emptied.join(", ");
-    Err(CliError::LeavesNoBackend(services))
+    let emptied = estimate.emptied_services();
+    if !emptied.is_empty() {
+        return Err(CliError::LeavesNoBackend(emptied.join(", ")));
+    }
+    let overloaded = estimate.overloaded_services();
+    if !overloaded.is_empty() {
+        return Err(CliError::LeavesOverload(overloaded.join(", ")));
+    }
+    Ok(())
 }
 
 async fn write_drain(
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -131,6 +131,8 @@
     InvalidResource(String),
     /// 7019: no back end of {0} would be left (allowed: with --force)
     LeavesNoBackend(String),
+    /// 7022: the rest of {0} can't carry its calls (allowed: with --force)
+    LeavesOverload(String),
     /// 7021: {0} is not written, since it has errors
     InvalidDrain(String),
     /// 7020: still leaving after {limit:?}: {daemons}
@@ -170,6 +172,7 @@
             | Self::DrainRejected(_)
             | Self::NotEmpty { .. }
             | Self::LeavesNoBackend(_)
+            | Self::LeavesOverload(_)
             | Self::InvalidDrain(_)
             | Self::StillLeaving { .. }
             | Self::StillReferenced(_) => Finish::ProblemFound,
--- a/crates/cli/tests/drain.rs
+++ b/crates/cli/tests/drain.rs
@@ -72,8 +72,8 @@
     let drained = platform.run(&["drain", "zone", "ikeja", "--no-wait", "--limit-ms", "500"]);
     assert_eq!(drained.code, 0, "{}", drained.stderr);
     let expected = "\
-SERVICE  LIVE BACK ENDS  LEFT
-slot     2 -> 1          50%
+SERVICE  LIVE BACK ENDS  LEFT  LOAD AFTER
+slot     2 -> 1          50%   unknown
 drain/zone-ikeja: written, version 2
 ";
     assert_eq!(drained.stdout, expected);
@@ -131,6 +131,47 @@
     assert_eq!(forced.code, 0, "{}", forced.stderr);
 }
 
+/// Calls of the two back ends, the limit of the one that stays, and whether the drain is written.
+#[test]
+fn a_drain_that_the_rest_cannot_carry_needs_force() {
+    let platform = platform_with_machines("drain-load");
+    let cases = [
+        ([4, 3], 8, "88%", true),
+        ([6, 3], 8, "112%", false),
+        ([1, 0], 0, "none left", false),
+    ];
+    for ([leaving, staying], limit, share, is_written) in cases {
+        let page = |id: &str, zone: &str, calls: u32, limit: u32| {
+            json!({"id": id, "zone": zone, "service": "slot",
+                "admission": {"level": 32_768, "in_flight": calls, "limit": limit, "queued": 0}})
+        };
+        let first = TestDaemon::start(&page("slot-1", "ikeja", leaving, 8));
+        let second = TestDaemon::start(&page("slot-2", "yaba", staying, limit));
+        let addresses = format!("{},{}", first.address(), second.address());
+        let drained = platform.run(&[
+            "drain",
+            "zone",
+            "ikeja",
+            "--dry-run",
+            "--daemon",
+            &addresses,
+        ]);
+        assert!(drained.stdout.contains(share), "{}", drained.stdout);
+        assert_eq!(
+            drained.code,
+            i32::from(!is_written),
+            "{share}: {}",
+            drained.stderr
+        );
+        assert_eq!(
+            drained.stderr.contains("7022: the rest of slot"),
+            !is_written,
+            "{}",
+            drained.stderr
+        );
+    }
+}
+
 #[test]
 fn a_second_drain_counts_only_what_the_first_left() {
     let platform = platform_with_machines("drain-second");
@@ -141,7 +182,9 @@
     let refused = platform.run(&["drain", "backend", "slot-2", "--no-wait"]);
     assert_eq!(refused.code, 1);
     assert!(
-        refused.stdout.contains("slot     1 -> 0          0%"),
+        refused
+            .stdout
+            .contains("slot     1 -> 0          0%    unknown"),
         "{}",
         refused.stdout
     );
