--- a/crates/cli/src/drain/mod.rs
+++ b/crates/cli/src/drain/mod.rs
@@ -4,8 +4,11 @@
 mod follow;
 mod undrain;
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use wharfquay_platform::conversion::object_key;
-use wharfquay_platform::{Client, PlatformError, WriteRequest};
+use wharfquay_platform::{Client, WriteRequest};
 use wharfquay_resources::kinds::{Drain, DrainTarget, Resource, ResourceId, ResourceKind};
 use wharfquay_resources::problem::{Finding, Severity};
 use wharfquay_resources::snapshot::{Revision, Snapshot};
@@ -13,17 +16,18 @@
 use wharfquay_resources::validate::validate_snapshot;
 
 use crate::arguments::Arguments;
-use crate::change_text::conflict_lines;
 use crate::commands::{CommandSpec, Example, Flag, Positionals};
 use crate::connection::{
-    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, with_progress,
+    AUTHOR, PLATFORM, PlatformView, TIMEOUT, author, block_on, connect, timeout, with_progress,
 };
-use crate::daemon_status::{DAEMON, daemon_addresses};
+use crate::daemon_status::{DAEMON, DaemonStatus, daemon_addresses};
 use crate::drain::estimate::{Estimate, estimate};
 use crate::drain::follow::{FollowOptions, follow_until_empty};
 use crate::error::{CliError, Finish};
-use crate::output::Output;
+use crate::output::{Output, progress};
 use crate::plan::options::drain_target;
+use crate::status::daemons::read_daemons;
+use crate::write::write_or_report;
 
 pub(crate) use undrain::COMMAND as UNDRAIN;
 
@@ -31,16 +35,16 @@
 const LIMIT_FORM: &str = "0 to 3600000, in milliseconds";
 const DEFAULT_LIMIT_MS: u32 = 30_000;
 
-pub(crate) const NO_WAIT: Flag =
-    Flag::switch("no-wait", "Write the intention and do not follow it");
+pub(crate) const NO_WAIT: Flag = Flag::switch("no-wait", "Write and do not follow");
 
 pub(crate) const COMMAND: CommandSpec = CommandSpec {
     name: "drain",
     summary: "Make a zone, a service or one back end leave, and follow until it is empty",
     details: "\
 Writes a drain resource and follows it: until the resource's status says that every daemon has it in
-force and no call is in flight, or until the daemons given by --daemon say so. A drain after which
-a service would have no back end is refused without --force. Following ends with exit code 1 when
+force and no call is in flight, or until the daemons given by --daemon say so. From those daemons'
+calls and limits follows whether the rest can carry the load. A drain that leaves a service without
+a back end, or with more calls than its limits, is refused without --force. Following ends with exit code 1 when
 calls are left after the drain's limit.",
     positionals: Positionals {
         usage: "zone|service|backend NAME",
@@ -60,7 +64,7 @@
         ),
         Flag::switch(
             "force",
-            "Drain even if a service is left without a back end",
+            "Drain even if the rest can't carry the load",
         ),
         Flag::switch("dry-run", "Show the estimate and write nothing"),
         NO_WAIT,
@@ -82,14 +86,17 @@
     run,
 };
 
+/// The status of every daemon that answers.
+async fn read_statuses(addresses: &[SocketAddr], timeout: Duration) -> Vec<DaemonStatus> {
+    let views = read_daemons(addresses, timeout).await;
+    views.into_iter().filter_map(|view| view.status).collect()
+}
+
 /// Reads the target from two words.
 fn read_target(arguments: &Arguments) -> Result<DrainTarget, CliError> {
     let words = arguments.words();
-    drain_target(&words[0], &words[1]).ok_or_else(|| CliError::InvalidValue {
-        name: "target".to_owned(),
-        given: words.join(" "),
-        problem: "no target".to_owned(),
-        allowed: TARGET_FORM.to_owned(),
+    drain_target(&words[0], &words[1]).ok_or_else(|| {
+        CliError::invalid_value("target", &words.join(" "), "no target", TARGET_FORM)
     })
 }
 
@@ -100,11 +107,12 @@
     block_on(async {
         let view = PlatformView::read(&client).await?;
         let machines = with_progress("reading the machine list", client.machines()).await?;
-        let estimate = estimate(&view.acceptance.snapshot, &drain.target, &machines.machines);
+        let snapshot = &view.acceptance.snapshot;
+        let statuses = read_statuses(&daemons, timeout(arguments)?).await;
+        let estimate = estimate(snapshot, &drain.target, &machines.machines)
+            .with_load(&drain.target, &statuses);
         output.text(&estimate.render())?;
-        if let Some(finish) = refuse(arguments, &view.acceptance.snapshot, &drain, &estimate) {
-            return Ok(finish);
-        }
+        check_drain(arguments, snapshot, &drain, &estimate)?;
         if arguments.has("dry-run") {
             return Ok(Finish::Done);
         }
@@ -159,13 +167,13 @@
     format!("{kind}-{}", name.chars().map(safe).collect::<String>())
 }
 
-/// The exit code when the drain must not be written.
-fn refuse(
+/// Refuses a drain that must not be written.
+fn check_drain(
     arguments: &Arguments,
     base: &Snapshot,
     drain: &Drain,
     estimate: &Estimate,
-) -> Option<Finish> {
+) -> Result<(), CliError> {
     let mut snapshot = base.clone();
     snapshot.insert(Resource::Drain(drain.clone()));
     let id = Resource::Drain(drain.clone()).id();
@@ -175,19 +183,25 @@
         .filter(|finding| finding.resource.as_ref() == Some(&id));
     let mut has_error = false;
     for finding in findings {
-        eprintln!("wharfquay: {finding}");
+        progress(&finding.to_string());
         has_error |= finding.severity() == Severity::Error;
     }
     if has_error {
-        return Some(Finish::ProblemFound);
+        let id = id.to_string();
+        return Err(CliError::InvalidDrain(id));
+    }
+    if arguments.has("force") {
+        return Ok(());
     }
     let emptied = estimate.emptied_services();
-    if emptied.is_empty() || arguments.has("force") {
-        return None;
+    if !emptied.is_empty() {
+        return Err(CliError::LeavesNoBackend(emptied.join(", ")));
+    }
+    let overloaded = estimate.overloaded_services();
+    if !overloaded.is_empty() {
+        return Err(CliError::LeavesOverload(overloaded.join(", ")));
     }
-    let services = emptied.join(", ");
-    eprintln!("wharfquay: 7019: no back end of {services} would be left (allowed: --force)");
-    Some(Finish::ProblemFound)
+    Ok(())
 }
 
 async fn write_drain(
@@ -205,12 +219,6 @@
     }
     let expected = current.map_or(Revision::ZERO, |object| object.version);
     let request = WriteRequest::put(object_key(&id), expected, author, spec);
-    let what = format!("writing {id}");
-    let result = with_progress(&what, client.write_with_retry(&request)).await;
-    if let Err(PlatformError::Conflict(met)) = &result {
-        for line in conflict_lines(&id, current, met) {
-            eprintln!("{line}");
-        }
-    }
-    Ok(result?.version.unwrap_or(expected))
+    let receipt = write_or_report(client, &request, &id, current).await?;
+    Ok(receipt.version.unwrap_or(expected))
 }
