--- a/crates/platform/src/write.rs
+++ b/crates/platform/src/write.rs
@@ -200,8 +200,7 @@
                 return Err(error);
             }
             open |= error.leaves_write_open();
-            let delay = self.settings().backoff.delay(attempts, &mut rand::rng());
-            tokio::time::sleep(delay).await;
+            self.back_off(attempts).await;
             if open && let Some(object) = self.read_back(request).await? {
                 return Ok(with_attempts(recognised(Some(object)), attempts));
             }
@@ -223,7 +222,7 @@
         author: &str,
         mut change: impl FnMut(Option<&Object>) -> Option<Value>,
     ) -> Result<(), PlatformError> {
-        let mut current = self.get_status(key).await?;
+        let mut current = self.get_status_with_retry(key).await?;
         let mut conflicts = 0;
         loop {
             let Some(spec) = change(current.as_ref()) else {
@@ -241,6 +240,32 @@
         }
     }
 
+    /// Reads a status object, repeating the read until the write timeout.
+    async fn get_status_with_retry(
+        &self,
+        key: &ObjectKey,
+    ) -> Result<Option<Object>, PlatformError> {
+        let give_up_at = Instant::now() + self.settings().write_timeout;
+        let mut failures = 0;
+        loop {
+            let error = match self.get_status(key).await {
+                Err(error) if error.is_transient() => error,
+                result => return result,
+            };
+            failures += 1;
+            self.back_off(failures).await;
+            if Instant::now() >= give_up_at {
+                return Err(error);
+            }
+        }
+    }
+
+    async fn back_off(&self, failures: u32) {
+        let backoff = &self.settings().backoff;
+        let delay = backoff.delay(failures, &mut rand::rng());
+        tokio::time::sleep(delay).await;
+    }
+
     /// Reads the object back after an attempt without an answer; returns it if it carries the
     /// write's operation id.
     async fn read_back(&self, request: &WriteRequest) -> Result<Option<Object>, PlatformError> {
