--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -14,6 +14,8 @@
 
 use crate::arguments::{ArgumentError, BAD_USE, Command};
 use crate::backend::{self, BackendSettings, RunningBackend};
+use crate::latency;
+use crate::latency::arguments::LatencyArguments;
 use crate::load::arguments::LoadArguments;
 use crate::load::audit::{self, Audit};
 use crate::load::report::LoadReport;
@@ -24,6 +26,7 @@
 
 Commands:
   backend    stand-in for a back end
+  latency    what the daemons add to a call
   layout     files from which a deployment is started as separate processes
   load       stand-in for callers
   platform   stand-in for the platform
@@ -58,6 +61,10 @@
             Ok(arguments) => platform::run(arguments).await,
             Err(status) => status,
         },
+        "latency" => match settle(latency::arguments::parse(parser), latency::arguments::USAGE) {
+            Ok(arguments) => run_latency(arguments).await,
+            Err(status) => status,
+        },
         "layout" => match settle(layout::parse_arguments(parser), layout::USAGE) {
             Ok(arguments) => layout::run(&arguments),
             Err(status) => status,
@@ -157,6 +164,16 @@
     }
 }
 
+async fn run_latency(arguments: LatencyArguments) -> ExitCode {
+    let report = latency::measure(arguments.settings).await;
+    if arguments.json {
+        println!("{}", serde_json::json!(report));
+    } else {
+        print!("{report}");
+    }
+    ExitCode::SUCCESS
+}
+
 /// Logs go to standard error, one line of key=value pairs per event.
 fn start_logger() -> Option<LoggerHandle> {
     let logger = Logger::try_with_env_or_str("info").ok()?;
--- /dev/null
+++ b/crates/emulator/src/latency/measure.rs
@@ -0,0 +1,194 @@
+//! Sends requests at a steady rate, each by one of the two ways at random, and times them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::task::JoinSet;
+use uuid::Uuid;
+use wharfquay_protocol::headers;
+
+use super::report::{KindLatency, LatencyReport};
+use crate::answer_body;
+use crate::load::arrivals::Arrivals;
+use crate::scenario::{RequestModel, Scenario};
+
+const LONGEST_LATENCY_NS: u64 = 60_000_000_000;
+const SIGNIFICANT_FIGURES: u8 = 3;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct LatencySettings {
+    /// The scenario, for the request kinds and their rates.
+    pub scenario: Arc<Scenario>,
+    /// First back end of the chain without daemons.
+    pub direct: SocketAddr,
+    /// Edge in front of the chain with daemons.
+    pub edge: SocketAddr,
+    /// Time that is measured.
+    pub length: Duration,
+    /// Time before that, which is not measured.
+    pub warm_up: Duration,
+    /// Factor on every rate; each rate is shared by the two ways.
+    pub rate_factor: f64,
+    /// Seed of the arrivals and of the choice of the way.
+    pub seed: u64,
+}
+
+/// By which way a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Daemons,
+}
+
+/// Times of one request kind, in nanoseconds.
+struct KindTimes {
+    direct: Histogram<u64>,
+    daemons: Histogram<u64>,
+    failed: u64,
+}
+
+impl KindTimes {
+    fn new() -> Self {
+        Self {
+            direct: nanosecond_histogram(),
+            daemons: nanosecond_histogram(),
+            failed: 0,
+        }
+    }
+
+    fn record(&mut self, way: Way, time: Option<Duration>) {
+        let Some(time) = time else {
+            self.failed += 1;
+            return;
+        };
+        let nanos = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+        match way {
+            Way::Direct => self.direct.saturating_record(nanos),
+            Way::Daemons => self.daemons.saturating_record(nanos),
+        }
+    }
+}
+
+struct Meter {
+    settings: LatencySettings,
+    client: Client<HttpConnector, Full<Bytes>>,
+    times: Vec<Mutex<KindTimes>>,
+}
+
+/// Measures. Times run from the moment at which a request is sent to the end of its whole answer;
+/// the delay of the sender's own timer is left out.
+pub async fn measure(settings: LatencySettings) -> LatencyReport {
+    let meter = Arc::new(Meter::new(settings));
+    let settings = &meter.settings;
+    let whole = settings.warm_up + settings.length;
+    let arrivals = Arrivals::new(
+        &settings.scenario,
+        whole,
+        None,
+        settings.rate_factor,
+        settings.seed,
+    );
+    let mut rng = Pcg64Mcg::seed_from_u64(settings.seed ^ 0x1A7E_9C11);
+    let started = Instant::now();
+    let mut requests = JoinSet::new();
+    for arrival in arrivals {
+        tokio::time::sleep_until((started + arrival.at).into()).await;
+        let way = if rng.random_bool(0.5) {
+            Way::Direct
+        } else {
+            Way::Daemons
+        };
+        let counted = arrival.at >= settings.warm_up;
+        let meter = Arc::clone(&meter);
+        requests.spawn(async move { meter.send(arrival.kind, way, counted).await });
+        while requests.try_join_next().is_some() {}
+    }
+    while requests.join_next().await.is_some() {}
+    meter.report()
+}
+
+impl Meter {
+    fn new(settings: LatencySettings) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        let kinds = settings.scenario.requests.iter();
+        Self {
+            times: kinds.map(|_| Mutex::new(KindTimes::new())).collect(),
+            settings,
+            client,
+        }
+    }
+
+    async fn send(&self, kind: usize, way: Way, counted: bool) {
+        let model = &self.settings.scenario.requests[kind];
+        let time = self.time(model, way).await;
+        if counted {
+            let mut times = self.times[kind]
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            times.record(way, time);
+        }
+    }
+
+    /// Time of one request; none unless its whole answer came back.
+    async fn time(&self, model: &RequestModel, way: Way) -> Option<Duration> {
+        let address = match way {
+            Way::Direct => self.settings.direct,
+            Way::Daemons => self.settings.edge,
+        };
+        let token = Uuid::now_v7().simple().to_string();
+        let path = &model.path;
+        let request = Request::builder()
+            .method(model.method.as_str())
+            .uri(format!("http://{address}{path}?token={token}&call={token}"))
+            .header(headers::SERVICE, &model.entry)
+            .body(Full::default())
+            .ok()?;
+        let sent = Instant::now();
+        let response = self.client.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let time = sent.elapsed();
+        answer_body::verify(&body, &model.entry, &token).ok()?;
+        Some(time)
+    }
+
+    fn report(&self) -> LatencyReport {
+        let settings = &self.settings;
+        let kinds = settings.scenario.requests.iter().zip(&self.times);
+        let kinds = kinds.map(|(model, times)| {
+            let times = times.lock().unwrap_or_else(PoisonError::into_inner);
+            KindLatency::new(
+                model,
+                model.rate * settings.rate_factor,
+                &times.direct,
+                &times.daemons,
+                times.failed,
+            )
+        });
+        LatencyReport {
+            seconds: settings.length.as_secs_f64(),
+            seed: settings.seed,
+            kinds: kinds.collect(),
+        }
+    }
+}
+
+fn nanosecond_histogram() -> Histogram<u64> {
+    // The bounds are valid, so the fallback is never reached with these constants.
+    Histogram::new_with_max(LONGEST_LATENCY_NS, SIGNIFICANT_FIGURES)
+        .unwrap_or_else(|_| Histogram::new(SIGNIFICANT_FIGURES).expect("valid precision"))
+}
--- /dev/null
+++ b/crates/emulator/src/latency/mod.rs
@@ -0,0 +1,8 @@
+//! Added latency: the same requests straight to a back end and through daemons, in one run.
+
+pub mod arguments;
+mod measure;
+mod report;
+
+pub use measure::{LatencySettings, measure};
+pub use report::{KindLatency, LatencyReport};
--- /dev/null
+++ b/crates/emulator/src/latency/report.rs
@@ -0,0 +1,147 @@
+//! Percentiles of both ways and what the daemons add.
+
+use std::fmt::{self, Display};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::scenario::{RequestModel, StepModel};
+
+const NANOS_PER_MILLI: f64 = 1e6;
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// 99.9th percentile.
+    pub p999: f64,
+}
+
+impl Percentiles {
+    fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / NANOS_PER_MILLI;
+        Self {
+            p50: at(0.5),
+            p99: at(0.99),
+            p999: at(0.999),
+        }
+    }
+
+    fn added(with: Self, without: Self, calls: f64) -> Self {
+        Self {
+            p50: (with.p50 - without.p50) / calls,
+            p99: (with.p99 - without.p99) / calls,
+            p999: (with.p999 - without.p999) / calls,
+        }
+    }
+}
+
+/// Latency of one request kind.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct KindLatency {
+    /// Request kind.
+    pub kind: String,
+    /// Calls of one request, the caller's included.
+    pub calls: u32,
+    /// Requests per second, both ways together.
+    pub rate: f64,
+    /// Requests straight to the back end that were timed.
+    pub direct_count: u64,
+    /// Requests through daemons that were timed.
+    pub daemons_count: u64,
+    /// Requests without a whole answer.
+    pub failed: u64,
+    /// Straight to the back end.
+    pub direct_ms: Percentiles,
+    /// Through an edge and the daemons of the back ends.
+    pub daemons_ms: Percentiles,
+    /// Difference of the percentiles, divided by the number of calls.
+    pub added_per_call_ms: Percentiles,
+}
+
+impl KindLatency {
+    pub(super) fn new(
+        model: &RequestModel,
+        rate: f64,
+        direct: &Histogram<u64>,
+        daemons: &Histogram<u64>,
+        failed: u64,
+    ) -> Self {
+        let calls = model
+            .step(&model.entry)
+            .map_or(1, |step| calls(model, step));
+        let direct_ms = Percentiles::of(direct);
+        let daemons_ms = Percentiles::of(daemons);
+        Self {
+            kind: model.kind.clone(),
+            calls,
+            rate,
+            direct_count: direct.len(),
+            daemons_count: daemons.len(),
+            failed,
+            direct_ms,
+            daemons_ms,
+            added_per_call_ms: Percentiles::added(daemons_ms, direct_ms, f64::from(calls)),
+        }
+    }
+}
+
+/// Calls of the tree below a step, the one to the step itself included.
+fn calls(model: &RequestModel, step: &StepModel) -> u32 {
+    let below = step.calls.iter().filter_map(|service| model.step(service));
+    1 + below.map(|step| calls(model, step)).sum::<u32>()
+}
+
+/// Result of a measurement.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LatencyReport {
+    /// Length in seconds, without the warm-up.
+    pub seconds: f64,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Per request kind.
+    pub kinds: Vec<KindLatency>,
+}
+
+impl Display for LatencyReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for kind in &self.kinds {
+            writeln!(
+                formatter,
+                "{}: {} call(s) per request, {:.0} requests/s both ways together, {:.0} s, {} failed",
+                kind.kind, kind.calls, kind.rate, self.seconds, kind.failed
+            )?;
+            writeln!(
+                formatter,
+                "  {:<16} {:>8} {:>9} {:>9} {:>9}",
+                "ms", "count", "p50", "p99", "p999"
+            )?;
+            write_row(formatter, "direct", Some(kind.direct_count), kind.direct_ms)?;
+            write_row(
+                formatter,
+                "through daemons",
+                Some(kind.daemons_count),
+                kind.daemons_ms,
+            )?;
+            write_row(formatter, "added per call", None, kind.added_per_call_ms)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_row(
+    formatter: &mut fmt::Formatter<'_>,
+    name: &str,
+    count: Option<u64>,
+    row: Percentiles,
+) -> fmt::Result {
+    let count = count.map_or_else(String::new, |count| count.to_string());
+    writeln!(
+        formatter,
+        "  {name:<16} {count:>8} {:>9.3} {:>9.3} {:>9.3}",
+        row.p50, row.p99, row.p999
+    )
+}
