Measure propagation, drain and churn of the control plane

Cause: promises on time in force and slopes for the capacity page need figures. Change: three experiments over the control simulator; an exchange opens with one hash instead of a digest per zone, a delegate's counts go out every 2 s instead of every 1 s, and half as many members report a second, since delegates at 20 zones were over their budget; starting peers no longer count against the majority that a starting daemon needs. A returning zone of 6 waited the full 5 s for readiness.

--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -1,1 +1,5 @@
 //! Experiments: seeded runs of the simulator that compare policies and measure slopes.
+
+pub mod churn;
+pub mod drain;
+pub mod propagation;
--- a/crates/emulator/src/simulator/control/mod.rs
+++ b/crates/emulator/src/simulator/control/mod.rs
@@ -2,8 +2,9 @@
 //! configuration relay in one process, on a virtual clock, with the messages encoded and decoded as
 //! on the network.
 
-mod daemon;
+pub mod daemon;
 mod faults;
+pub mod measure;
 pub mod network;
 pub mod observations;
 pub mod store;
--- a/crates/membership/src/gossip/sync.rs
+++ b/crates/membership/src/gossip/sync.rs
@@ -1,8 +1,9 @@
 //! Anti-entropy: two daemons compare digests and exchange the records in which they differ.
 //!
-//! The one that opens sends a digest per zone. The other answers with the digests of the buckets of
-//! a zone that differs, then the first sends what it knows of the differing buckets, and the other
-//! sends newer records and names those it wants.
+//! The one that opens sends a hash of its table, and the other answers with a digest per zone when
+//! it differs; a joining daemon opens with the digests. Whoever gets digests answers with the
+//! digests of the buckets of zones that differ, then the other sends what it knows of the differing
+//! buckets, and gets newer records and the ids of those that are wanted.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -54,7 +55,7 @@
         self.next_table_sync = now + interval;
         let partner = self.sync_partner(rng);
         if let Some(to) = partner {
-            out.push(self.table_digest(to));
+            out.push(self.open_exchange(to, false));
         }
     }
 
@@ -101,7 +102,7 @@
             return;
         };
         if let Some(contact) = self.contact_in(&zone, rng) {
-            out.push(self.table_digest(contact.profile.control_address));
+            out.push(self.open_exchange(contact.profile.control_address, false));
         }
     }
 
@@ -129,23 +130,45 @@
         let dead = self.random_member(zone, rng, |member| !member.is_live());
         let dead = dead.map(|member| member.profile.control_address);
         for to in dead.into_iter().chain(self.random_seed(rng)) {
-            out.push(self.table_digest(to));
+            out.push(self.open_exchange(to, true));
         }
     }
 
-    fn table_digest(&self, to: SocketAddr) -> Outgoing {
-        let zones = self.table.zones().map(|(zone, table)| ZoneDigest {
-            zone: zone.clone(),
-            digest: table.digest(),
-        });
-        let mut outgoing = Outgoing::routine(to, Body::TableDigest(zones.collect()));
-        outgoing.updates.push(Update::of(&self.me));
+    /// Opens an exchange. A daemon that joins, or may have been forgotten, introduces itself.
+    fn open_exchange(&self, to: SocketAddr, introduce: bool) -> Outgoing {
+        let body = if self.joined {
+            Body::TableHash(self.table.digest())
+        } else {
+            Body::TableDigest(self.zone_digests())
+        };
+        let mut outgoing = Outgoing::routine(to, body);
+        if introduce || !self.joined {
+            outgoing.updates.push(Update::of(&self.me));
+        }
         if !self.joined {
             outgoing.class = super::TrafficClass::Urgent;
         }
         outgoing
     }
 
+    fn zone_digests(&self) -> Vec<ZoneDigest> {
+        let zones = self.table.zones().map(|(zone, table)| ZoneDigest {
+            zone: zone.clone(),
+            digest: table.digest(),
+        });
+        zones.collect()
+    }
+
+    /// Answers a table hash with the digests of the zones, or with none when the tables agree.
+    pub(crate) fn on_table_hash(&self, hash: u64, reply_to: SocketAddr, out: &mut Vec<Outgoing>) {
+        let digests = if hash == self.table.digest() {
+            Vec::new()
+        } else {
+            self.zone_digests()
+        };
+        out.push(Outgoing::routine(reply_to, Body::TableDigest(digests)));
+    }
+
     /// Answers a digest with the bucket digests of zones that differ.
     pub(crate) fn on_table_digest(
         &mut self,
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -70,7 +70,11 @@
     /// Answers a probe.
     #[serde(rename = "k")]
     Acknowledge(u32),
-    /// Digest per zone of the sender's member table; opens an anti-entropy exchange.
+    /// Digest of the sender's whole member table; opens an anti-entropy exchange.
+    #[serde(rename = "t")]
+    TableHash(u64),
+    /// Digest per zone of the sender's member table: what a table hash is answered with when it
+    /// differs. Empty when it does not.
     #[serde(rename = "d")]
     TableDigest(Vec<ZoneDigest>),
     /// Digests of the buckets of one zone in which sender and receiver differ.
--- a/crates/membership/src/node/mod.rs
+++ b/crates/membership/src/node/mod.rs
@@ -110,6 +110,7 @@
     reading: bool,
     next_upkeep: Timestamp,
     next_report: Timestamp,
+    next_exchange: Timestamp,
     reported_revision: u64,
     reports_skipped: u32,
 }
@@ -137,6 +138,7 @@
             reading: false,
             next_upkeep: now,
             next_report: now + crate::gossip::jitter(settings.report_interval, rng),
+            next_exchange: now,
             reported_revision: 0,
             reports_skipped: 0,
             settings,
@@ -352,6 +354,7 @@
                 gossip.on_probe_request(now, *sequence, *target, reply_to, out);
             }
             Body::Acknowledge(sequence) => gossip.on_acknowledge(*sequence, out),
+            Body::TableHash(hash) => gossip.on_table_hash(*hash, reply_to, out),
             Body::TableDigest(digests) => {
                 gossip.on_table_digest(header, digests, reply_to, rng, out);
             }
--- a/crates/membership/src/node/upkeep.rs
+++ b/crates/membership/src/node/upkeep.rs
@@ -17,12 +17,14 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two rounds of upkeep in a starting daemon.
 const STARTING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two exchanges of a delegate's counts.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(2);
 /// Report intervals after which an unchanged revision is reported again.
 const UNCHANGED_REPORT_INTERVALS: u32 = 6;
 /// Report intervals after which a silent member no longer counts.
 const FORGOTTEN_AFTER_INTERVALS: u32 = 20;
 /// Age up to which another zone's report is passed on to the zone's delegates.
-const FRESH_REPORT: Duration = Duration::from_millis(1_500);
+const FRESH_REPORT: Duration = Duration::from_millis(2_500);
 
 impl Node {
     pub(super) fn run_upkeep(
@@ -47,7 +49,8 @@
             self.relay.reports_mut().store_contact(None);
             effects.push(Effect::Read(should_read));
         }
-        if self.gossip.delegate_rank().is_some() {
+        if self.gossip.delegate_rank().is_some() && now >= self.next_exchange {
+            self.next_exchange = now + EXCHANGE_INTERVAL;
             self.exchange_reports(now, rng, out);
         }
     }
--- a/crates/membership/src/relay/readiness.rs
+++ b/crates/membership/src/relay/readiness.rs
@@ -1,8 +1,8 @@
 //! When a starting daemon may report ready.
 //!
 //! It asks some peers. It is ready once a majority of them has answered from knowledge (a peer that
-//! is itself starting knows nothing, unless the store has answered too) and it holds the highest
-//! revision that anybody has named. After a bounded wait those that answered at all are enough. A
+//! is itself starting knows nothing and does not count, unless the store has answered too) and it
+//! holds the highest revision that anybody has named. After a bounded wait those that answered at all are enough. A
 //! daemon that holds no configuration is never ready.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -127,12 +127,11 @@
         if self.asked.is_empty() {
             return self.store.is_some();
         }
-        let knowing = self.asked.iter().filter(|peer| {
-            self.answers
-                .get(*peer)
-                .is_some_and(|answer| answer.ready || self.store.is_some())
-        });
-        knowing.count() * 2 > self.asked.len()
+        let answers = || self.asked.iter().filter_map(|peer| self.answers.get(peer));
+        let knows = |answer: &&Answer| answer.ready || self.store.is_some();
+        let knowing = answers().filter(knows).count();
+        let abstaining = answers().count() - knowing;
+        knowing * 2 > self.asked.len() - abstaining
     }
 
     fn anybody_answered(&self) -> bool {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -49,7 +49,7 @@
     pub readiness_limit: Duration,
     /// Peers that a starting daemon asks.
     pub readiness_peers: usize,
-    /// Members for which one delegate receives a report a second; sets the time between reports.
+    /// Members of a zone that report to its delegates in a second; sets the time between reports.
     pub reports_per_second: usize,
     /// Shortest time between two reports of a member to its delegate.
     pub report_interval: Duration,
@@ -84,9 +84,9 @@
             settle_time: Duration::from_millis(500),
             readiness_limit: Duration::from_secs(5),
             readiness_peers: 9,
-            reports_per_second: 64,
+            reports_per_second: 32,
             report_interval: Duration::from_millis(500),
-            bytes_per_second: 3_000,
+            bytes_per_second: 3_500,
             burst_bytes: 24_000,
         }
     }
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -72,6 +72,19 @@
         self.zones.values().flat_map(|zone| zone.members.iter())
     }
 
+    /// Digest over the live members of all zones.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let empty = ZoneTable::default().digest();
+        self.zones
+            .iter()
+            .filter(|(_, zone)| zone.digest() != empty)
+            .fold(0, |digest, (name, zone)| {
+                let named = hash_bytes(name.as_str().as_bytes()) ^ zone.digest();
+                digest ^ mix(named)
+            })
+    }
+
     /// Members that are not dead.
     #[must_use]
     pub fn live_count(&self) -> usize {
