Register the control address that a daemon of the demonstration really has

Cause: every booking of the demonstration ended in 4006 ClaimUndetermined. The machine list named control port 0, the one asked for instead of the one bound, so no claim replica could be reached. Ruled out: replicas that abstain after their start (2 s of a 20 s run), ids that differ from the claim group's.

--- a/crates/emulator/src/demo/deployment.rs
+++ b/crates/emulator/src/demo/deployment.rs
@@ -135,6 +135,7 @@
         let daemon = start_daemon(&place.id, &text).await?;
         place.inbound = address(&place.id, "inbound", daemon.addresses().inbound)?;
         place.outbound = address(&place.id, "outbound", daemon.addresses().outbound)?;
+        place.control = address(&place.id, "control", daemon.addresses().control)?;
         backend.set_outbound(place.outbound);
         let registered = self.client().put_machine(&place.machine()).await;
         registered.map_err(DeploymentError::Machines)?;
@@ -147,6 +148,7 @@
         let text = place.daemon_settings(self.platform.address());
         let daemon = start_daemon(&place.id, &text).await?;
         place.edge = address(&place.id, "edge", daemon.addresses().edge)?;
+        place.control = address(&place.id, "control", daemon.addresses().control)?;
         let registered = self.client().put_machine(&place.machine()).await;
         registered.map_err(DeploymentError::Machines)?;
         self.edges.push(daemon);
--- a/crates/emulator/tests/demo_small.rs
+++ b/crates/emulator/tests/demo_small.rs
@@ -90,6 +90,12 @@
 [[retry_budget]]
 name = "default"
 retries_per_request = 2
+
+[[claim_group]]
+name = "default"
+epoch = 1
+replicas = ["front-1", "front-2", "deep-1"]
+clock_skew_ms = 10
 "#;
 
 fn settings(surge_factor: f64) -> DemoSettings {
