Accept changes one by one with an acceptor

Cause: a reader gets single changes from a watch and has to judge each against all objects, as it does a list. Change: objects are read once and kept; a change that is not newer is ignored.

--- a/crates/resources/src/acceptance.rs
+++ b/crates/resources/src/acceptance.rs
@@ -25,6 +25,26 @@
     pub spec: Value,
 }
 
+/// An object that has been read: a resource, or what is wrong with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// Revision of the store at which the object was last written.
+    pub version: Revision,
+    /// The resource; every finding when the object is none.
+    pub content: Result<Resource, Vec<Finding>>,
+}
+
+impl Candidate {
+    /// Reads an object.
+    #[must_use]
+    pub fn read(object: &StoredObject) -> Self {
+        Self {
+            version: object.version,
+            content: read_object(&object.id, &object.spec),
+        }
+    }
+}
+
 /// A resource that is not in force as written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejection {
@@ -55,20 +75,33 @@
     last_accepted: &Snapshot,
     revision: Revision,
     objects: &[StoredObject],
+) -> Acceptance {
+    let objects = objects.iter();
+    let candidates = objects
+        .map(|object| (object.id.clone(), Candidate::read(object)))
+        .collect();
+    accept_candidates(last_accepted, revision, &candidates)
+}
+
+/// As [`accept`], for objects that have been read before.
+#[must_use]
+pub fn accept_candidates(
+    last_accepted: &Snapshot,
+    revision: Revision,
+    candidates: &BTreeMap<ResourceId, Candidate>,
 ) -> Acceptance {
     let mut selection = Selection::new(last_accepted);
-    for object in objects {
-        selection.offer(object);
+    for (id, candidate) in candidates {
+        selection.offer(id, candidate);
     }
     selection.resolve_errors();
-    selection.finish(revision, objects)
+    selection.finish(revision, candidates)
 }
 
 /// The resources chosen so far.
 struct Selection<'a> {
     last: &'a Snapshot,
     chosen: Snapshot,
-    versions: BTreeMap<ResourceId, Revision>,
     rejected: BTreeMap<ResourceId, Vec<Finding>>,
     /// Resources that were already put back to their last good version.
     restored: BTreeSet<ResourceId>,
@@ -79,21 +112,19 @@
         Self {
             last,
             chosen: Snapshot::default(),
-            versions: BTreeMap::new(),
             rejected: BTreeMap::new(),
             restored: BTreeSet::new(),
         }
     }
 
-    fn offer(&mut self, object: &StoredObject) {
-        self.versions.insert(object.id.clone(), object.version);
-        match read_object(&object.id, &object.spec) {
-            Ok(resource) => self.chosen.insert(resource),
+    fn offer(&mut self, id: &ResourceId, candidate: &Candidate) {
+        match &candidate.content {
+            Ok(resource) => self.chosen.insert(resource.clone()),
             Err(findings) => {
                 for finding in findings {
-                    self.reject(&object.id, finding);
+                    self.reject(id, finding.clone());
                 }
-                self.restore(&object.id);
+                self.restore(id);
             }
         }
     }
@@ -220,18 +251,22 @@
         }
     }
 
-    fn finish(mut self, revision: Revision, objects: &[StoredObject]) -> Acceptance {
+    fn finish(
+        mut self,
+        revision: Revision,
+        candidates: &BTreeMap<ResourceId, Candidate>,
+    ) -> Acceptance {
         self.chosen.revision = revision;
-        let accepted = objects
+        let accepted = candidates
             .iter()
-            .filter(|object| !self.rejected.contains_key(&object.id))
-            .map(|object| (object.id.clone(), object.version))
+            .filter(|(id, _)| !self.rejected.contains_key(id))
+            .map(|(id, candidate)| (id.clone(), candidate.version))
             .collect();
         let rejections = self
             .rejected
             .into_iter()
             .map(|(id, findings)| Rejection {
-                version: self.versions.get(&id).copied(),
+                version: candidates.get(&id).map(|candidate| candidate.version),
                 is_last_good_in_force: self.chosen.get(&id).is_some(),
                 id,
                 findings,
--- a/crates/resources/tests/acceptance.rs
+++ b/crates/resources/tests/acceptance.rs
@@ -6,6 +6,7 @@
 use proptest::test_runner::RngSeed;
 use serde_json::{Value, json};
 use wharfquay_resources::acceptance::{Acceptance, StoredObject, accept};
+use wharfquay_resources::acceptor::Acceptor;
 use wharfquay_resources::kinds::{ResourceId, ResourceKind};
 use wharfquay_resources::problem::Severity;
 use wharfquay_resources::snapshot::{Revision, Snapshot};
@@ -230,6 +231,24 @@
 
 const SEED: u64 = 12;
 
+#[test]
+fn an_acceptor_ignores_what_is_not_newer() {
+    let mut acceptor = Acceptor::new(first_snapshot());
+    assert!(!acceptor.replace(Revision::new(2), []));
+    assert!(acceptor.replace(Revision::new(3), first_objects()));
+    assert!(!acceptor.put(Revision::new(3), &service("back", 3, 9, &[])));
+    assert!(!acceptor.delete(
+        Revision::new(2),
+        &ResourceId::new(ResourceKind::RequestKind, "look_up")
+    ));
+    assert_eq!(*acceptor.snapshot(), first_snapshot());
+    assert!(acceptor.put(Revision::new(4), &service("back", 4, 0, &[])));
+    assert_eq!(rejected(acceptor.acceptance()).len(), 1);
+    assert!(acceptor.put(Revision::new(5), &service("back", 5, 9, &[])));
+    assert_eq!(rejected(acceptor.acceptance()), []);
+    assert_eq!(acceptor.snapshot().services["back"].slots, 9);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
@@ -251,4 +270,26 @@
             last = acceptance.snapshot;
         }
     }
+
+    #[test]
+    fn a_chain_of_changes_ends_as_the_lists_at_each_revision(objects in any_objects(), later in any_objects()) {
+        let mut by_change = Acceptor::default();
+        let mut by_list = Acceptor::default();
+        let mut current = BTreeMap::new();
+        for (index, object) in objects.iter().chain(&later).enumerate() {
+            let revision = Revision::new(index as u64 + 1);
+            current.insert(object.id.clone(), object.clone());
+            by_change.put(revision, object);
+            by_list.replace(revision, current.values().cloned());
+            prop_assert_eq!(by_change.acceptance(), by_list.acceptance());
+        }
+        for (index, id) in current.clone().keys().enumerate() {
+            let revision = Revision::new(100 + index as u64);
+            current.remove(id);
+            by_change.delete(revision, id);
+            by_list.replace(revision, current.values().cloned());
+            prop_assert_eq!(by_change.acceptance(), by_list.acceptance());
+        }
+        prop_assert_eq!(by_change.snapshot().ids().count(), 0);
+    }
 }
