Refuse a claim group that does not follow on the one in force

Cause: two groups of one epoch could both give a key away. Ruled out: the same check in daemons. A replica has to learn of other members under its own epoch in order to stop voting, and a daemon that missed versions would refuse the newest for ever.

--- a/crates/cli/src/delete.rs
+++ b/crates/cli/src/delete.rs
@@ -3,7 +3,7 @@
 use wharfquay_platform::conversion::object_key;
 use wharfquay_platform::wire::Object;
 use wharfquay_platform::{Client, WriteRequest};
-use wharfquay_resources::kinds::ResourceId;
+use wharfquay_resources::kinds::{ResourceId, ResourceKind};
 use wharfquay_resources::problem::Finding;
 use wharfquay_resources::snapshot::Revision;
 use wharfquay_resources::validate::{KnownResources, find_errors};
@@ -32,6 +32,10 @@
     },
     flags: &[
         Flag::switch("dry-run", "Show what would be deleted and delete nothing"),
+        Flag::switch(
+            "force",
+            "Delete a claim group, whose epochs a new one would reuse",
+        ),
         Flag::with_value(
             "expected-version",
             "N",
@@ -71,6 +75,9 @@
             }
             return Err(CliError::StillReferenced(id.to_string()));
         }
+        if id.kind == ResourceKind::ClaimGroup && !arguments.has("force") {
+            return Err(CliError::ReusesEpochs(id.to_string()));
+        }
         let version = expected.map_or(current.version, Revision::new);
         if arguments.has("dry-run") {
             return dry_run(&id, current, version, output);
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -133,6 +133,8 @@
     LeavesNoBackend(String),
     /// 7022: the rest of {0} can't carry its calls (allowed: with --force)
     LeavesOverload(String),
+    /// 7023: {0} is not deleted, since a new group would reuse its epochs (allowed: with --force)
+    ReusesEpochs(String),
     /// 7021: {0} is not written, since it has errors
     InvalidDrain(String),
     /// 7020: still leaving after {limit:?}: {daemons}
@@ -173,6 +175,7 @@
             | Self::NotEmpty { .. }
             | Self::LeavesNoBackend(_)
             | Self::LeavesOverload(_)
+            | Self::ReusesEpochs(_)
             | Self::InvalidDrain(_)
             | Self::StillLeaving { .. }
             | Self::StillReferenced(_) => Finish::ProblemFound,
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -202,6 +202,33 @@
     assert_eq!(objects(&platform).len(), 1);
 }
 
+#[test]
+fn a_claim_group_is_deleted_only_with_force() {
+    let (platform, directory, _) = platform_with_services("claim-group");
+    let group = b"[[claim_group]]\nname = \"default\"\nepoch = 1\nreplicas = [\"a\"]\n";
+    let path = directory.file("group.toml", group);
+    assert_eq!(platform.run(&["apply", &path]).code, 0);
+    let refused = platform.run(&["delete", "claim_group", "default"]);
+    assert_eq!(refused.code, 1);
+    assert!(
+        refused.stderr.contains("7023: claim_group/default"),
+        "{}",
+        refused.stderr
+    );
+    let other = b"[[claim_group]]\nname = \"default\"\nepoch = 1\nreplicas = [\"b\"]\n";
+    let changed = platform.run(&["apply", &directory.file("other.toml", other)]);
+    assert_eq!(changed.code, 1);
+    assert!(
+        changed
+            .stderr
+            .contains("epoch: 1 does not follow on epoch 1"),
+        "{}",
+        changed.stderr
+    );
+    let forced = platform.run(&["delete", "claim_group", "default", "--force"]);
+    assert_eq!(forced.code, 0, "{}", forced.stderr);
+}
+
 #[test]
 fn a_watch_prints_each_change_once() {
     let (platform, _directory, _) = platform_with_services("watch");
--- a/crates/resources/src/parse.rs
+++ b/crates/resources/src/parse.rs
@@ -10,7 +10,7 @@
 use crate::snapshot::Snapshot;
 use crate::spec::{is_name, read_spec};
 use crate::toml_tables::{LocatedTable, read_tables};
-use crate::validate::{KnownResources, find_errors, find_warnings};
+use crate::validate::{KnownResources, find_errors, find_transition_errors, find_warnings};
 
 /// A resource file: its name, used in messages, and its text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -192,12 +192,14 @@
     /// Checks the resources against each other and against `base`.
     fn check_together(&mut self, base: &Snapshot) {
         let mut snapshot = base.clone();
+        let mut findings = Vec::new();
         for resource in &self.resources {
+            findings.extend(find_transition_errors(base, resource));
             snapshot.insert(resource.clone());
         }
         let mut known = KnownResources::of(&snapshot);
         known.extend(self.definitions.keys().cloned());
-        let mut findings = find_errors(&snapshot, &known);
+        findings.extend(find_errors(&snapshot, &known));
         if self.is_incomplete {
             findings.retain(|finding| finding.code != ProblemCode::UnknownReference);
         }
--- a/crates/resources/src/problem.rs
+++ b/crates/resources/src/problem.rs
@@ -88,6 +88,8 @@
     ClaimGroupMissing = 5104, Error;
     /// The resource was deleted while another one refers to it.
     StillReferenced = 5105, Error;
+    /// The claim group does not follow on the one that the platform holds.
+    EpochOutOfOrder = 5106, Error;
     /// Services call each other in a cycle.
     CallCycle = 5201, Warning;
     /// The budget allows more retries than its longest chain has services.
--- a/crates/resources/src/validate/mod.rs
+++ b/crates/resources/src/validate/mod.rs
@@ -2,8 +2,10 @@
 
 mod references;
 mod risks;
+mod transition;
 
 pub(crate) use references::ambiguous_match;
+pub use transition::find_transition_errors;
 
 use std::collections::BTreeSet;
 
--- a/crates/resources/tests/parse_errors.rs
+++ b/crates/resources/tests/parse_errors.rs
@@ -2,7 +2,7 @@
 
 use wharfquay_resources::fields::{FieldDefault, fields_of};
 use wharfquay_resources::kinds::ResourceKind;
-use wharfquay_resources::parse::{Parsed, SourceFile, parse};
+use wharfquay_resources::parse::{Parsed, SourceFile, parse, parse_over};
 use wharfquay_resources::spec::{read_spec, to_spec};
 
 const VALID: &str = r#"
@@ -306,3 +306,59 @@
         assert_eq!(known + absent.count(), fields_of(kind).len(), "{kind}");
     }
 }
+
+/// Epoch, replicas, replicas taken over, and the message expected, of a group that follows on epoch
+/// 3 with the replicas a, b and c.
+const FOLLOWING_GROUPS: &[(u32, &str, &str, Option<&str>)] = &[
+    (3, "'c', 'b', 'a'", "", None),
+    (4, "'a', 'b', 'd'", "'b', 'a', 'c'", None),
+    (4, "'a', 'b', 'd'", "", None),
+    (
+        4,
+        "'a', 'b', 'd'",
+        "'a'",
+        Some(
+            "f:5: claim_group.default.previous_replicas: a are not the replicas of epoch 3 (allowed: a, b, c, or [] when none of them runs any more) [5106]",
+        ),
+    ),
+    (
+        3,
+        "'a', 'b', 'd'",
+        "",
+        Some(
+            "f:3: claim_group.default.epoch: 3 does not follow on epoch 3 with replicas a, b, c (allowed: 4) [5106]",
+        ),
+    ),
+    (
+        5,
+        "'a', 'b', 'd'",
+        "",
+        Some(
+            "f:3: claim_group.default.epoch: 5 does not follow on epoch 3 with replicas a, b, c (allowed: 4) [5106]",
+        ),
+    ),
+    (
+        2,
+        "'a', 'b', 'c'",
+        "",
+        Some(
+            "f:3: claim_group.default.epoch: 2 does not follow on epoch 3 with replicas a, b, c (allowed: 3 or 4) [5106]",
+        ),
+    ),
+];
+
+#[test]
+fn a_claim_group_must_follow_on_the_one_that_the_platform_holds() {
+    let group = |epoch: u32, replicas: &str, previous: &str| {
+        let text = format!(
+            "[[claim_group]]\nname = 'default'\nepoch = {epoch}\nreplicas = [{replicas}]\nprevious_replicas = [{previous}]\n"
+        );
+        file("f", &text)
+    };
+    let base = parse(&[group(3, "'a', 'b', 'c'", "")]).snapshot();
+    for (epoch, replicas, previous, expected) in FOLLOWING_GROUPS {
+        let parsed = parse_over(&[group(*epoch, replicas, previous)], &base);
+        let expected: Vec<String> = expected.iter().map(|&text| text.to_owned()).collect();
+        assert_eq!(messages(&parsed), expected);
+    }
+}
