--- a/crates/core/src/retry/ledger.rs
+++ b/crates/core/src/retry/ledger.rs
@@ -78,7 +78,10 @@
     /// one included. Each attempt needs a grant of its own: a grant must never be sent twice.
     pub fn grant(&mut self, concurrent_children: usize) -> Grant {
         let remaining = RetryAllowance::new(self.remaining);
-        let allowance = self.split.share(remaining, concurrent_children);
+        let share = self
+            .split
+            .share(self.initial, remaining, concurrent_children);
+        let allowance = share.min(remaining);
         self.remaining -= allowance.count();
         let grant = Grant {
             number: self.next_grant,
--- a/crates/core/tests/retry_ledger.rs
+++ b/crates/core/tests/retry_ledger.rs
@@ -25,11 +25,7 @@
 }
 
 fn split() -> impl Strategy<Value = AllowanceSplit> {
-    prop_oneof![
-        Just(AllowanceSplit::FirstAsker),
-        Just(AllowanceSplit::Half),
-        Just(AllowanceSplit::FairShare),
-    ]
+    prop::sample::select(&AllowanceSplit::ALL[..])
 }
 
 fn assert_conserved(ledger: &Ledger) {
@@ -99,7 +95,7 @@
 #[test]
 fn splits_divide_as_described() {
     // Allowance, children that run at the same time, what they get in turn.
-    let cases: [(AllowanceSplit, u16, usize, &[u16]); 9] = [
+    let cases: [(AllowanceSplit, u16, usize, &[u16]); 18] = [
         (AllowanceSplit::FirstAsker, 3, 3, &[3, 0, 0]),
         (AllowanceSplit::FirstAsker, 0, 2, &[0, 0]),
         (AllowanceSplit::Half, 8, 3, &[4, 2, 1]),
@@ -109,6 +105,20 @@
         (AllowanceSplit::FairShare, 8, 3, &[3, 3, 2]),
         (AllowanceSplit::FairShare, 1, 3, &[1, 0, 0]),
         (AllowanceSplit::FairShare, 5, 1, &[5]),
+        (AllowanceSplit::FairShareWithCaller, 5, 1, &[3]),
+        (AllowanceSplit::FairShareWithCaller, 3, 2, &[1, 1]),
+        (AllowanceSplit::FairShareWithCaller, 1, 1, &[1]),
+        (AllowanceSplit::FairShareWithReserve, 5, 1, &[4]),
+        (AllowanceSplit::FairShareWithReserve, 3, 2, &[1, 1]),
+        (
+            AllowanceSplit::FairShareWithReserve,
+            3,
+            6,
+            &[1, 1, 1, 0, 0, 0],
+        ),
+        (AllowanceSplit::FairShareWithReserve, 8, 2, &[4, 3]),
+        (AllowanceSplit::FairShareWithReserve, 2, 1, &[2]),
+        (AllowanceSplit::FairShareWithReserve, 1, 1, &[1]),
     ];
     for (split, allowance, children, expected) in cases {
         let mut ledger = Ledger::with_split(RetryAllowance::new(allowance), split);
@@ -121,7 +131,7 @@
 
 #[test]
 fn late_and_repeated_answers_change_nothing() {
-    let mut ledger = Ledger::new(RetryAllowance::new(4));
+    let mut ledger = Ledger::with_split(RetryAllowance::new(4), AllowanceSplit::FairShare);
     let lost = ledger.grant(2);
     let answered = ledger.grant(1);
     ledger.lose(lost);
--- a/crates/core/tests/retry_tree.rs
+++ b/crates/core/tests/retry_tree.rs
@@ -14,11 +14,7 @@
 const RANDOM_TREES: u64 = 10_000;
 
 fn split() -> impl Strategy<Value = AllowanceSplit> {
-    prop_oneof![
-        Just(AllowanceSplit::FirstAsker),
-        Just(AllowanceSplit::Half),
-        Just(AllowanceSplit::FairShare),
-    ]
+    prop::sample::select(&AllowanceSplit::ALL[..])
 }
 
 prop_compose! {
@@ -80,14 +76,9 @@
 }
 
 fn random_settings(rng: &mut Pcg64Mcg) -> TreeSettings {
-    let splits = [
-        AllowanceSplit::FirstAsker,
-        AllowanceSplit::Half,
-        AllowanceSplit::FairShare,
-    ];
     TreeSettings {
         allowance: rng.random_range(0..8),
-        split: splits[rng.random_range(0..splits.len())],
+        split: AllowanceSplit::ALL[rng.random_range(0..AllowanceSplit::ALL.len())],
         depth: rng.random_range(1..7),
         fan_out: rng.random_range(1..4),
         refused: rng.random_range(0..60),
