--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -165,19 +165,26 @@
 
     /// What the router makes of each endpoint.
     pub fn views(&self, now: Timestamp) -> impl Iterator<Item = EndpointView> {
-        self.entries.iter().enumerate().map(move |(index, entry)| {
-            let active = entry.hold.filter(|hold| hold.is_active(now));
-            EndpointView {
-                id: entry.endpoint.id.clone(),
-                in_subset: self.member_indexes().any(|member| member == index),
-                in_flight: entry.in_flight,
-                cost: entry.cost(now, &self.settings, &self.reference),
-                distrust: entry.distrust(now, &self.settings),
-                weight: entry.weight(now, &self.settings),
-                level: entry.assumed_level(now, &self.settings),
-                hold: active.map(|hold| hold.reason),
-            }
-        })
+        let mut in_subset = vec![false; self.entries.len()];
+        for index in self.member_indexes() {
+            in_subset[index] = true;
+        }
+        let entries = self.entries.iter().zip(in_subset);
+        entries.map(move |(entry, in_subset)| self.view(now, entry, in_subset))
+    }
+
+    fn view(&self, now: Timestamp, entry: &Entry, in_subset: bool) -> EndpointView {
+        let active = entry.hold.filter(|hold| hold.is_active(now));
+        EndpointView {
+            id: entry.endpoint.id.clone(),
+            in_subset,
+            in_flight: entry.in_flight,
+            cost: entry.cost(now, &self.settings, &self.reference),
+            distrust: entry.distrust(now, &self.settings),
+            weight: entry.weight(now, &self.settings),
+            level: entry.assumed_level(now, &self.settings),
+            hold: active.map(|hold| hold.reason),
+        }
     }
 
     /// Number of endpoints listed.
--- a/crates/core/tests/drain_leaving.rs
+++ b/crates/core/tests/drain_leaving.rs
@@ -18,90 +18,22 @@
 #[test]
 fn leaving_wins_until_a_new_incarnation_or_withdrawal_by_all() {
     // Name, news in order, incarnation in question, whether it is leaving.
+    #[rustfmt::skip]
     let cases: [(&str, &[News], u64, bool); 14] = [
         ("no news", &[], 1, false),
         ("one source is enough", &[Mark(1, MachineList)], 1, true),
-        (
-            "an earlier incarnation is covered",
-            &[Mark(2, MachineList)],
-            1,
-            true,
-        ),
-        (
-            "a new incarnation is clear",
-            &[Mark(1, MachineList)],
-            2,
-            false,
-        ),
-        (
-            "a new incarnation is clear of a shutdown",
-            &[Mark(1, Shutdown)],
-            2,
-            false,
-        ),
-        (
-            "withdrawn by its source",
-            &[Mark(1, Resource), Unmark(Resource)],
-            1,
-            false,
-        ),
-        (
-            "another source's withdrawal",
-            &[Mark(1, Resource), Unmark(MachineList)],
-            1,
-            true,
-        ),
-        (
-            "two marks, one withdrawn",
-            &[
-                Mark(1, Resource),
-                Mark(1, HealthEndpoint),
-                Unmark(HealthEndpoint),
-            ],
-            1,
-            true,
-        ),
-        (
-            "all withdrawn",
-            &[
-                Mark(1, Resource),
-                Mark(1, HealthEndpoint),
-                Unmark(HealthEndpoint),
-                Unmark(Resource),
-            ],
-            1,
-            false,
-        ),
-        (
-            "a shutdown can't be withdrawn",
-            &[Mark(1, Shutdown), Unmark(Shutdown)],
-            1,
-            true,
-        ),
-        (
-            "a shutdown outlasts the others",
-            &[Mark(1, Shutdown), Mark(1, Resource), Unmark(Resource)],
-            1,
-            true,
-        ),
-        (
-            "late news of an old incarnation",
-            &[Mark(3, MachineList), Mark(1, MachineList)],
-            3,
-            true,
-        ),
-        (
-            "old shutdown, new mark withdrawn",
-            &[Mark(1, Shutdown), Mark(2, Resource), Unmark(Resource)],
-            2,
-            false,
-        ),
-        (
-            "marked again",
-            &[Mark(1, Resource), Unmark(Resource), Mark(1, Resource)],
-            1,
-            true,
-        ),
+        ("an earlier incarnation is covered", &[Mark(2, MachineList)], 1, true),
+        ("a new incarnation is clear", &[Mark(1, MachineList)], 2, false),
+        ("a new incarnation is clear of a shutdown", &[Mark(1, Shutdown)], 2, false),
+        ("withdrawn by its source", &[Mark(1, Resource), Unmark(Resource)], 1, false),
+        ("another source's withdrawal", &[Mark(1, Resource), Unmark(MachineList)], 1, true),
+        ("two marks, one withdrawn", &[Mark(1, Resource), Mark(1, HealthEndpoint), Unmark(HealthEndpoint)], 1, true),
+        ("all withdrawn", &[Mark(1, Resource), Mark(1, HealthEndpoint), Unmark(HealthEndpoint), Unmark(Resource)], 1, false),
+        ("a shutdown can't be withdrawn", &[Mark(1, Shutdown), Unmark(Shutdown)], 1, true),
+        ("a shutdown outlasts the others", &[Mark(1, Shutdown), Mark(1, Resource), Unmark(Resource)], 1, true),
+        ("late news of an old incarnation", &[Mark(3, MachineList), Mark(1, MachineList)], 3, true),
+        ("old shutdown, new mark withdrawn", &[Mark(1, Shutdown), Mark(2, Resource), Unmark(Resource)], 2, false),
+        ("marked again", &[Mark(1, Resource), Unmark(Resource), Mark(1, Resource)], 1, true),
     ];
     let endpoint = EndpointId::from("slot-1");
     for (name, news, incarnation, leaving) in cases {
--- a/crates/core/tests/retry_decide.rs
+++ b/crates/core/tests/retry_decide.rs
@@ -39,216 +39,111 @@
 #[test]
 fn each_result_code_has_its_decision() {
     use GiveUpReason::{Answered, CallerGone, Deadline, NotRepeatable, RequestAtFault};
+    use ResultCode as Code;
     let offer = retry(Duration::ZERO);
     let repeat = retry(BACKOFF);
-    // Code, decision for a repeatable call, decision for one that must run at most once.
-    let cases = [
-        (ResultCode::Answered, give_up(Answered), give_up(Answered)),
+    // Codes, decision for a repeatable call, decision for one that must run at most once.
+    let cases: [(&[Code], RetryDecision, RetryDecision); 8] = [
         (
-            ResultCode::AnsweredEarlier,
+            &[Code::Answered, Code::AnsweredEarlier],
             give_up(Answered),
             give_up(Answered),
         ),
         (
-            ResultCode::MalformedRequest,
+            &[
+                Code::MalformedRequest,
+                Code::RequestTooLarge,
+                Code::UnknownService,
+                Code::InvalidContext,
+                Code::MissingIdempotencyKey,
+                Code::InvalidIdempotencyKey,
+                Code::IdempotencyKeyReused,
+            ],
             give_up(RequestAtFault),
             give_up(RequestAtFault),
         ),
         (
-            ResultCode::RequestTooLarge,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (
-            ResultCode::UnknownService,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (
-            ResultCode::InvalidContext,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (
-            ResultCode::MissingIdempotencyKey,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (
-            ResultCode::InvalidIdempotencyKey,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (
-            ResultCode::IdempotencyKeyReused,
-            give_up(RequestAtFault),
-            give_up(RequestAtFault),
-        ),
-        (ResultCode::RefusedByLevel, offer, offer),
-        (ResultCode::RefusedQueueFull, offer, offer),
-        (ResultCode::DisplacedFromQueue, offer, offer),
-        (ResultCode::QueueTimeout, offer, offer),
-        (ResultCode::DeadlineUnreachable, offer, offer),
-        (ResultCode::NoBackend, offer, offer),
-        (ResultCode::Draining, offer, offer),
-        (ResultCode::ConnectionLimit, offer, offer),
-        (ResultCode::ConnectFailed, offer, offer),
-        (ResultCode::ClaimUnavailable, offer, offer),
-        (ResultCode::NotReady, offer, offer),
-        (
-            ResultCode::CancelledBeforeDispatch,
+            &[
+                Code::RefusedByLevel,
+                Code::RefusedQueueFull,
+                Code::DisplacedFromQueue,
+                Code::QueueTimeout,
+                Code::DeadlineUnreachable,
+                Code::NoBackend,
+                Code::Draining,
+                Code::ConnectionLimit,
+                Code::ConnectFailed,
+                Code::ClaimUnavailable,
+                Code::NotReady,
+                Code::RefusedByBackend,
+            ],
+            offer,
+            offer,
+        ),
+        (
+            &[Code::CancelledBeforeDispatch],
             give_up(CallerGone),
             give_up(CallerGone),
         ),
-        (ResultCode::RefusedByBackend, offer, offer),
         (
-            ResultCode::DeadlineAfterDispatch,
+            &[Code::DeadlineAfterDispatch],
             give_up(Deadline),
             give_up(Deadline),
         ),
-        (ResultCode::ConnectionLost, repeat, give_up(NotRepeatable)),
-        (ResultCode::MalformedAnswer, repeat, give_up(NotRepeatable)),
         (
-            ResultCode::ClaimUncertain,
+            &[Code::ConnectionLost, Code::MalformedAnswer],
+            repeat,
+            give_up(NotRepeatable),
+        ),
+        (
+            &[Code::ClaimUncertain, Code::ClaimUndetermined],
             give_up(NotRepeatable),
             give_up(NotRepeatable),
         ),
         (
-            ResultCode::CancelledAfterDispatch,
+            &[Code::CancelledAfterDispatch],
             give_up(CallerGone),
             give_up(CallerGone),
         ),
-        (
-            ResultCode::ClaimUndetermined,
-            give_up(NotRepeatable),
-            give_up(NotRepeatable),
-        ),
     ];
-    let covered: Vec<ResultCode> = cases.iter().map(|case| case.0).collect();
-    assert_eq!(covered, ResultCode::ALL);
-    for (code, repeatable, at_most_once) in cases {
-        assert_eq!(decide(&question(code)), repeatable, "{code:?}, repeatable");
-        let once = RetryQuestion {
-            repeatability: Repeatability::AtMostOnce,
-            ..question(code)
-        };
-        assert_eq!(decide(&once), at_most_once, "{code:?}, at most once");
+    let mut covered: Vec<Code> = cases.iter().flat_map(|case| case.0).copied().collect();
+    covered.sort_unstable();
+    assert_eq!(covered, Code::ALL);
+    for (codes, repeatable, at_most_once) in cases {
+        for code in codes {
+            assert_eq!(decide(&question(*code)), repeatable, "{code:?}, repeatable");
+            let once = RetryQuestion {
+                repeatability: Repeatability::AtMostOnce,
+                ..question(*code)
+            };
+            assert_eq!(decide(&once), at_most_once, "{code:?}, at most once");
+        }
     }
 }
 
 #[test]
 fn each_bound_stops_a_retry() {
-    let offer = question(ResultCode::RefusedQueueFull);
-    let repeat = question(ResultCode::ConnectionLost);
-    let deadline = |millis| Timestamp::from_millis(millis);
-    let cases = [
-        (
-            "offer below",
-            RetryQuestion {
-                location: FailureLocation::Below,
-                ..offer
-            },
-            give_up(GiveUpReason::NotNearestHop),
-        ),
-        (
-            "repeat below",
-            RetryQuestion {
-                location: FailureLocation::Below,
-                ..repeat
-            },
-            give_up(GiveUpReason::NotNearestHop),
-        ),
-        (
-            "offer without sibling",
-            RetryQuestion {
-                sibling_available: false,
-                ..offer
-            },
-            give_up(GiveUpReason::NoSibling),
-        ),
-        (
-            "repeat without sibling",
-            RetryQuestion {
-                sibling_available: false,
-                ..repeat
-            },
-            retry(BACKOFF),
-        ),
-        (
-            "offer without allowance",
-            RetryQuestion {
-                allowance: RetryAllowance::NONE,
-                ..offer
-            },
-            give_up(GiveUpReason::AllowanceSpent),
-        ),
-        (
-            "repeat without allowance",
-            RetryQuestion {
-                allowance: RetryAllowance::NONE,
-                ..repeat
-            },
-            give_up(GiveUpReason::AllowanceSpent),
-        ),
-        (
-            "offer without budget",
-            RetryQuestion {
-                budget_available: false,
-                ..offer
-            },
-            retry(Duration::ZERO),
-        ),
-        (
-            "repeat without budget",
-            RetryQuestion {
-                budget_available: false,
-                ..repeat
-            },
-            give_up(GiveUpReason::BudgetSpent),
-        ),
-        (
-            "offer just too late",
-            RetryQuestion {
-                deadline: deadline(120),
-                ..offer
-            },
-            give_up(GiveUpReason::Deadline),
-        ),
-        (
-            "offer just in time",
-            RetryQuestion {
-                deadline: deadline(121),
-                ..offer
-            },
-            retry(Duration::ZERO),
-        ),
-        (
-            "repeat just too late",
-            RetryQuestion {
-                deadline: deadline(127),
-                ..repeat
-            },
-            give_up(GiveUpReason::Deadline),
-        ),
-        (
-            "repeat just in time",
-            RetryQuestion {
-                deadline: deadline(128),
-                ..repeat
-            },
-            retry(BACKOFF),
-        ),
-        (
-            "deadline passed",
-            RetryQuestion {
-                deadline: deadline(50),
-                ..offer
-            },
-            give_up(GiveUpReason::Deadline),
-        ),
+    use GiveUpReason::{AllowanceSpent, BudgetSpent, Deadline, NoSibling, NotNearestHop};
+    type Change = fn(&mut RetryQuestion);
+    // What differs from a question that nothing stands against, decision on an offer, on a repeat.
+    #[rustfmt::skip]
+    let cases: [(&str, Change, RetryDecision, RetryDecision); 8] = [
+        ("below", |question| question.location = FailureLocation::Below, give_up(NotNearestHop), give_up(NotNearestHop)),
+        ("no sibling", |question| question.sibling_available = false, give_up(NoSibling), retry(BACKOFF)),
+        ("no allowance", |question| question.allowance = RetryAllowance::NONE, give_up(AllowanceSpent), give_up(AllowanceSpent)),
+        ("no budget", |question| question.budget_available = false, retry(Duration::ZERO), give_up(BudgetSpent)),
+        ("too late for both", |question| question.deadline = Timestamp::from_millis(120), give_up(Deadline), give_up(Deadline)),
+        ("too late to wait", |question| question.deadline = Timestamp::from_millis(127), retry(Duration::ZERO), give_up(Deadline)),
+        ("just in time", |question| question.deadline = Timestamp::from_millis(128), retry(Duration::ZERO), retry(BACKOFF)),
+        ("deadline passed", |question| question.deadline = Timestamp::from_millis(50), give_up(Deadline), give_up(Deadline)),
     ];
-    for (name, question, expected) in cases {
-        assert_eq!(decide(&question), expected, "{name}");
+    for (name, change, offer, repeat) in cases {
+        let codes = [ResultCode::RefusedQueueFull, ResultCode::ConnectionLost];
+        for (code, expected) in codes.into_iter().zip([offer, repeat]) {
+            let mut question = question(code);
+            change(&mut question);
+            assert_eq!(decide(&question), expected, "{name}, {code:?}");
+        }
     }
 }
 
--- a/crates/core/tests/routing_pick.rs
+++ b/crates/core/tests/routing_pick.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::outcome::OutcomeClass;
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use wharfquay_core::routing::{
     Endpoint, EndpointId, EndpointState, Observation, Pick, PickRequest, ReportedLoad, Router,
@@ -30,17 +30,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     List(Vec<Listed>),
-    Pick {
-        priority: u8,
-        excluded: Vec<u8>,
-    },
-    End {
-        call: usize,
-        outcome: OutcomeClass,
-        overloaded: bool,
-        level: Option<u16>,
-        load: u32,
-    },
+    Pick { priority: u8, excluded: Vec<u8> },
+    End(usize, Observation),
     RefusedAsLeaving(u8),
     ConnectionRefused(u8),
     Wait(u64),
@@ -72,20 +63,35 @@
         })
 }
 
-fn step() -> impl Strategy<Value = Step> {
-    let outcome = prop_oneof![
-        Just(OutcomeClass::Run),
-        Just(OutcomeClass::NotRun),
-        Just(OutcomeClass::Unknown),
+fn observation() -> impl Strategy<Value = Observation> {
+    let outcomes = [
+        OutcomeClass::Run,
+        OutcomeClass::NotRun,
+        OutcomeClass::Unknown,
     ];
+    let outcome = prop::sample::select(outcomes.to_vec());
+    let level = prop::option::of((0..=32_768_u16).prop_map(AdmissionLevel::new));
+    (outcome, any::<bool>(), level, 0..20_u32).prop_map(|(outcome, overloaded, level, load)| {
+        Observation {
+            latency: Duration::from_millis(u64::from(load)),
+            outcome,
+            overloaded,
+            load: Some(ReportedLoad {
+                in_flight: load,
+                limit: 4,
+                queued: 0,
+            }),
+            level,
+        }
+    })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let excluded = prop::collection::vec(0..6_u8, 0..3);
     prop_oneof![
         1 => prop::collection::vec(listed(), 0..6).prop_map(Step::List),
-        8 => (0..8_u8, prop::collection::vec(0..6_u8, 0..3))
-            .prop_map(|(priority, excluded)| Step::Pick { priority, excluded }),
-        6 => (0..20_usize, outcome, any::<bool>(), prop::option::of(0..=32_768_u16), 0..20_u32)
-            .prop_map(|(call, outcome, overloaded, level, load)| {
-                Step::End { call, outcome, overloaded, level, load }
-            }),
+        8 => (0..8_u8, excluded).prop_map(|(priority, excluded)| Step::Pick { priority, excluded }),
+        6 => (0..20_usize, observation()).prop_map(|(call, seen)| Step::End(call, seen)),
         1 => (0..6_u8).prop_map(Step::RefusedAsLeaving),
         1 => (0..6_u8).prop_map(Step::ConnectionRefused),
         2 => (0..3_000_u64).prop_map(Step::Wait),
@@ -108,7 +114,7 @@
     rng: Pcg64Mcg,
     now: Timestamp,
     known: BTreeMap<EndpointId, Known>,
-    calls: Vec<(EndpointId, u64)>,
+    calls: Vec<EndpointId>,
 }
 
 impl Harness {
@@ -128,18 +134,7 @@
         match step {
             Step::List(list) => self.list(list),
             Step::Pick { priority, excluded } => self.pick(priority, &excluded),
-            Step::End {
-                call,
-                outcome,
-                overloaded,
-                level,
-                load,
-            } => {
-                if call < self.calls.len() {
-                    let (endpoint, incarnation) = self.calls.swap_remove(call);
-                    self.end(&endpoint, incarnation, outcome, overloaded, level, load);
-                }
-            }
+            Step::End(call, seen) => self.end(call, seen),
             Step::RefusedAsLeaving(name) => {
                 self.router.refused_as_leaving(self.now, &id(name));
                 self.hold(name, self.settings.leaving_hold);
@@ -174,11 +169,9 @@
         }
         // Calls to an incarnation that is gone end with it.
         let known = &self.known;
-        self.calls.retain(|(endpoint, incarnation)| {
-            known
-                .get(endpoint)
-                .is_some_and(|known| known.listed.incarnation == *incarnation)
-        });
+        let goes_on =
+            |endpoint: &EndpointId| known.get(endpoint).is_some_and(|it| it.in_flight > 0);
+        self.calls.retain(goes_on);
         let endpoints = list.iter().map(|listed| Endpoint {
             id: id(listed.name),
             zone: Zone::from(ZONES[listed.zone]),
@@ -210,8 +203,7 @@
                 self.router.dispatched(self.now, &endpoint);
                 let known = self.known.get_mut(&endpoint).expect("checked before");
                 known.in_flight += 1;
-                let incarnation = known.listed.incarnation;
-                self.calls.push((endpoint, incarnation));
+                self.calls.push(endpoint);
             }
             Pick::None {
                 reason,
@@ -266,34 +258,19 @@
         })
     }
 
-    fn end(
-        &mut self,
-        endpoint: &EndpointId,
-        incarnation: u64,
-        outcome: OutcomeClass,
-        overloaded: bool,
-        level: Option<u16>,
-        load: u32,
-    ) {
-        let level = level.map(AdmissionLevel::new);
-        let observation = Observation {
-            latency: Duration::from_millis(u64::from(load)),
-            outcome,
-            overloaded,
-            load: Some(ReportedLoad {
-                in_flight: load,
-                limit: 4,
-                queued: 0,
-            }),
-            level,
-        };
-        self.router.observe(self.now, endpoint, observation);
-        let now = self.now;
-        if let Some(known) = self.known.get_mut(endpoint)
-            && known.listed.incarnation == incarnation
-        {
-            known.in_flight -= 1;
-            known.closed = level.map(|level| (now, level)).or(known.closed);
+    fn end(&mut self, call: usize, seen: Observation) {
+        if call >= self.calls.len() {
+            return;
+        }
+        let endpoint = self.calls.swap_remove(call);
+        self.router.observe(self.now, &endpoint, seen);
+        let known = self
+            .known
+            .get_mut(&endpoint)
+            .expect("calls end with their endpoint");
+        known.in_flight -= 1;
+        if let Some(level) = seen.level {
+            known.closed = Some((self.now, level));
         }
     }
 
@@ -325,175 +302,3 @@
         }
     }
 }
-
-#[test]
-fn the_reason_for_no_pick_names_what_is_short() {
-    // Name, endpoints, level heard from each, calls in flight at each, excluded, reason.
-    let live = |name, connections| Listed {
-        name,
-        zone: 0,
-        incarnation: 1,
-        leaving: false,
-        connections,
-    };
-    let leaving = |name| Listed {
-        leaving: true,
-        ..live(name, 1)
-    };
-    type Case = (
-        &'static str,
-        Vec<Listed>,
-        Option<u16>,
-        u32,
-        &'static [u8],
-        ResultCode,
-    );
-    let cases: [Case; 6] = [
-        ("no endpoint", vec![], None, 0, &[], ResultCode::NoBackend),
-        (
-            "all leaving",
-            vec![leaving(0), leaving(1)],
-            None,
-            0,
-            &[],
-            ResultCode::NoBackend,
-        ),
-        (
-            "all excluded",
-            vec![live(0, 1)],
-            None,
-            0,
-            &[0],
-            ResultCode::NoBackend,
-        ),
-        (
-            "all full",
-            vec![live(0, 1), live(1, 1)],
-            None,
-            1,
-            &[],
-            ResultCode::ConnectionLimit,
-        ),
-        (
-            "one full, one leaving",
-            vec![live(0, 1), leaving(1)],
-            None,
-            1,
-            &[],
-            ResultCode::ConnectionLimit,
-        ),
-        (
-            "closed",
-            vec![live(0, 2), live(1, 2)],
-            Some(0),
-            0,
-            &[],
-            ResultCode::RefusedByLevel,
-        ),
-    ];
-    for (name, list, level, in_flight, excluded, expected) in cases {
-        let mut harness = Harness::new();
-        let names: Vec<u8> = list.iter().map(|listed| listed.name).collect();
-        harness.list(list);
-        for endpoint in names.iter().map(|name| id(*name)) {
-            (0..in_flight).for_each(|_| harness.router.dispatched(harness.now, &endpoint));
-            if level.is_some() {
-                harness.router.dispatched(harness.now, &endpoint);
-                harness.end_unchecked(&endpoint, level);
-            }
-        }
-        let excluded: Vec<EndpointId> = excluded.iter().map(|name| id(*name)).collect();
-        let request = PickRequest {
-            key: key(3),
-            excluded: &excluded,
-        };
-        let pick = harness.router.pick(harness.now, &mut harness.rng, &request);
-        let Pick::None {
-            reason,
-            retry_after,
-        } = pick
-        else {
-            panic!("{name}: {pick:?}");
-        };
-        assert_eq!(reason, expected, "{name}");
-        assert!(
-            retry_after >= Duration::from_millis(1),
-            "{name}: {retry_after:?}"
-        );
-        assert!(
-            retry_after <= Duration::from_millis(1_500),
-            "{name}: {retry_after:?}"
-        );
-    }
-}
-
-impl Harness {
-    fn end_unchecked(&mut self, endpoint: &EndpointId, level: Option<u16>) {
-        let observation = Observation {
-            latency: Duration::from_millis(1),
-            outcome: OutcomeClass::NotRun,
-            overloaded: true,
-            load: None,
-            level: level.map(AdmissionLevel::new),
-        };
-        self.router.observe(self.now, endpoint, observation);
-    }
-}
-
-#[test]
-fn a_refused_important_call_goes_to_the_sibling_that_still_admits() {
-    let mut harness = Harness::new();
-    let live = |name| Listed {
-        name,
-        zone: usize::from(name),
-        incarnation: 1,
-        leaving: false,
-        connections: 9,
-    };
-    harness.list(vec![live(0), live(1)]);
-    harness.router.dispatched(harness.now, &id(0));
-    harness.end_unchecked(&id(0), Some(AdmissionLevel::CLOSED.number()));
-    let request = PickRequest {
-        key: key(0),
-        excluded: &[],
-    };
-    for _ in 0..50 {
-        let pick = harness.router.pick(harness.now, &mut harness.rng, &request);
-        assert_eq!(pick, Pick::Endpoint(id(1)));
-    }
-}
-
-#[test]
-fn retry_after_of_a_closed_level_is_when_the_key_is_admitted_again() {
-    let mut harness = Harness::new();
-    harness.list(vec![Listed {
-        name: 0,
-        zone: 0,
-        incarnation: 1,
-        leaving: false,
-        connections: 9,
-    }]);
-    harness.router.dispatched(harness.now, &id(0));
-    harness.end_unchecked(&id(0), Some(AdmissionLevel::CLOSED.number()));
-    for priority in 0..8 {
-        let request = PickRequest {
-            key: key(priority),
-            excluded: &[],
-        };
-        let Pick::None { retry_after, .. } =
-            harness.router.pick(harness.now, &mut harness.rng, &request)
-        else {
-            panic!("priority {priority} picked at a closed level");
-        };
-        let later = harness.now + retry_after;
-        assert!(
-            harness.router.can_pick(later, &request),
-            "priority {priority} after {retry_after:?}"
-        );
-        let much_sooner = harness.now + retry_after / 2;
-        assert!(
-            !harness.router.can_pick(much_sooner, &request),
-            "priority {priority}"
-        );
-    }
-}
