--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -119,6 +119,17 @@
         self.member_indexes().any(|index| pool.is_usable(index))
     }
 
+    /// Level of the most open endpoint: a call that it refuses, no endpoint is assumed to admit.
+    ///
+    /// One endpoint's level must not stand for the service's, or a call would be refused while a
+    /// sibling admits less important ones. Open when there is no endpoint.
+    #[must_use]
+    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
+        let entries = self.member_indexes().map(|index| &self.entries[index]);
+        let levels = entries.map(|entry| entry.assumed_level(now, &self.settings));
+        levels.max().unwrap_or(AdmissionLevel::OPEN)
+    }
+
     /// Notes that a call was sent to an endpoint.
     pub fn dispatched(&mut self, _now: Timestamp, endpoint: &EndpointId) {
         if let Some(entry) = self.entry_mut(endpoint) {
--- a/crates/core/tests/routing_refusal.rs
+++ b/crates/core/tests/routing_refusal.rs
@@ -115,6 +115,33 @@
     }
 }
 
+#[test]
+fn the_level_of_a_service_is_that_of_its_most_open_endpoint() {
+    // Endpoints, those that are closed, whether the service's level is closed.
+    #[rustfmt::skip]
+    let cases: [(&[EndpointState], &[usize], bool); 5] = [
+        (&[], &[], false),
+        (&[Live, Live], &[], false),
+        (&[Live, Live], &[0], false),
+        (&[Live, Live], &[0, 1], true),
+        (&[Live, Leaving], &[0], true),
+    ];
+    for (states, closed, expected) in cases {
+        let mut router = router(states);
+        closed
+            .iter()
+            .for_each(|number| refuse(&mut router, *number));
+        let is_closed = router.level(NOW) == AdmissionLevel::CLOSED;
+        assert_eq!(is_closed, expected, "{states:?}, closed {closed:?}");
+        let picked = router.can_pick(NOW, &request(0, &[]));
+        assert_eq!(
+            picked,
+            !is_closed && !states.is_empty(),
+            "{states:?}, closed {closed:?}"
+        );
+    }
+}
+
 #[test]
 fn retry_after_of_a_closed_level_is_when_the_key_is_admitted_again() {
     let mut rng = Pcg64Mcg::seed_from_u64(SEED);
