--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -119,6 +119,17 @@
         self.member_indexes().any(|index| pool.is_usable(index))
     }
 
+    /// Level of the most open endpoint: a call that it refuses, no endpoint is assumed to admit.
+    ///
+    /// One endpoint's level must not stand for the service's, or a call would be refused while a
+    /// sibling admits less important ones. Open when there is no endpoint.
+    #[must_use]
+    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
+        let entries = self.member_indexes().map(|index| &self.entries[index]);
+        let levels = entries.map(|entry| entry.assumed_level(now, &self.settings));
+        levels.max().unwrap_or(AdmissionLevel::OPEN)
+    }
+
     /// Notes that a call was sent to an endpoint.
     pub fn dispatched(&mut self, _now: Timestamp, endpoint: &EndpointId) {
         if let Some(entry) = self.entry_mut(endpoint) {
@@ -165,19 +176,26 @@
 
     /// What the router makes of each endpoint.
     pub fn views(&self, now: Timestamp) -> impl Iterator<Item = EndpointView> {
-        self.entries.iter().enumerate().map(move |(index, entry)| {
-            let active = entry.hold.filter(|hold| hold.is_active(now));
-            EndpointView {
-                id: entry.endpoint.id.clone(),
-                in_subset: self.member_indexes().any(|member| member == index),
-                in_flight: entry.in_flight,
-                cost: entry.cost(now, &self.settings, &self.reference),
-                distrust: entry.distrust(now, &self.settings),
-                weight: entry.weight(now, &self.settings),
-                level: entry.assumed_level(now, &self.settings),
-                hold: active.map(|hold| hold.reason),
-            }
-        })
+        let mut in_subset = vec![false; self.entries.len()];
+        for index in self.member_indexes() {
+            in_subset[index] = true;
+        }
+        let entries = self.entries.iter().zip(in_subset);
+        entries.map(move |(entry, in_subset)| self.view(now, entry, in_subset))
+    }
+
+    fn view(&self, now: Timestamp, entry: &Entry, in_subset: bool) -> EndpointView {
+        let active = entry.hold.filter(|hold| hold.is_active(now));
+        EndpointView {
+            id: entry.endpoint.id.clone(),
+            in_subset,
+            in_flight: entry.in_flight,
+            cost: entry.cost(now, &self.settings, &self.reference),
+            distrust: entry.distrust(now, &self.settings),
+            weight: entry.weight(now, &self.settings),
+            level: entry.assumed_level(now, &self.settings),
+            hold: active.map(|hold| hold.reason),
+        }
     }
 
     /// Number of endpoints listed.
