--- a/crates/emulator/src/simulator/control/faults.rs
+++ b/crates/emulator/src/simulator/control/faults.rs
@@ -50,6 +50,13 @@
         self.schedule(until, Event::Wake(index));
     }
 
+    /// Whether a daemon's process runs and is not frozen.
+    #[must_use]
+    pub fn is_awake(&self, index: usize) -> bool {
+        let daemon = &self.daemons[index];
+        daemon.node.is_some() && daemon.frozen_until.is_none()
+    }
+
     /// Hands the messages to a process that waited in its socket while it was frozen.
     fn thaw(&mut self, index: usize) {
         self.daemons[index].frozen_until = None;
