--- /dev/null
+++ b/crates/emulator/src/experiment/surge/report.rs
@@ -0,0 +1,142 @@
+//! The report of the experiment, as JSON and as a table.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use super::arguments::SurgeSettings;
+use super::measure::{PolicyMeasure, rounded};
+use super::oracle::OracleGoodput;
+use crate::simulator::call_path::Layout;
+
+/// The whole report.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SurgeReport {
+    /// The scenario.
+    pub scenario: String,
+    /// Factor on the arrivals during the surge.
+    pub factor: f64,
+    /// The seed.
+    pub seed: u64,
+    /// Services that are slow during the surge, with their factors.
+    pub slow: Vec<(String, f64)>,
+    /// Length of the surge, in seconds.
+    pub surge_seconds: f64,
+    /// Goodput of the oracle.
+    pub oracle: Vec<OracleKind>,
+    /// The policies that ran.
+    pub policies: Vec<PolicyMeasure>,
+}
+
+/// What the oracle serves of one request kind.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OracleKind {
+    /// The request kind.
+    pub kind: String,
+    /// Whole answers per second during the surge.
+    pub goodput_per_second: f64,
+}
+
+impl SurgeReport {
+    pub(super) fn new(
+        settings: &SurgeSettings,
+        layout: &Layout,
+        oracle: &OracleGoodput,
+        policies: Vec<PolicyMeasure>,
+    ) -> Self {
+        let seconds = settings.run.surge.as_secs_f64();
+        let oracle = layout
+            .kinds
+            .iter()
+            .zip(&oracle.whole)
+            .map(|(kind, whole)| OracleKind {
+                kind: kind.name.clone(),
+                goodput_per_second: rounded(whole / seconds),
+            })
+            .collect();
+        let slow = settings.run.slow.iter();
+        Self {
+            scenario: settings.scenario.name.clone(),
+            factor: settings.run.factor,
+            seed: settings.run.seed,
+            slow: slow
+                .map(|slow| (slow.service.clone(), slow.factor))
+                .collect(),
+            surge_seconds: seconds,
+            oracle,
+            policies,
+        }
+    }
+}
+
+/// The report as a table for people.
+#[must_use]
+pub fn render_table(report: &SurgeReport) -> String {
+    let mut text = String::new();
+    // Writing to a String can't fail.
+    let _ = writeln!(
+        text,
+        "scenario={} factor={} seed={} slow={:?}",
+        report.scenario, report.factor, report.seed, report.slow
+    );
+    let _ = writeln!(
+        text,
+        "{:<10} {:<18} {:>3} {:>8} {:>9} {:>9} {:>8} {:>7} {:>6} {:>9} {:>7} {:>6} {:>6}",
+        "policy",
+        "kind",
+        "pri",
+        "goodput",
+        "per_s",
+        "oracle_s",
+        "recover",
+        "retries",
+        "waste",
+        "inversion",
+        "not_run",
+        "twice",
+        "mixed"
+    );
+    for policy in &report.policies {
+        render_policy(&mut text, report, policy);
+    }
+    text
+}
+
+fn render_policy(text: &mut String, report: &SurgeReport, policy: &PolicyMeasure) {
+    for (kind, oracle) in policy.kinds.iter().zip(&report.oracle) {
+        let _ = writeln!(
+            text,
+            "{:<10} {:<18} {:>3} {:>8} {:>9.1} {:>9.1} {:>8} {:>7} {:>6.3} {:>9} {:>7} {:>6} {:>6}",
+            policy.policy,
+            kind.kind,
+            kind.priority,
+            optional(kind.goodput_ratio),
+            kind.goodput_per_second,
+            oracle.goodput_per_second,
+            optional(kind.recovery_seconds),
+            kind.retries_max,
+            kind.wasted_work_ratio,
+            kind.priority_inversions,
+            kind.not_run_but_ran,
+            kind.duplicate_effects,
+            kind.mixed_answers
+        );
+    }
+    let _ = writeln!(
+        text,
+        "{:<10} {:<18} {:>3} {:>8.3} {:>9} {:>9} {:>8} {:>7} {:>6.3}",
+        policy.policy,
+        "(all)",
+        "",
+        policy.goodput_ratio,
+        "",
+        "",
+        optional(policy.recovery_seconds),
+        "",
+        policy.wasted_work_ratio
+    );
+}
+
+fn optional(value: Option<f64>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| format!("{value:.3}"))
+}
--- /dev/null
+++ b/crates/emulator/src/simulator/call_path/arrivals.rs
@@ -0,0 +1,78 @@
+//! Arrivals of originating requests: the same for every policy under one seed.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use wharfquay_core::time::Timestamp;
+
+use super::layout::Layout;
+use super::settings::RunSettings;
+
+/// One caller with one originating request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    pub(super) at: Timestamp,
+    pub(super) kind: usize,
+    pub(super) zone: usize,
+    pub(super) impatient: bool,
+}
+
+/// Poisson arrivals of every kind, in order of time.
+pub(super) fn arrivals(layout: &Layout, settings: &RunSettings) -> Vec<Arrival> {
+    let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+    let mut arrivals = Vec::new();
+    let pieces = [
+        (Duration::ZERO, settings.before, 1.0),
+        (settings.before, settings.surge, settings.factor),
+        (settings.before + settings.surge, settings.after, 1.0),
+    ];
+    for (kind, model) in layout.kinds.iter().enumerate() {
+        for (start, length, factor) in pieces {
+            let rate = model.rate * factor;
+            let mut at = exponential(rate, &mut rng);
+            while at < length.as_secs_f64() {
+                arrivals.push(Arrival {
+                    at: Timestamp::ZERO + start + Duration::from_secs_f64(at),
+                    kind,
+                    zone: rng.random_range(0..layout.zones.len()),
+                    impatient: rng.random::<f64>() < layout.impatient_share,
+                });
+                at += exponential(rate, &mut rng);
+            }
+        }
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// First attempts per bin and kind from `start` on.
+#[must_use]
+pub fn arrival_counts(
+    layout: &Layout,
+    settings: &RunSettings,
+    start: Timestamp,
+    bin: Duration,
+    bins: usize,
+) -> Vec<Vec<u32>> {
+    let mut counts = vec![vec![0; layout.kinds.len()]; bins];
+    for arrival in arrivals(layout, settings) {
+        if arrival.at < start {
+            continue;
+        }
+        let index = arrival.at.saturating_since(start).as_micros() / bin.as_micros().max(1);
+        if let Some(kinds) = counts.get_mut(index as usize) {
+            kinds[arrival.kind] += 1;
+        }
+    }
+    counts
+}
+
+/// Exponentially distributed time with this rate; never ends without a rate.
+fn exponential(rate: f64, rng: &mut Pcg64Mcg) -> f64 {
+    if rate <= 0.0 {
+        return f64::MAX;
+    }
+    let uniform: f64 = rng.random();
+    -(1.0 - uniform).ln() / rate
+}
--- /dev/null
+++ b/crates/emulator/src/simulator/call_path/engine/inbound.rs
@@ -0,0 +1,221 @@
+//! The daemon beside a back end: admission and dispatch.
+
+use std::time::Duration;
+
+use wharfquay_core::admission::{AdmissionEffect, CallTicket, Load, OfferedCall};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::AdmissionLevel;
+
+use super::Engine;
+use super::outgoing::lost_answer;
+use crate::simulator::call_path::backend::ConnectionUse;
+use crate::simulator::call_path::call::{Execution, ExecutionId, Stage};
+use crate::simulator::call_path::event::Event;
+use crate::simulator::call_path::node::{Answer, AttemptResult, Metadata};
+
+/// How far a deadline lies in the future for a daemon that is told none.
+const NO_DEADLINE: Duration = Duration::from_secs(3_600);
+
+impl Engine<'_> {
+    /// An attempt arrives at the daemon of a back end.
+    pub(super) fn reach(&mut self, id: ExecutionId) {
+        let Some(execution) = self.executions.get(id) else {
+            return;
+        };
+        let node = execution.node;
+        if !self.backend(node).alive {
+            self.refuse(id, ResultCode::ConnectFailed, None);
+            return;
+        }
+        let incarnation = self.backend(node).incarnation;
+        if let Some(execution) = self.executions.get_mut(id) {
+            execution.incarnation = incarnation;
+            execution.offered = self.now;
+            execution.stage = Stage::Queued;
+        }
+        if self.refused_deeper(id) {
+            return;
+        }
+        let Some(call) = self.offered_call(id) else {
+            return;
+        };
+        let now = self.now;
+        match &mut self.nodes[node].admission {
+            Some(admission) => {
+                let effects = admission.offer(now, call);
+                self.apply(node, effects);
+            }
+            None => self.dispatch(id),
+        }
+    }
+
+    /// Refuses a call before dispatch when the path below would refuse it.
+    fn refused_deeper(&mut self, id: ExecutionId) -> bool {
+        if self.is_naive() || !self.settings.mechanisms.folding {
+            return false;
+        }
+        let Some(execution) = self.executions.get(id) else {
+            return false;
+        };
+        let Some(request) = self.requests.get(execution.request) else {
+            return false;
+        };
+        let kind = &self.layout.kinds[request.kind];
+        let Some(step) = &kind.steps[execution.service] else {
+            return false;
+        };
+        let levels = &self.nodes[execution.node].levels;
+        let refusal = step.calls.iter().find_map(|&callee| {
+            let key = self.key_at(request, callee);
+            let service = &self.layout.services[callee].name;
+            levels.admits(self.now, service, &kind.name, key).err()
+        });
+        let Some(refusal) = refusal else {
+            return false;
+        };
+        self.refuse(id, ResultCode::RefusedByLevel, Some(refusal.retry_after));
+        true
+    }
+
+    fn offered_call(&self, id: ExecutionId) -> Option<OfferedCall> {
+        let execution = self.executions.get(id)?;
+        let request = self.requests.get(execution.request)?;
+        let deadline = if self.is_naive() {
+            self.now + NO_DEADLINE
+        } else {
+            request.deadline
+        };
+        Some(OfferedCall {
+            ticket: CallTicket(id.as_u64()),
+            key: self.key_at(request, execution.service),
+            deadline,
+        })
+    }
+
+    /// Does what an admission controller decided.
+    pub(super) fn apply(&mut self, node: usize, effects: Vec<AdmissionEffect>) {
+        for effect in effects {
+            match effect {
+                AdmissionEffect::Dispatch(ticket) => self.dispatch(ExecutionId::from_u64(ticket.0)),
+                AdmissionEffect::Refuse {
+                    ticket,
+                    code,
+                    retry_after,
+                } => self.refuse(ExecutionId::from_u64(ticket.0), code, Some(retry_after)),
+            }
+        }
+        self.schedule_wake(node);
+    }
+
+    fn schedule_wake(&mut self, node: usize) {
+        let state = &mut self.nodes[node];
+        let Some(admission) = &state.admission else {
+            return;
+        };
+        let Some(wakeup) = admission.next_wakeup() else {
+            return;
+        };
+        if state.wake_at.is_none_or(|planned| wakeup < planned) {
+            state.wake_at = Some(wakeup);
+            self.events.add(wakeup.max(self.now), Event::Wake { node });
+        }
+    }
+
+    /// An admission controller is called at the time that it asked for.
+    pub(super) fn wake(&mut self, node: usize) {
+        let now = self.now;
+        let state = &mut self.nodes[node];
+        if state.wake_at.is_some_and(|planned| planned <= now) {
+            state.wake_at = None;
+        }
+        if let Some(admission) = &mut state.admission {
+            let effects = admission.advance(now);
+            self.apply(node, effects);
+        }
+    }
+
+    /// Hands a call to the back end, over an idle connection or a new one.
+    fn dispatch(&mut self, id: ExecutionId) {
+        let Some(execution) = self.executions.get_mut(id) else {
+            return;
+        };
+        execution.stage = Stage::Dispatched;
+        let (node, service) = (execution.node, execution.service);
+        if let Some(request) = self.requests.get(execution.request) {
+            let priority = request.key.priority().index();
+            self.last_dispatch[service][priority] = Some(self.now);
+        }
+        match self.backend_mut(node).connect() {
+            ConnectionUse::Idle => self.connected(id),
+            ConnectionUse::Opens => {
+                let at = self.now + self.layout.services[service].connect;
+                self.events.add(at, Event::Connected { execution: id });
+            }
+            ConnectionUse::Refused => self.refuse(id, ResultCode::ConnectionLimit, None),
+        }
+    }
+
+    /// Answers an attempt that does not run.
+    fn refuse(&mut self, id: ExecutionId, code: ResultCode, retry_after: Option<Duration>) {
+        let Some(mut execution) = self.executions.remove(id) else {
+            return;
+        };
+        let result = AttemptResult::Failed(code);
+        self.send_answer(id, &mut execution, result, retry_after);
+        self.drop_reference(execution.request);
+    }
+
+    /// Puts the answer to an attempt on the network, which may lose it.
+    pub(super) fn send_answer(
+        &mut self,
+        id: ExecutionId,
+        execution: &mut Execution,
+        result: AttemptResult,
+        retry_after: Option<Duration>,
+    ) {
+        let outgoing = execution.outgoing;
+        let at = self.now + self.layout.latency(execution.node, execution.from);
+        let answer = if self.is_lost(self.settings.faults.lost_answers) {
+            lost_answer()
+        } else {
+            let origin = self.requests.get(execution.request);
+            Answer {
+                result,
+                metadata: self.metadata(execution),
+                retry_after,
+                origin: origin.map_or(0, |request| request.origin),
+            }
+        };
+        let event = Event::Answer {
+            outgoing,
+            execution: id,
+            answer,
+        };
+        self.events.add(at, event);
+    }
+
+    fn metadata(&self, execution: &mut Execution) -> Option<Metadata> {
+        let request = self.requests.get(execution.request)?;
+        let node = &self.nodes[execution.node];
+        let returned = execution.ledger.close();
+        let admission = node.admission.as_ref();
+        let level = admission.map_or(AdmissionLevel::OPEN, |admission| admission.level());
+        let load = admission.map_or_else(Load::default, |admission| admission.load());
+        let kind = &self.layout.kinds[request.kind];
+        let calls = kind.steps[execution.service]
+            .iter()
+            .flat_map(|step| &step.calls);
+        let folded = calls
+            .map(|&callee| {
+                let service = &self.layout.services[callee].name;
+                node.levels.level(self.now, service, &kind.name)
+            })
+            .fold(level, AdmissionLevel::fold);
+        Some(Metadata {
+            returned,
+            level,
+            folded,
+            load,
+        })
+    }
+}
--- a/crates/emulator/src/simulator/mod.rs
+++ b/crates/emulator/src/simulator/mod.rs
@@ -1,3 +1,4 @@
 //! Deterministic simulation of a whole deployment on a virtual clock.
 
+pub mod call_path;
 pub mod control;
