--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -14,7 +14,7 @@
 ";
 
 /// Runs the experiment that the first argument names.
-pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+pub(crate) fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let mut arguments = arguments.into_iter();
     let name = arguments.next().unwrap_or_default();
     match name.to_str() {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod delete;
 mod demo;
 mod error;
+mod experiment;
 mod explain;
 mod get;
 mod help;
@@ -35,6 +36,11 @@
 /// Runs the program with these arguments, the program's name left out.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let arguments: Vec<OsString> = arguments.into_iter().collect();
+    if let [first, rest @ ..] = arguments.as_slice()
+        && first == "experiment"
+    {
+        return experiment::run(rest.to_vec());
+    }
     let mut output = Output::default();
     let result = dispatch(arguments, &mut output);
     match result {
