--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -132,11 +132,11 @@
             effects.push(self.refuse(now, &call, ResultCode::DeadlineUnreachable));
             return effects;
         }
+        self.level.arrived(call.key);
         if !self.level().admits(call.key) {
             effects.push(self.refuse(now, &call, ResultCode::RefusedByLevel));
             return effects;
         }
-        self.level.arrived(call.key);
         self.enqueue(now, call, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
--- a/crates/core/src/admission/path.rs
+++ b/crates/core/src/admission/path.rs
@@ -25,10 +25,43 @@
 /// reopens with time, so that an idle path is tried again.
 #[derive(Clone, Debug, Default)]
 pub struct PathLevels {
-    heard: HashMap<String, HashMap<String, Heard>>,
+    heard: HashMap<String, HashMap<String, HeardLevels>>,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// What the back ends of one service said about one request kind.
+#[derive(Clone, Debug, Default)]
+struct HeardLevels {
+    by_endpoint: HashMap<String, Heard>,
+    latest: Option<Heard>,
+}
+
+impl HeardLevels {
+    fn observe(&mut self, endpoint: &str, heard: Heard) {
+        self.latest = Some(heard);
+        *entry(&mut self.by_endpoint, endpoint) = heard;
+        self.by_endpoint
+            .retain(|_, other| heard.at.saturating_since(other.at) <= REOPENED_AFTER);
+    }
+
+    /// The most open of the fresh levels; without any, the latest one, as far as it has reopened.
+    fn level(&self, now: Timestamp) -> AdmissionLevel {
+        let fresh = self
+            .by_endpoint
+            .values()
+            .filter(|heard| now.saturating_since(heard.at) <= FRESH_FOR)
+            .map(|heard| heard.level)
+            .max();
+        let latest = || self.latest.map(|heard| heard.level(now));
+        fresh.or_else(latest).unwrap_or(AdmissionLevel::OPEN)
+    }
+}
+
+/// The value under a name.
+fn entry<'map, T: Default>(map: &'map mut HashMap<String, T>, name: &str) -> &'map mut T {
+    map.entry(name.to_owned()).or_default()
+}
+
+#[derive(Clone, Copy, Debug, Default)]
 struct Heard {
     level: AdmissionLevel,
     at: Timestamp,
@@ -56,28 +89,35 @@
         Self::default()
     }
 
-    /// Takes in the folded level that an answer of `service` carried for a request kind.
+    /// Takes in the folded level that an answer of `service` carried for a request kind, without
+    /// regard to which of its back ends gave it.
     pub fn observe(
         &mut self,
         now: Timestamp,
         service: &str,
         request_kind: &str,
         folded: AdmissionLevel,
+    ) {
+        self.observe_from(now, service, "", request_kind, folded);
+    }
+
+    /// Takes in the folded level that an answer of one back end of `service` carried. Since a call
+    /// that one back end refuses is offered to another, the most open one decides.
+    pub fn observe_from(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        endpoint: &str,
+        request_kind: &str,
+        folded: AdmissionLevel,
     ) {
         let heard = Heard {
             level: folded,
             at: now,
         };
-        if let Some(kinds) = self.heard.get_mut(service) {
-            if let Some(entry) = kinds.get_mut(request_kind) {
-                *entry = heard;
-                return;
-            }
-            kinds.insert(request_kind.to_owned(), heard);
-            return;
-        }
-        let kinds = HashMap::from([(request_kind.to_owned(), heard)]);
-        self.heard.insert(service.to_owned(), kinds);
+        let kinds = entry(&mut self.heard, service);
+        let endpoints = entry(kinds, request_kind);
+        endpoints.observe(endpoint, heard);
     }
 
     /// The level in force for a request kind towards `service`.
@@ -86,7 +126,7 @@
         self.heard
             .get(service)
             .and_then(|kinds| kinds.get(request_kind))
-            .map_or(AdmissionLevel::OPEN, |heard| heard.level(now))
+            .map_or(AdmissionLevel::OPEN, |endpoints| endpoints.level(now))
     }
 
     /// Whether a call with this key would pass.
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -35,7 +35,7 @@
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
-            algorithm: LimitAlgorithm::QueueDelay,
+            algorithm: LimitAlgorithm::Fixed,
             initial_limit: 16,
             minimum_limit: 1,
             maximum_limit: 1_024,
@@ -43,7 +43,7 @@
             maximum_queue_wait: Duration::from_millis(50),
             discipline: QueueDiscipline::Priority,
             adaptive_level: true,
-            level_interval: Duration::from_millis(20),
+            level_interval: Duration::from_millis(50),
             minimum_retry_after: Duration::from_millis(100),
             maximum_retry_after: Duration::from_secs(5),
         }
--- a/crates/emulator/src/experiment/surge/arguments.rs
+++ b/crates/emulator/src/experiment/surge/arguments.rs
@@ -25,6 +25,7 @@
   --slow SERVICE=F       makes a service slow during the surge; may be repeated
   --policy P             wharfquay, none, static, oracle or all (all)
   --json                 prints JSON
+  --services             lists services and priorities in the table too
   --lost-requests SHARE  connections lost before the daemon is reached (0)
   --lost-answers SHARE   connections lost before the answer arrives (0)
   --kills N              back ends killed and started again (0)
@@ -49,6 +50,8 @@
     pub policies: Vec<Policy>,
     /// Whether to print JSON.
     pub json: bool,
+    /// Whether the table lists services too.
+    pub services: bool,
 }
 
 /// Reads the command line.
@@ -62,6 +65,7 @@
     let mut scenario = None;
     let mut policies = parse_policies("all".to_owned())?;
     let mut json = false;
+    let mut services = false;
     let mut run = RunSettings::new(Policy::Wharfquay, 2.0, 1);
     while let Some(argument) = parser.next()? {
         match argument {
@@ -69,6 +73,7 @@
             Arg::Long("scenario") => scenario = Some(load(&text(&mut parser)?)?),
             Arg::Long("policy") => policies = parse_policies(text(&mut parser)?)?,
             Arg::Long("json") => json = true,
+            Arg::Long("services") => services = true,
             Arg::Long(name) => {
                 let name = name.to_owned();
                 run_option(&mut parser, &name, &mut run)?;
@@ -83,6 +88,7 @@
         run,
         policies,
         json,
+        services,
     }))
 }
 
--- a/crates/emulator/src/experiment/surge/measure.rs
+++ b/crates/emulator/src/experiment/surge/measure.rs
@@ -1,5 +1,6 @@
 //! What a run shows: goodput against the oracle, recovery, waste and broken promises.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -7,7 +8,7 @@
 
 use super::oracle::OracleGoodput;
 use crate::simulator::call_path::Layout;
-use crate::simulator::call_path::record::{KindRecord, RunRecord, SessionRecord};
+use crate::simulator::call_path::record::{KindRecord, RunRecord, ServiceRecord, SessionRecord};
 use crate::simulator::call_path::settings::RunSettings;
 
 /// Width of a bin of arrival time.
@@ -54,14 +55,39 @@
 pub struct PolicyMeasure {
     /// The policy.
     pub policy: String,
-    /// Whole answers of all kinds during the surge, against the oracle's.
+    /// Whole answers of all kinds during the surge, against the oracle's. Of each kind at most what
+    /// the oracle serves is counted, so that a less important kind can't make up for a more
+    /// important one.
     pub goodput_ratio: f64,
+    /// The same without that bound.
+    pub uncapped_goodput_ratio: f64,
     /// Recovery of all kinds together.
     pub recovery_seconds: Option<f64>,
     /// Waste of all kinds together.
     pub wasted_work_ratio: f64,
     /// By request kind.
     pub kinds: Vec<KindMeasure>,
+    /// By service and priority, for those that were called during the surge.
+    pub services: Vec<ServiceMeasure>,
+}
+
+/// What a run shows of the calls of one priority to one service during the surge.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ServiceMeasure {
+    /// The service.
+    pub service: String,
+    /// The priority.
+    pub priority: u8,
+    /// Calls handed to a back end, per second.
+    pub dispatched_per_second: f64,
+    /// Mean wait of these in the daemons' queues, in milliseconds.
+    pub wait_millis: f64,
+    /// Share of the service's slots that they held.
+    pub slot_share: f64,
+    /// Calls refused before they reached a daemon of the service, per second.
+    pub refused_early_per_second: f64,
+    /// Calls refused by a daemon of the service, by the name of the result code.
+    pub refused: BTreeMap<String, u64>,
 }
 
 impl PolicyMeasure {
@@ -91,13 +117,23 @@
     let kinds = (0..layout.kinds.len())
         .map(|kind| measure_kind(layout, settings, record, oracle, kind))
         .collect();
-    let whole = whole_in_surge(settings, &record.sessions, |_| true);
+    let by_kind: Vec<f64> = (0..layout.kinds.len())
+        .map(|kind| whole_in_surge(settings, &record.sessions, |s| s.kind == kind) as f64)
+        .collect();
+    let whole: f64 = by_kind.iter().sum();
+    let capped: f64 = by_kind
+        .iter()
+        .zip(&oracle.whole)
+        .map(|(whole, bound)| whole.min(*bound))
+        .sum();
     let bound: f64 = oracle.whole.iter().sum();
     let works = record.kinds.iter().fold(Work::default(), Work::add);
     let rate = layout.kinds.iter().map(|kind| kind.rate).sum();
     PolicyMeasure {
         policy: settings.policy.name().to_owned(),
-        goodput_ratio: rounded(whole as f64 / bound.max(1.0)),
+        goodput_ratio: rounded(capped / bound.max(1.0)),
+        uncapped_goodput_ratio: rounded(whole / bound.max(1.0)),
+        services: service_measures(layout, settings, record),
         recovery_seconds: recovery(settings, &record.sessions, rate, |_| true),
         wasted_work_ratio: works.wasted_ratio(),
         kinds,
@@ -131,6 +167,37 @@
     }
 }
 
+fn service_measures(
+    layout: &Layout,
+    settings: &RunSettings,
+    record: &RunRecord,
+) -> Vec<ServiceMeasure> {
+    let seconds = settings.surge.as_secs_f64();
+    let mut measures = Vec::new();
+    for (service, by_priority) in layout.services.iter().zip(&record.services) {
+        let slots = f64::from(service.slots) * service.backends.len() as f64;
+        for (priority, counted) in (0_u8..).zip(by_priority) {
+            if *counted == ServiceRecord::default() {
+                continue;
+            }
+            let dispatched = counted.dispatched as f64;
+            let refused = counted.refused.iter();
+            measures.push(ServiceMeasure {
+                service: service.name.clone(),
+                priority,
+                dispatched_per_second: rounded(dispatched / seconds),
+                wait_millis: rounded(counted.waited.as_secs_f64() * 1e3 / dispatched.max(1.0)),
+                slot_share: rounded(counted.held.as_secs_f64() / (slots * seconds)),
+                refused_early_per_second: rounded(counted.refused_early as f64 / seconds),
+                refused: refused
+                    .map(|(code, count)| (code.name().to_owned(), *count))
+                    .collect(),
+            });
+        }
+    }
+    measures
+}
+
 #[derive(Clone, Copy, Default)]
 struct Work {
     useful: Duration,
--- a/crates/emulator/src/experiment/surge/mod.rs
+++ b/crates/emulator/src/experiment/surge/mod.rs
@@ -14,7 +14,7 @@
 use crate::simulator::call_path::{Layout, simulate};
 
 pub use arguments::{SurgeSettings, USAGE, parse};
-pub use measure::{KindMeasure, PolicyMeasure, measure};
+pub use measure::{KindMeasure, PolicyMeasure, ServiceMeasure, measure};
 pub use oracle::{OracleGoodput, oracle_goodput};
 pub use report::{SurgeReport, render_table};
 
@@ -41,7 +41,7 @@
             }
         }
     } else {
-        print!("{}", render_table(&report));
+        print!("{}", render_table(&report, settings.services));
     }
     ExitCode::SUCCESS
 }
--- a/crates/emulator/src/experiment/surge/report.rs
+++ b/crates/emulator/src/experiment/surge/report.rs
@@ -71,7 +71,7 @@
 
 /// The report as a table for people.
 #[must_use]
-pub fn render_table(report: &SurgeReport) -> String {
+pub fn render_table(report: &SurgeReport, with_services: bool) -> String {
     let mut text = String::new();
     // Writing to a String can't fail.
     let _ = writeln!(
@@ -98,6 +98,9 @@
     );
     for policy in &report.policies {
         render_policy(&mut text, report, policy);
+        if with_services {
+            render_services(&mut text, policy);
+        }
     }
     text
 }
@@ -137,6 +140,24 @@
     );
 }
 
+fn render_services(text: &mut String, policy: &PolicyMeasure) {
+    for service in &policy.services {
+        let _ = writeln!(
+            text,
+            "{:<10} service={} priority={} dispatched_per_s={} wait_ms={} slot_share={} \
+             refused_early_per_s={} refused={:?}",
+            policy.policy,
+            service.service,
+            service.priority,
+            service.dispatched_per_second,
+            service.wait_millis,
+            service.slot_share,
+            service.refused_early_per_second,
+            service.refused
+        );
+    }
+}
+
 fn optional(value: Option<f64>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| format!("{value:.3}"))
 }
--- a/crates/emulator/src/simulator/call_path/engine/execution.rs
+++ b/crates/emulator/src/simulator/call_path/engine/execution.rs
@@ -197,6 +197,12 @@
     /// Gives slot and connection back, and lets admission and the back end's queue go on.
     fn free_slot(&mut self, id: ExecutionId, execution: &Execution, completion: Completion) {
         let node = execution.node;
+        if execution.stage == Stage::Running {
+            let held = self.now.saturating_since(execution.work_started);
+            if let Some(record) = self.service_record(execution.service, execution.request) {
+                record.held += held;
+            }
+        }
         let backend = self.backend_mut(node);
         backend.disconnect();
         if execution.stage == Stage::Running {
--- a/crates/emulator/src/simulator/call_path/engine/inbound.rs
+++ b/crates/emulator/src/simulator/call_path/engine/inbound.rs
@@ -141,10 +141,16 @@
         };
         execution.stage = Stage::Dispatched;
         let (node, service) = (execution.node, execution.service);
-        if let Some(request) = self.requests.get(execution.request) {
+        let (offered, request) = (execution.offered, execution.request);
+        if let Some(request) = self.requests.get(request) {
             let priority = request.key.priority().index();
             self.last_dispatch[service][priority] = Some(self.now);
         }
+        let waited = self.now.saturating_since(offered);
+        if let Some(record) = self.service_record(service, request) {
+            record.dispatched += 1;
+            record.waited += waited;
+        }
         match self.backend_mut(node).connect() {
             ConnectionUse::Idle => self.connected(id),
             ConnectionUse::Opens => {
@@ -160,6 +166,9 @@
         let Some(mut execution) = self.executions.remove(id) else {
             return;
         };
+        if let Some(record) = self.service_record(execution.service, execution.request) {
+            *record.refused.entry(code).or_default() += 1;
+        }
         let result = AttemptResult::Failed(code);
         self.send_answer(id, &mut execution, result, retry_after);
         self.drop_reference(execution.request);
--- a/crates/emulator/src/simulator/call_path/engine/mod.rs
+++ b/crates/emulator/src/simulator/call_path/engine/mod.rs
@@ -19,12 +19,12 @@
 use super::arena::Arena;
 use super::arrivals::{Arrival, arrivals};
 use super::backend::Backend;
-use super::call::{Execution, Outgoing, Request};
+use super::call::{Execution, Outgoing, Request, RequestId};
 use super::event::{Event, EventQueue};
 use super::layout::Layout;
 use super::node::Node;
 use super::policy::{Policy, static_settings};
-use super::record::{KindRecord, RunRecord, SessionRecord};
+use super::record::{KindRecord, RunRecord, ServiceRecord, SessionRecord};
 use super::settings::RunSettings;
 
 /// Retry budget per destination, as a fraction of successes.
@@ -79,6 +79,7 @@
             last_dispatch: vec![[None; Priority::COUNT]; layout.services.len()],
             record: RunRecord {
                 sessions: arrivals.iter().map(session).collect(),
+                services: vec![Default::default(); layout.services.len()],
                 kinds: vec![KindRecord::default(); layout.kinds.len()],
                 events: 0,
             },
@@ -210,6 +211,15 @@
         self.settings.policy.is_naive()
     }
 
+    /// The record of a service for the priority of a request; `None` outside the surge.
+    fn service_record(&mut self, service: usize, request: RequestId) -> Option<&mut ServiceRecord> {
+        if !self.in_surge() {
+            return None;
+        }
+        let priority = self.requests.get(request)?.key.priority();
+        Some(&mut self.record.services[service][priority.index()])
+    }
+
     fn in_surge(&self) -> bool {
         let start = Timestamp::ZERO + self.settings.before;
         self.now >= start && self.now < start + self.settings.surge
--- a/crates/emulator/src/simulator/call_path/engine/outgoing.rs
+++ b/crates/emulator/src/simulator/call_path/engine/outgoing.rs
@@ -75,6 +75,7 @@
         }
         if let Some(refusal) = self.refused_early(id) {
             self.note_refused(id, self.now);
+            self.count_early(service, request);
             self.conclude(id, refusal);
         } else {
             self.try_outgoing(id);
@@ -128,6 +129,7 @@
                 retry_after,
             } => {
                 self.note_refused(id, self.now);
+                self.count_early_of(id);
                 self.fail(id, reason, Some(retry_after));
             }
         }
@@ -302,8 +304,13 @@
         if let (Some(metadata), Some(request)) = (metadata, self.requests.get(outgoing.request)) {
             let service = &self.layout.services[outgoing.service].name;
             let kind = &self.layout.kinds[request.kind].name;
-            node.levels
-                .observe(self.now, service, kind, metadata.folded);
+            node.levels.observe_from(
+                self.now,
+                service,
+                attempt.endpoint.as_str(),
+                kind,
+                metadata.folded,
+            );
         }
     }
 
@@ -458,6 +465,21 @@
         }
     }
 
+    fn count_early(&mut self, service: usize, request: RequestId) {
+        if let Some(record) = self.service_record(service, request) {
+            record.refused_early += 1;
+        }
+    }
+
+    fn count_early_of(&mut self, id: OutgoingId) {
+        let outgoing = self.outgoing.get(id);
+        if let Some((service, request)) =
+            outgoing.map(|outgoing| (outgoing.service, outgoing.request))
+        {
+            self.count_early(service, request);
+        }
+    }
+
     /// Whether the network loses something that is lost in this share of cases.
     pub(super) fn is_lost(&mut self, share: f64) -> bool {
         share > 0.0 && self.fault_rng.random::<f64>() < share
--- a/crates/emulator/src/simulator/call_path/record.rs
+++ b/crates/emulator/src/simulator/call_path/record.rs
@@ -1,7 +1,10 @@
 //! What a run showed.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
 use wharfquay_core::time::Timestamp;
 
 /// One originating demand of a caller, over all attempts that the caller makes.
@@ -38,11 +41,28 @@
     pub refused: u64,
 }
 
+/// What happened at a service to the calls of one priority during the surge.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceRecord {
+    /// Calls handed to a back end.
+    pub dispatched: u64,
+    /// Time that these waited in the daemons' queues.
+    pub waited: Duration,
+    /// Time that their executions held a slot.
+    pub held: Duration,
+    /// Calls refused before they reached a daemon of the service.
+    pub refused_early: u64,
+    /// Calls refused by a daemon of the service, by result code.
+    pub refused: BTreeMap<ResultCode, u64>,
+}
+
 /// A whole run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RunRecord {
     /// Every session, in order of arrival.
     pub sessions: Vec<SessionRecord>,
+    /// By service, then by priority.
+    pub services: Vec<[ServiceRecord; Priority::COUNT]>,
     /// By request kind.
     pub kinds: Vec<KindRecord>,
     /// Events that were simulated.
