Place the admission level by measured capacity and offered rate

Cause: the level closed again and again on one burst of refusals, and reopened late: booking at lagos 8x stood 28% idle while it refused bookings; a level heard from one back end closed a whole service.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -132,11 +132,11 @@
             effects.push(self.refuse(now, &call, ResultCode::DeadlineUnreachable));
             return effects;
         }
-        self.level.arrived(call.key);
         if !self.level().admits(call.key) {
             effects.push(self.refuse(now, &call, ResultCode::RefusedByLevel));
             return effects;
         }
+        self.level.arrived(call.key);
         self.enqueue(now, call, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
@@ -195,11 +195,11 @@
         let mut effects = Vec::new();
         while let Some(waiting) = self.queue.pop_expired(now) {
             let code = self.expiry_code(now, &waiting);
-            self.level.refused();
             effects.push(self.refuse(now, &waiting.call, code));
         }
         if self.settings.adaptive_level {
-            self.level.utilisation(self.utilisation());
+            self.level
+                .sample(self.in_flight(), self.limit.current(), self.queue.len());
             self.level.advance(now);
         }
         self.dispatch_waiting(now, &mut effects);
@@ -282,11 +282,9 @@
         match self.queue.push(now, call, expires) {
             Pushed::Queued => {}
             Pushed::Displaced(waiting) => {
-                self.level.refused();
                 effects.push(self.refuse(now, &waiting.call, ResultCode::DisplacedFromQueue));
             }
             Pushed::Full => {
-                self.level.refused();
                 effects.push(self.refuse(now, &call, ResultCode::RefusedQueueFull));
             }
         }
@@ -299,7 +297,6 @@
             };
             if waiting.expires <= now {
                 let code = self.expiry_code(now, &waiting);
-                self.level.refused();
                 effects.push(self.refuse(now, &waiting.call, code));
                 continue;
             }
@@ -393,10 +390,6 @@
     fn in_flight(&self) -> u32 {
         u32::try_from(self.executing.len()).unwrap_or(u32::MAX)
     }
-
-    fn utilisation(&self) -> f64 {
-        f64::from(self.in_flight()) / f64::from(self.limit.current().max(1))
-    }
 }
 
 const fn bounds(settings: &AdmissionSettings) -> LimitBounds {
--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -1,46 +1,51 @@
 //! The controller that sets a back end's admission level.
 //!
-//! Calls are counted by key. The queue may refuse a small share of what is offered to it, so that it
-//! never runs dry. Above that share the level closes so far that fewer calls arrive; below it the
-//! level reopens over as many calls as there is headroom for, counted by key as they arrived of
-//! late. Since keys are ordered by priority and then by rank, the least important calls are the
-//! first to be closed out and the last to be let in again.
+//! It computes how many calls per second the back end can take: the rate at which it takes calls
+//! now, over the used share of its limit, corrected so that the queue comes to a small length at
+//! which it never runs dry. The level is then placed so that the calls below it arrive at that
+//! rate. Ranks are spread evenly over the calls of a priority, so what arrives below the level tells
+//! how many calls of that priority there are in all, even when callers refuse the rest early.
 
 use std::time::Duration;
 
-use crate::priority::{AdmissionKey, AdmissionLevel};
+use crate::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use crate::time::Timestamp;
 
-/// Keys in one bucket of the histogram.
-const KEYS_PER_BUCKET: u16 = 64;
-/// Buckets of the histogram.
-const BUCKETS: usize = (AdmissionKey::COUNT / KEYS_PER_BUCKET) as usize;
-/// Share of the offered calls that the queue may refuse.
-const TARGET_REFUSED_SHARE: f64 = 0.05;
-/// Weight of past intervals in the shares of refused calls and of used slots.
-const SHARE_MEMORY: f64 = 0.7;
-/// Weight of past intervals in the histogram of keys.
-const HISTOGRAM_MEMORY: f64 = 0.9;
-/// Part of the distance to the target by which the level closes in one interval.
-const CLOSING_GAIN: f64 = 0.5;
-/// Share of the admitted calls by which the level reopens at no refusals and no free slot.
-const REOPENING_GAIN: f64 = 0.05;
-/// Keys by which the level reopens at most in an interval without a free slot.
+/// Weight of past intervals in rates and shares.
+const MEMORY: f64 = 0.7;
+/// Weight of past intervals in the rate of a priority of which hardly any call is admitted.
+const UNSEEN_MEMORY: f64 = 0.95;
+/// Admitted share of a priority below which its rate can't be told.
+const SMALLEST_SEEN_SHARE: f64 = 0.05;
+/// Length of the queue that is aimed at, as a share of the concurrency limit.
+const QUEUE_SHARE: f64 = 0.5;
+/// Intervals in which the queue is brought to the length that is aimed at.
+const CORRECTION_INTERVALS: f64 = 4.0;
+/// Share by which the capacity is overestimated, so that free slots are found.
+const PROBE_SHARE: f64 = 0.02;
+/// Keys by which the level rises at most in an interval, without headroom.
 const SMALLEST_STEP: f64 = 256.0;
-/// Keys by which the level reopens at most in an interval without load.
+/// Keys by which the level rises at most in an interval with everything free.
 const LARGEST_STEP: f64 = 8_192.0;
+/// Used share below which the capacity is not extrapolated further.
+const SMALLEST_UTILISATION: f64 = 0.05;
 
-/// Sets the admission level from what the queue had to refuse and from the use of the limit.
+/// Sets the admission level from arrivals, dispatches, the queue and the use of the limit.
 #[derive(Clone, Debug)]
 pub struct LevelController {
     interval: Duration,
     next_adjustment: Timestamp,
-    level: AdmissionLevel,
-    arrivals: Vec<f64>,
-    refused: f64,
+    /// The level with a fraction, so that small steps add up.
+    level: f64,
+    /// Calls that arrived below the level in this interval, by priority.
+    arrived: [f64; Priority::COUNT],
+    /// Calls per interval of each priority, those included that callers refuse early.
+    offered: [f64; Priority::COUNT],
     dispatched: f64,
+    samples: f64,
     utilisation: f64,
-    utilisation_samples: f64,
+    queued: f64,
+    limit: f64,
 }
 
 impl LevelController {
@@ -50,19 +55,21 @@
         Self {
             interval,
             next_adjustment: now + interval,
-            level: AdmissionLevel::OPEN,
-            arrivals: vec![0.0; BUCKETS],
-            refused: 0.0,
+            level: f64::from(AdmissionKey::COUNT),
+            arrived: [0.0; Priority::COUNT],
+            offered: [0.0; Priority::COUNT],
             dispatched: 0.0,
+            samples: 0.0,
             utilisation: 0.0,
-            utilisation_samples: 0.0,
+            queued: 0.0,
+            limit: 1.0,
         }
     }
 
     /// The level in force.
     #[must_use]
-    pub const fn level(&self) -> AdmissionLevel {
-        self.level
+    pub fn level(&self) -> AdmissionLevel {
+        AdmissionLevel::new(self.level as u16)
     }
 
     /// When the level is to be adjusted next.
@@ -71,14 +78,9 @@
         self.next_adjustment
     }
 
-    /// Counts an arrival, whether the level admits it or not.
+    /// Counts an arrival that the level admits.
     pub fn arrived(&mut self, key: AdmissionKey) {
-        self.arrivals[bucket_of(key.number())] += 1.0;
-    }
-
-    /// Counts a call that the queue refused, displaced or dropped.
-    pub fn refused(&mut self) {
-        self.refused += 1.0;
+        self.arrived[key.priority().index()] += 1.0;
     }
 
     /// Counts a dispatched call.
@@ -86,10 +88,12 @@
         self.dispatched += 1.0;
     }
 
-    /// Takes in the use of the concurrency limit, 0 to 1.
-    pub fn utilisation(&mut self, share: f64) {
-        self.utilisation += share;
-        self.utilisation_samples += 1.0;
+    /// Takes in the calls in execution, the limit on them and the calls that wait.
+    pub fn sample(&mut self, in_flight: u32, limit: u32, queued: usize) {
+        self.limit = f64::from(limit.max(1));
+        self.samples += 1.0;
+        self.utilisation += (f64::from(in_flight) / self.limit).min(1.0);
+        self.queued += queued as f64;
     }
 
     /// Adjusts the level when its time has come.
@@ -98,83 +102,70 @@
             return;
         }
         self.next_adjustment = now + self.interval;
-        let offered = self.refused + self.dispatched;
-        let refused = if offered > 0.0 {
-            self.refused / offered
-        } else {
-            0.0
-        };
-        if refused > TARGET_REFUSED_SHARE {
-            self.close((refused - TARGET_REFUSED_SHARE) * CLOSING_GAIN);
-        } else {
-            self.reopen(1.0 - refused / TARGET_REFUSED_SHARE);
-        }
+        self.estimate_offered();
+        let wanted = self.position_for(self.wanted_calls());
+        let headroom = 1.0 - self.mean_utilisation();
+        let step = SMALLEST_STEP + (LARGEST_STEP - SMALLEST_STEP) * headroom * headroom;
+        self.level = wanted.min(self.level + step);
         self.fade();
     }
 
-    /// Lowers the level so that this share of the recently admitted arrivals lies above it.
-    fn close(&mut self, share: f64) {
-        let mut surplus = self.admitted() * share;
-        let mut bucket = bucket_of(self.level.number().saturating_sub(1));
-        while bucket > 0 {
-            surplus -= self.arrivals[bucket];
-            if surplus < 0.0 {
-                break;
+    /// Derives the calls of each priority from those below the level.
+    fn estimate_offered(&mut self) {
+        for priority in 0..Priority::COUNT {
+            let share = self.admitted_share(priority);
+            let offered = &mut self.offered[priority];
+            if share < SMALLEST_SEEN_SHARE {
+                *offered *= UNSEEN_MEMORY;
+            } else {
+                let seen = self.arrived[priority] / share;
+                *offered = *offered * MEMORY + seen * (1.0 - MEMORY);
             }
-            bucket -= 1;
         }
-        let number = (bucket as u16 + 1) * KEYS_PER_BUCKET;
-        self.level = self.level.min(AdmissionLevel::new(number));
     }
 
-    /// Raises the level over as many recent arrivals as there is headroom for. `slack` is 1 when
-    /// nothing was refused and 0 at the target.
-    fn reopen(&mut self, slack: f64) {
-        if self.level == AdmissionLevel::OPEN {
-            return;
-        }
-        let headroom = self.headroom();
-        let mut room = self.admitted() * (REOPENING_GAIN * slack + headroom);
-        let step = SMALLEST_STEP + (LARGEST_STEP - SMALLEST_STEP) * headroom * headroom;
-        let farthest = f64::from(self.level.number()) + step.max(f64::from(KEYS_PER_BUCKET));
-        let last = bucket_of(farthest.min(f64::from(AdmissionKey::COUNT)) as u16 - 1);
-        let mut bucket = bucket_of(self.level.number());
-        while bucket < last {
-            room -= self.arrivals[bucket];
-            if room < 0.0 {
-                break;
-            }
-            bucket += 1;
-        }
-        let number = (bucket as u16 + 1) * KEYS_PER_BUCKET;
-        self.level = self.level.max(AdmissionLevel::new(number));
+    /// Share of a priority's keys that lies below the level.
+    fn admitted_share(&self, priority: usize) -> f64 {
+        let width = f64::from(Rank::COUNT);
+        ((self.level - priority as f64 * width) / width).clamp(0.0, 1.0)
     }
 
-    /// Recent arrivals below the level.
-    fn admitted(&self) -> f64 {
-        let buckets = usize::from(self.level.number() / KEYS_PER_BUCKET);
-        self.arrivals[..buckets].iter().sum()
+    /// Calls per interval that the back end can take.
+    fn wanted_calls(&self) -> f64 {
+        let dispatched = self.dispatched * (1.0 - MEMORY);
+        let used = self.mean_utilisation().max(SMALLEST_UTILISATION);
+        let capacity = dispatched / used * (1.0 + PROBE_SHARE);
+        let queued = self.queued / self.samples.max(1.0);
+        let missing = self.limit * QUEUE_SHARE - queued;
+        capacity + missing / CORRECTION_INTERVALS
     }
 
-    /// Share of the limit that was free, 0 to 1.
-    fn headroom(&self) -> f64 {
-        if self.utilisation_samples <= 0.0 {
-            return 1.0;
+    /// The level below which this many calls per interval arrive.
+    fn position_for(&self, calls: f64) -> f64 {
+        let mut left = calls.max(0.0);
+        let width = f64::from(Rank::COUNT);
+        for (priority, offered) in self.offered.iter().enumerate() {
+            if *offered > left {
+                return (priority as f64 + left / offered) * width;
+            }
+            left -= offered;
         }
-        (1.0 - self.utilisation / self.utilisation_samples).clamp(0.0, 1.0)
+        f64::from(AdmissionKey::COUNT)
     }
 
-    fn fade(&mut self) {
-        self.refused *= SHARE_MEMORY;
-        self.dispatched *= SHARE_MEMORY;
-        self.utilisation *= SHARE_MEMORY;
-        self.utilisation_samples *= SHARE_MEMORY;
-        for count in &mut self.arrivals {
-            *count *= HISTOGRAM_MEMORY;
+    /// Used share of the limit; zero when nothing happened.
+    fn mean_utilisation(&self) -> f64 {
+        if self.samples <= 0.0 {
+            return 0.0;
         }
+        self.utilisation / self.samples
     }
-}
 
-const fn bucket_of(number: u16) -> usize {
-    (number / KEYS_PER_BUCKET) as usize
+    fn fade(&mut self) {
+        self.arrived = [0.0; Priority::COUNT];
+        self.dispatched *= MEMORY;
+        self.samples *= MEMORY;
+        self.utilisation *= MEMORY;
+        self.queued *= MEMORY;
+    }
 }
