--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,6 +16,7 @@
 mod demo;
 mod drain;
 mod error;
+mod experiment;
 mod explain;
 mod get;
 mod help;
@@ -39,6 +40,11 @@
 /// Runs the program with these arguments, the program's name left out.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let arguments: Vec<OsString> = arguments.into_iter().collect();
+    if let [first, rest @ ..] = arguments.as_slice()
+        && first == "experiment"
+    {
+        return experiment::run(rest.to_vec());
+    }
     let mut output = Output::default();
     let result = dispatch(arguments, &mut output);
     match result {
--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -3,3 +3,4 @@
 pub mod churn;
 pub mod drain;
 pub mod propagation;
+pub mod surge;
