--- a/crates/emulator/src/load/attempt.rs
+++ b/crates/emulator/src/load/attempt.rs
@@ -29,6 +29,8 @@
     ConnectFailed,
     /// The connection was lost before a whole answer.
     ConnectionLost,
+    /// The body of the answer was broken off because the deadline had come.
+    CutAtDeadline,
     /// The caller went away.
     TimedOut,
 }
--- a/crates/emulator/src/load/caller.rs
+++ b/crates/emulator/src/load/caller.rs
@@ -22,6 +22,8 @@
 
 /// How long a caller waits past the deadline for an answer that says what became of its request.
 const GRACE: Duration = Duration::from_millis(150);
+/// What the hops of a path keep back of the deadline altogether, at most.
+const HOP_MARGINS: Duration = Duration::from_millis(10);
 
 /// An originating request and who sends it.
 pub(super) struct Caller {
@@ -114,6 +116,7 @@
     }
 
     async fn exchange(&self, edge: SocketAddr, call: &str) -> Attempt {
+        let started = Instant::now();
         let Ok(request) = self.request(edge, call) else {
             return Attempt::without_answer(AttemptEnd::ConnectFailed);
         };
@@ -126,11 +129,20 @@
         };
         let (head, body) = response.into_parts();
         let Ok(body) = body.collect().await else {
-            return Attempt::without_answer(AttemptEnd::ConnectionLost);
+            return Attempt::without_answer(self.end_of_cut(started.elapsed()));
         };
         Attempt::from_answer(&head, &body.to_bytes(), &self.model().entry, &self.token)
     }
 
+    /// A body may be broken off once the deadline has come, and never before.
+    fn end_of_cut(&self, elapsed: Duration) -> AttemptEnd {
+        if elapsed + HOP_MARGINS >= self.deadline() {
+            AttemptEnd::CutAtDeadline
+        } else {
+            AttemptEnd::ConnectionLost
+        }
+    }
+
     fn request(&self, edge: SocketAddr, call: &str) -> Result<Request<Full<Bytes>>, http::Error> {
         let model = self.model();
         let (path, token) = (&model.path, &self.token);
--- a/crates/emulator/src/load/tally.rs
+++ b/crates/emulator/src/load/tally.rs
@@ -34,7 +34,7 @@
     pub(super) const fn of(last: &Attempt, in_time: bool) -> Self {
         match last.end {
             AttemptEnd::Whole if in_time => Self::Whole,
-            AttemptEnd::Whole | AttemptEnd::TimedOut => Self::Late,
+            AttemptEnd::Whole | AttemptEnd::TimedOut | AttemptEnd::CutAtDeadline => Self::Late,
             AttemptEnd::Wrong(fault) => Self::Wrong(fault),
             AttemptEnd::NotRun => Self::Refused,
             AttemptEnd::Unknown | AttemptEnd::ConnectionLost => Self::Unknown,
