Drop calls that lay unread while the daemon was paused

Cause: a deadline crosses a hop as the time that remains, so a daemon that wakes from a freeze counted it from then and ran calls whose callers had long given up. Ruled out: reading the resets first, since calls and resets are handled by different threads. Change: late beats of a 20 ms timer show a pause; calls read during or within 50 ms after it lose its length from their deadline and are refused as not run when nothing is left. Tests on real processes: kill and freeze of the back end's daemon in mid-call, wake-up, SIGTERM, restart, bad use and a port in use. The number of worker threads is a setting, 2 by default, in place of one per core.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -96,9 +96,6 @@
 ) {
     let stop = stop.clone();
     tasks.spawn(async move {
-        tokio::select! {
-            () = task => {}
-            () = stop.cancelled() => {}
-        }
+        stop.run_until_cancelled(task).await;
     });
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::node::Node;
 use crate::outbound::routes::RouteTable;
 use crate::outbound::{Forwarder, OutboundHandler};
+use crate::pause::PauseDetector;
 use crate::peers::PeerPool;
 use crate::scopes::ScopeTable;
 use crate::server::{self, Protocols};
@@ -176,6 +177,7 @@
         forwarder,
         scopes: Arc::new(ScopeTable::default()),
         metrics,
+        pauses: PauseDetector::new(clock.now()),
         stopping: AtomicBool::new(false),
         in_flight: Arc::default(),
     })
@@ -255,27 +257,23 @@
         );
     }
 
-    /// Applies each new configuration and endpoint table.
+    /// Applies each new configuration and endpoint table, and runs the timers.
     fn spawn_updates(&self) {
         let node = Arc::clone(&self.node);
         let backend = self.backend.clone();
+        self.spawn_until_stop(async move { apply_updates(&node, backend.as_deref()).await });
+        let node = Arc::clone(&self.node);
+        self.spawn_until_stop(async move { node.run_beats().await });
+        if let Some(backend) = self.backend.clone() {
+            self.spawn_until_stop(async move { backend.gate.run_timer().await });
+        }
+    }
+
+    fn spawn_until_stop(&self, task: impl Future<Output = ()> + Send + 'static) {
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
-            let updates = apply_updates(&node, backend.as_deref());
-            tokio::select! {
-                () = updates => {}
-                () = stop.cancelled() => {}
-            }
+            stop.run_until_cancelled(task).await;
         });
-        if let Some(backend) = self.backend.clone() {
-            let stop = self.stop.clone();
-            self.tasks.spawn(async move {
-                tokio::select! {
-                    () = backend.gate.run_timer() => {}
-                    () = stop.cancelled() => {}
-                }
-            });
-        }
     }
 
     fn spawn_listeners(&self, listeners: Listeners) {
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -81,7 +81,9 @@
         let value = request.headers().get(names::CONTEXT);
         let wire = value.and_then(|value| WireContext::decode(value.as_bytes()).ok());
         let context = wire.and_then(|wire| wire.into_context(now).ok());
-        context.ok_or_else(|| Failure::new(ResultCode::InvalidContext))
+        let mut context = context.ok_or_else(|| Failure::new(ResultCode::InvalidContext))?;
+        context.deadline = context.deadline - self.node.pauses.suspected_wait(now);
+        Ok(context)
     }
 
     async fn execute(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 mod node;
 mod outbound;
+pub mod pause;
 pub mod peers;
 mod request;
 pub mod scopes;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -85,10 +85,11 @@
         Ok(logger) => logger,
         Err(error) => return bad_use(&format!("log.level: {error}")),
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.limits.worker_threads as usize)
         .enable_all()
-        .build()
-    {
+        .build();
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return failed(&format!("no runtime: {error}")),
     };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlView;
 use crate::metrics::{Metrics, Side};
 use crate::outbound::Forwarder;
+use crate::pause::{BEAT_INTERVAL, PauseDetector};
 use crate::scopes::ScopeTable;
 use crate::settings::Settings;
 
@@ -25,6 +26,7 @@
     pub(crate) forwarder: Forwarder,
     pub(crate) scopes: Arc<ScopeTable>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) pauses: PauseDetector,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: Arc<AtomicUsize>,
 }
@@ -42,6 +44,16 @@
         Ok(snapshot)
     }
 
+    /// Feeds the pause detector; never returns.
+    pub(crate) async fn run_beats(&self) {
+        loop {
+            tokio::time::sleep(BEAT_INTERVAL).await;
+            if let Some(length) = self.pauses.beat(self.clock.now()) {
+                log::warn!("event=process_paused length_ms={}", length.as_millis());
+            }
+        }
+    }
+
     /// Whether a stop was asked for.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -234,7 +234,9 @@
         let field = "limits.drain_limit_ms";
         self.range(field, limits.drain_limit_ms, 0..=3_600_000)?;
         let streams = u64::from(limits.streams_per_peer);
-        self.range("limits.streams_per_peer", streams, 1..=100_000)
+        self.range("limits.streams_per_peer", streams, 1..=100_000)?;
+        let threads = u64::from(limits.worker_threads);
+        self.range("limits.worker_threads", threads, 1..=256)
     }
 
     fn log_level(&self, level: &str) -> Result<(), SettingsError> {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -119,6 +119,8 @@
     pub drain_limit_ms: u64,
     /// Calls that one peer may have in flight at this daemon. 1 to 100000, default 4096.
     pub streams_per_peer: u32,
+    /// Threads that serve calls. 1 to 256, default 2.
+    pub worker_threads: u32,
 }
 
 impl Default for LimitSettings {
@@ -128,6 +130,7 @@
             connect_timeout_ms: 1_000,
             drain_limit_ms: 30_000,
             streams_per_peer: 4_096,
+            worker_threads: 2,
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,282 @@
+//! Faults that only processes have: a daemon that is killed or frozen in the middle of a call, bad
+//! command lines, and ports in use.
+
+mod support;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use support::backend::BackendStub;
+use support::client::{self, Call};
+use support::deployment::{edge_text, machine, member_text, standard_resources};
+use support::platform::PlatformStub;
+use wharfquay_core::outcome::ResultCode;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_wharfquayd");
+
+/// A daemon in a process of its own; it is killed when dropped.
+struct Process {
+    child: Child,
+    started: String,
+}
+
+impl Process {
+    /// Starts a daemon and waits for its log line that names the addresses.
+    fn start(name: &str, text: &str) -> Self {
+        let mut child = Command::new(PROGRAM)
+            .arg("--config")
+            .arg(settings_file(name, text))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut started = String::new();
+        while !started.contains("event=started") {
+            started.clear();
+            assert_ne!(log.read_line(&mut started).unwrap(), 0, "no start: {name}");
+        }
+        // The rest of the log is read, so that the daemon never waits for a reader.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Self { child, started }
+    }
+
+    fn address(&self, side: &str) -> SocketAddr {
+        let key = format!("{side}=");
+        let value = self
+            .started
+            .split_whitespace()
+            .find_map(|pair| pair.strip_prefix(&key));
+        value.unwrap().parse().unwrap()
+    }
+
+    /// Freezes the process and waits until it is frozen.
+    async fn freeze(&self) {
+        self.signal("STOP");
+        let path = format!("/proc/{}/stat", self.child.id());
+        support::eventually("the process is frozen", async || {
+            let stat = std::fs::read_to_string(&path).unwrap();
+            let state = stat.rsplit(')').next().unwrap();
+            state.trim_start().starts_with('T')
+        })
+        .await;
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status();
+        assert!(status.unwrap().success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = directory.join(format!("{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// An edge and one back end with its daemon, each daemon a process.
+struct Mesh {
+    platform: PlatformStub,
+    backend: BackendStub,
+    member: Process,
+    edge: Process,
+}
+
+impl Mesh {
+    async fn start(name: &str) -> Self {
+        let platform = PlatformStub::start().await;
+        for resource in standard_resources(&["booking"]) {
+            platform.put(&resource);
+        }
+        let backend = BackendStub::start().await;
+        let listen = "127.0.0.1:0";
+        let text = member_text(
+            platform.address,
+            "booking-0",
+            "booking",
+            backend.address,
+            listen,
+        );
+        let member = Process::start(&format!("{name}-member"), &text);
+        backend.set_outbound(member.address("outbound"));
+        let inbound = member.address("inbound");
+        platform.put_machine(machine("booking-0", "booking", inbound, "live"));
+        let edge = Process::start(&format!("{name}-edge"), &edge_text(platform.address, ""));
+        let mesh = Self {
+            platform,
+            backend,
+            member,
+            edge,
+        };
+        support::eventually("calls get through", async || {
+            let answer = mesh.send(Call::get("booking", "/echo")).await;
+            answer.code() == Some(ResultCode::Answered)
+        })
+        .await;
+        mesh
+    }
+
+    async fn send(&self, call: Call) -> client::Answer {
+        client::send(self.edge.address("edge"), call).await.unwrap()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_killed_in_the_middle_of_a_call_leaves_it_unknown() {
+    let mut mesh = Mesh::start("kill").await;
+    let edge = mesh.edge.address("edge");
+    let call = Call::post("booking", "/slow/60000", "");
+    let in_flight = tokio::spawn(client::send(edge, call));
+    support::eventually("the call runs", async || {
+        mesh.backend.executions("/slow/60000") == 1
+    })
+    .await;
+    mesh.member.child.kill().unwrap();
+    let answer = in_flight.await.unwrap().unwrap();
+    assert_eq!(answer.code(), Some(ResultCode::ConnectionLost));
+    assert_eq!(answer.header("wharfquay-outcome"), Some("unknown"));
+    let next = mesh.send(Call::post("booking", "/slow/60000", "")).await;
+    assert_eq!(next.header("wharfquay-outcome"), Some("not-run"));
+    assert_eq!(mesh.backend.executions("/slow/60000"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_daemon_ends_in_an_answer_by_the_deadline() {
+    let mesh = Mesh::start("freeze").await;
+    mesh.member.freeze().await;
+    let started = Instant::now();
+    let call = Call::post("booking", "/frozen", "").header("wharfquay-deadline-ms", "300");
+    let answer = mesh.send(call).await;
+    let took = started.elapsed();
+    assert_eq!(answer.code(), Some(ResultCode::DeadlineAfterDispatch));
+    assert!(took < Duration::from_secs(1), "took {took:?}");
+    mesh.member.signal("CONT");
+    support::eventually("calls get through again", async || {
+        let answer = mesh.send(Call::get("booking", "/echo")).await;
+        answer.code() == Some(ResultCode::Answered)
+    })
+    .await;
+    assert!(mesh.backend.executions("/frozen") <= 1);
+}
+
+/// Calls that were cancelled while the daemon was frozen must not be run when it wakes up, whether it
+/// reads the cancellation before or after it reads the next call.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_wakes_up_drops_what_was_cancelled() {
+    let mesh = Mesh::start("wake").await;
+    mesh.member.freeze().await;
+    for _ in 0..5 {
+        let call = Call::post("booking", "/late", "").header("wharfquay-deadline-ms", "50");
+        let answer = mesh.send(call).await;
+        assert_eq!(answer.code(), Some(ResultCode::DeadlineAfterDispatch));
+    }
+    mesh.member.signal("CONT");
+    support::eventually("calls get through again", async || {
+        let answer = mesh.send(Call::get("booking", "/echo")).await;
+        answer.code() == Some(ResultCode::Answered)
+    })
+    .await;
+    let executed = mesh.backend.executions("/late");
+    assert_eq!(executed, 0, "cancelled calls were run");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_daemon_ends_its_calls_and_exits_with_zero() {
+    let mut mesh = Mesh::start("term").await;
+    let edge = mesh.edge.address("edge");
+    let call = Call::post("booking", "/slow/300", "");
+    let in_flight = tokio::spawn(client::send(edge, call));
+    support::eventually("the call runs", async || {
+        mesh.backend.executions("/slow/300") == 1
+    })
+    .await;
+    mesh.member.signal("TERM");
+    assert_eq!(in_flight.await.unwrap().unwrap().text(), "slow answer");
+    let status = tokio::task::spawn_blocking(move || mesh.member.child.wait()).await;
+    assert!(status.unwrap().unwrap().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_daemon_serves_the_configuration_again() {
+    let mut mesh = Mesh::start("restart").await;
+    let inbound = mesh.member.address("inbound");
+    mesh.member.child.kill().unwrap();
+    mesh.member.child.wait().unwrap();
+    let (platform, backend) = (mesh.platform.address, mesh.backend.address);
+    let listen = inbound.to_string();
+    let text = member_text(platform, "booking-0", "booking", backend, &listen);
+    mesh.member = Process::start("restart-again", &text);
+    support::eventually("calls get through again", async || {
+        let answer = mesh.send(Call::get("booking", "/echo")).await;
+        answer.code() == Some(ResultCode::Answered)
+    })
+    .await;
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(PROGRAM).args(arguments).output().unwrap()
+}
+
+#[test]
+fn bad_use_exits_with_two_and_says_why() {
+    let platform = "127.0.0.1:1".parse().unwrap();
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = taken.local_addr().unwrap().to_string();
+    let good = settings_file("good", &edge_text(platform, ""));
+    let bad = settings_file("bad", "id = 3\n");
+    let good = good.to_str().unwrap();
+    let bad = bad.to_str().unwrap();
+    let port_in_use = format!("edge.listen={port}");
+    let cases: [(&[&str], &[&str]); 7] = [
+        (&[], &["--config", "allowed"]),
+        (&["--colour"], &["--colour", "Usage"]),
+        (
+            &["--config", "/nowhere.toml"],
+            &["/nowhere.toml", "can't be read"],
+        ),
+        (&["--config", bad], &[bad, "id", "string"]),
+        (
+            &["--config", good, "--set", "zone="],
+            &["zone", "given \"\""],
+        ),
+        (
+            &["--config", good, "--check", "--set", "log.level=x"],
+            &["log.level", "x", "debug"],
+        ),
+        (
+            &["--config", good, "--set", &port_in_use],
+            &["edge.listen", &port],
+        ),
+    ];
+    for (arguments, expected) in cases {
+        let output = run(arguments);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {text}");
+        for part in expected {
+            assert!(text.contains(part), "{arguments:?}: {part:?} not in {text}");
+        }
+    }
+}
+
+#[test]
+fn a_check_passes_without_starting() {
+    let platform = "127.0.0.1:1".parse().unwrap();
+    let file = settings_file("check", &edge_text(platform, ""));
+    let output = run(&["--config", file.to_str().unwrap(), "--check"]);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).ends_with(": ok\n"));
+    assert!(run(&["--help"]).status.success());
+    assert!(run(&["--version"]).status.success());
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -85,6 +85,10 @@
         "limits.streams_per_peer=0",
         &["limits.streams_per_peer", "1 to 100000"],
     ),
+    (
+        "limits.worker_threads=0",
+        &["limits.worker_threads", "given 0", "1 to 256"],
+    ),
     ("nonsense", &["--set nonsense", "key=value"]),
     ("id.part=1", &["--set id.part=1", "key=value"]),
 ];
--- a/crates/daemon/tests/support/deployment.rs
+++ b/crates/daemon/tests/support/deployment.rs
@@ -143,14 +143,18 @@
 
 /// Settings of an edge; `more` is added to the file.
 pub fn edge_settings(platform: &PlatformStub, more: &str) -> Settings {
-    let text = format!(
+    let text = edge_text(platform.address, more);
+    settings::parse("edge.toml", &text, &[]).unwrap()
+}
+
+/// Settings file of an edge; `more` is added to it.
+pub fn edge_text(platform: SocketAddr, more: &str) -> String {
+    format!(
         "id = \"edge\"\nzone = \"north\"\n\
          [edge]\nlisten = \"127.0.0.1:0\"\n\
          [admin]\nlisten = \"127.0.0.1:0\"\n\
-         [platform]\naddresses = [\"{}\"]\npoll_interval_ms = 50\n{more}",
-        platform.address
-    );
-    settings::parse("edge.toml", &text, &[]).unwrap()
+         [platform]\naddresses = [\"{platform}\"]\npoll_interval_ms = 50\n{more}"
+    )
 }
 
 /// Services that call each other in turn, and for each a repeatable and an unrepeatable kind.
