Prove claims over a new group and under replicas that come and go

Cause: the handover ran in simulation only, and no test mixed many keys with faults. Change: two tests on real processes; epoch, votes and sizes of the replica on /status and /metrics.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,5 +1,7 @@
 //! The admin side: health, readiness, metrics and status.
 
+mod claims;
+
 use std::sync::Arc;
 
 use salvo::http::StatusCode;
@@ -8,6 +10,7 @@
 use serde::Serialize;
 use wharfquay_resources::snapshot::Revision;
 
+use crate::admin::claims::ClaimStatus;
 use crate::inbound::LocalBackend;
 use crate::metrics::Gauge;
 use crate::node::Node;
@@ -35,6 +38,7 @@
     peers_connected: usize,
     endpoints: Vec<EndpointStatus>,
     admission: Option<AdmissionStatus>,
+    claims: ClaimStatus,
 }
 
 #[derive(Debug, Serialize)]
@@ -101,6 +105,7 @@
             peers_connected: self.node.forwarder.peers().connected(),
             endpoints: self.endpoints(),
             admission: self.admission(),
+            claims: self.claims(),
         }
     }
 
@@ -131,6 +136,10 @@
         })
     }
 
+    fn claims(&self) -> ClaimStatus {
+        ClaimStatus::new(self.node.control.claims.status())
+    }
+
     fn gauges(&self) -> Vec<Gauge> {
         let gauge = |name, help, value| Gauge { name, help, value };
         let mut gauges = vec![
@@ -150,6 +159,7 @@
                 self.node.forwarder.peers().connected() as u64,
             ),
         ];
+        gauges.extend(self.claims().gauges());
         if let Some(admission) = self.admission() {
             gauges.extend(admission_gauges(&admission));
         }
--- a/crates/daemon/tests/claims_processes.rs
+++ b/crates/daemon/tests/claims_processes.rs
@@ -37,7 +37,7 @@
         for resource in standard_resources(&["booking", "ledger"]) {
             platform.put(&resource);
         }
-        platform.put(&claim_group());
+        platform.put(&claim_group(0));
         let backend = BackendStub::start().await;
         let text = member_text(
             platform.address,
@@ -100,6 +100,15 @@
         self.edges[edge].address("edge")
     }
 
+    /// Whether a replica votes in an epoch.
+    async fn votes_in(&self, number: usize, epoch: u64) -> bool {
+        let admin = self.replicas[number].address("admin");
+        let status = client::send(admin, Call::get("admin", "/status")).await;
+        let text = status.map(|status| status.text()).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        status["claims"]["epoch"] == epoch && status["claims"]["voting"] == true
+    }
+
     async fn send(&self, edge: usize, key: &str, path: &str) -> Answer {
         client::send(self.edge(edge), keyed(key, path))
             .await
@@ -140,12 +149,17 @@
     format!("replica-{number}")
 }
 
-fn claim_group() -> Resource {
+fn replica_ids(first: usize) -> Vec<String> {
+    (first..first + REPLICAS).map(replica_id).collect()
+}
+
+/// The group of the replicas from `first` on, which follows the one of those before.
+fn claim_group(first: usize) -> Resource {
     Resource::ClaimGroup(ClaimGroup {
         name: "default".to_owned(),
-        epoch: 1,
-        replicas: (0..REPLICAS).map(replica_id).collect(),
-        previous_replicas: None,
+        epoch: first as u64 + 1,
+        replicas: replica_ids(first),
+        previous_replicas: first.checked_sub(1).map(replica_ids),
         clock_skew_ms: CLOCK_SKEW_MS,
         retention_ms: 60_000,
     })
@@ -217,6 +231,89 @@
     assert_eq!(mesh.backend.executions("/alone"), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_group_knows_what_the_one_before_did() {
+    let mut mesh = Mesh::start("regroup").await;
+    let (answered, lost) = (fresh_key(), fresh_key());
+    mesh.assert_answered(0, &answered, "/before", "first").await;
+    mesh.assert_refused(0, &lost, "/drop", ResultCode::ConnectionLost)
+        .await;
+    let added = mesh.start_replica(REPLICAS);
+    mesh.replicas.push(added);
+    mesh.replicas[0].kill();
+    mesh.platform.put(&claim_group(1));
+    for number in 1..=REPLICAS {
+        support::eventually("the new group votes", async || {
+            mesh.votes_in(number, 2).await
+        })
+        .await;
+    }
+    mesh.assert_answered(1, &answered, "/before", "repeat in the new group")
+        .await;
+    mesh.assert_refused(1, &lost, "/drop", ResultCode::ClaimUncertain)
+        .await;
+    assert_eq!(mesh.backend.executions("/drop"), 1);
+    mesh.wait_until_claims_succeed().await;
+
+    // Only the added one is left: what it answers was handed over to it.
+    mesh.replicas[1].kill();
+    mesh.replicas[2].kill();
+    mesh.assert_answered(0, &answered, "/before", "repeat at the added replica")
+        .await;
+    mesh.assert_refused(0, &fresh_key(), "/none", ResultCode::ClaimUndetermined)
+        .await;
+}
+
+/// Sends a key through both edges at once until one of them answers, or a bound is reached; gives
+/// the result codes.
+async fn insist(edges: [SocketAddr; 2], path: String) -> Vec<Option<ResultCode>> {
+    let key = fresh_key();
+    let send = |edge| client::send(edge, keyed(&key, &path));
+    let mut codes = Vec::new();
+    while codes.len() < 10 && !codes.contains(&Some(ResultCode::Answered)) {
+        let (first, second) = tokio::join!(send(edges[0]), send(edges[1]));
+        codes.extend([first, second].map(|answer| answer.unwrap().code()));
+    }
+    codes
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_keys_take_effect_once_while_replicas_come_and_go() {
+    let mut mesh = Mesh::start("many").await;
+    let edges = [mesh.edge(0), mesh.edge(1)];
+    let mut callers = tokio::task::JoinSet::new();
+    for round in 0..9 {
+        let replica = round % REPLICAS;
+        for number in 0..20 {
+            let path = format!("/many/{round}/{number}");
+            callers.spawn(async move { (path.clone(), insist(edges, path).await) });
+        }
+        if round % 2 == 0 {
+            mesh.replicas[replica].freeze().await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            mesh.replicas[replica].thaw();
+        } else {
+            mesh.replace_replica(replica);
+            mesh.wait_until_claims_succeed().await;
+        }
+    }
+    let mut answered = 0;
+    while let Some(ended) = callers.join_next().await {
+        let (path, codes) = ended.unwrap();
+        let executions = mesh.backend.executions(&path);
+        assert!(
+            executions <= 1,
+            "{path}: {executions} executions, told {codes:?}"
+        );
+        if codes.contains(&Some(ResultCode::Answered)) {
+            assert_eq!(executions, 1, "{path}");
+            answered += 1;
+        }
+    }
+    println!("answered={answered}");
+    assert!(answered > 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_uncertain_attempt_is_never_repeated() {
     let mesh = Mesh::start("uncertain").await;
--- a/crates/daemon/tests/support/platform.rs
+++ b/crates/daemon/tests/support/platform.rs
@@ -95,7 +95,12 @@
     match request.uri().path() {
         "/v1/objects" => whole(&json!({"version": state.version, "objects": state.objects})),
         "/v1/machines" => whole(&json!({"version": state.version, "machines": state.machines})),
-        "/v1/watch" => watch(&mut state),
+        "/v1/watch" if is_current(&state, request) => watch(&mut state),
+        "/v1/watch" => {
+            let mut response = whole(&json!({"error": "the version is too old"}));
+            *response.status_mut() = StatusCode::GONE;
+            response
+        }
         _ => {
             let mut response = whole(&json!({"error": "no such path"}));
             *response.status_mut() = StatusCode::NOT_FOUND;
@@ -108,6 +113,12 @@
     Response::new(TestBody::whole(value.to_string()))
 }
 
+/// Whether the watch starts at the newest version; the stub keeps no events for an older start.
+fn is_current(state: &State, request: &Request<Incoming>) -> bool {
+    let from = format!("from={}", state.version);
+    request.uri().query() == Some(from.as_str())
+}
+
 fn watch(state: &mut State) -> Response<TestBody> {
     let (feed, body) = TestBody::channel();
     let bookmark = json!({"type": "bookmark", "version": state.version});
