--- a/crates/core/src/idempotency/claim/exchange.rs
+++ b/crates/core/src/idempotency/claim/exchange.rs
@@ -29,7 +29,7 @@
             claim_timeout: Duration::from_millis(500),
             retransmit_after: Duration::from_millis(20),
             maximum_retransmit_after: Duration::from_millis(200),
-            settle_timeout: Duration::from_secs(30),
+            settle_timeout: Duration::from_secs(10),
             retry_after: Duration::from_secs(1),
         }
     }
--- a/crates/core/src/idempotency/claim/records.rs
+++ b/crates/core/src/idempotency/claim/records.rs
@@ -1,6 +1,6 @@
 //! Bounded store of what a replica knows about each key.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,11 @@
         self.abandoned.push(claim);
     }
 
+    /// Whether nothing but withdrawn claims is on record. Forgetting that is safe at any time.
+    const fn is_withdrawn(&self) -> bool {
+        matches!(self.ballot, Ballot::Open) && self.outcome.is_none()
+    }
+
     /// Bytes of the kept answer.
     fn content_length(&self) -> usize {
         match self.outcome.as_ref().map(|record| &record.outcome) {
@@ -91,6 +96,8 @@
 #[derive(Clone, Debug)]
 pub struct RecordStore {
     records: BTreeMap<IdempotencyKey, Record>,
+    /// Keys whose claims were withdrawn, oldest withdrawal first; some may be in use again.
+    withdrawn: VecDeque<IdempotencyKey>,
     content_bytes: usize,
     maximum_records: usize,
     maximum_content_bytes: usize,
@@ -103,6 +110,7 @@
     pub const fn new(maximum_records: usize, maximum_content_bytes: usize) -> Self {
         Self {
             records: BTreeMap::new(),
+            withdrawn: VecDeque::new(),
             content_bytes: 0,
             maximum_records,
             maximum_content_bytes,
@@ -133,14 +141,45 @@
         self.content_bytes
     }
 
-    /// The record of a key, made when absent; `None` when the store is full.
+    /// The record of a key, made when absent; `None` when the store is full of records that must
+    /// be kept.
     pub fn entry(&mut self, key: IdempotencyKey) -> Option<&mut Record> {
-        if !self.records.contains_key(&key) && self.records.len() >= self.maximum_records {
+        let full = self.records.len() >= self.maximum_records;
+        if full && !self.records.contains_key(&key) && !self.drop_withdrawn() {
             return None;
         }
         Some(self.records.entry(key).or_default())
     }
 
+    /// Drops the record that was withdrawn first.
+    fn drop_withdrawn(&mut self) -> bool {
+        while let Some(key) = self.withdrawn.pop_front() {
+            if self.records.get(&key).is_some_and(Record::is_withdrawn) {
+                self.records.remove(&key);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Withdraws a claim.
+    pub fn abandon(&mut self, key: IdempotencyKey, claim: ClaimId) {
+        let Some(record) = self.entry(key) else {
+            return;
+        };
+        record.abandon(claim);
+        if record.is_withdrawn() {
+            self.note_withdrawn(key);
+        }
+    }
+
+    fn note_withdrawn(&mut self, key: IdempotencyKey) {
+        if self.withdrawn.len() >= self.maximum_records {
+            self.withdrawn.pop_front();
+        }
+        self.withdrawn.push_back(key);
+    }
+
     /// Keeps the first outcome of a key; drops the answer's content when there is no room for it.
     /// Returns whether an outcome is kept.
     pub fn store_outcome(&mut self, key: IdempotencyKey, outcome: OutcomeRecord) -> bool {
@@ -190,6 +229,8 @@
         while self.records.len() > self.maximum_records {
             dropped.extend(self.records.pop_first().map(|(key, _)| key));
         }
+        let withdrawn = self.records.iter().filter(|(_, one)| one.is_withdrawn());
+        self.withdrawn = withdrawn.map(|(key, _)| *key).collect();
         self.content_bytes = 0;
         for record in self.records.values_mut().rev() {
             if self.content_bytes + record.content_length() > self.maximum_content_bytes {
--- a/crates/core/src/idempotency/claim/replica.rs
+++ b/crates/core/src/idempotency/claim/replica.rs
@@ -281,9 +281,7 @@
         if self.is_out_of_reach(wall, abandon.key) {
             return;
         }
-        if let Some(record) = self.store.entry(abandon.key) {
-            record.abandon(abandon.claim);
-        }
+        self.store.abandon(abandon.key, abandon.claim);
     }
 
     fn store_outcome(&mut self, wall: UnixMillis, store: Store) {
--- a/crates/core/tests/idempotency_cases.rs
+++ b/crates/core/tests/idempotency_cases.rs
@@ -230,6 +230,18 @@
         claim(&mut replica, READY, &claim_on(keys[2], 1)),
         Vote::Full
     );
+    abandon(&mut replica, keys[1], 1);
+    let third = claim(&mut replica, READY, &claim_on(keys[2], 1));
+    assert_eq!(third, Vote::Granted, "a withdrawn claim makes room");
+    abandon(&mut replica, keys[2], 1);
+    assert_eq!(
+        claim(&mut replica, READY, &claim_on(keys[1], 2)),
+        Vote::Granted
+    );
+    assert_eq!(
+        claim(&mut replica, READY, &claim_on(keys[2], 2)),
+        Vote::Full
+    );
     store(&mut replica, READY, keys[0], b"12345");
     store(&mut replica, READY, keys[1], b"12345");
     assert_eq!(
@@ -237,7 +249,7 @@
         5,
         "the second answer found no room"
     );
-    let vote = claim(&mut replica, READY, &claim_on(keys[1], 2));
+    let vote = claim(&mut replica, READY, &claim_on(keys[1], 3));
     let Vote::Recorded(record) = vote else {
         panic!("the outcome itself is kept, got {vote:?}");
     };
