Cut zones from each other in the claim schedules

Cause: sustained cuts were only approximated by single lost messages and freezes. Change: schedules cut pairs of zones and join them again.

--- a/crates/core/tests/idempotency_protocol.rs
+++ b/crates/core/tests/idempotency_protocol.rs
@@ -2,7 +2,7 @@
 
 mod idempotency_support;
 
-use idempotency_support::{Action, CallState, EDGES, POOL, SKEW_MILLIS, World};
+use idempotency_support::{Action, CallState, EDGES, POOL, SKEW_MILLIS, World, ZONES};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -46,6 +46,8 @@
         2 => (0..POOL).prop_map(Action::ThawReplica),
         1 => (0..EDGES).prop_map(Action::FreezeEdge),
         2 => (0..EDGES).prop_map(Action::ThawEdge),
+        2 => (0..ZONES, 0..ZONES).prop_map(|(first, second)| Action::CutZones(first, second)),
+        2 => Just(Action::JoinZones),
         1 => (0..POOL, clock_offset())
             .prop_map(|(replica, offset)| Action::SetReplicaClock { replica, offset }),
         1 => (0..EDGES, clock_offset())
--- a/crates/core/tests/idempotency_support/mod.rs
+++ b/crates/core/tests/idempotency_support/mod.rs
@@ -1,7 +1,7 @@
 //! A simulated deployment of replicas, edges and callers under arbitrary faults, which checks the
 //! promises of the claim protocol after each step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -23,6 +23,8 @@
 pub(crate) const RETENTION_MILLIS: u64 = 6_000;
 pub(crate) const POOL: usize = 6;
 pub(crate) const EDGES: usize = 3;
+/// Replicas and edges are spread over the zones in turn.
+pub(crate) const ZONES: usize = 3;
 const START_MILLIS: u64 = 1_000_000;
 /// More messages in flight than this are not worth their time; the oldest are lost.
 const MAXIMUM_IN_FLIGHT: usize = 300;
@@ -66,6 +68,9 @@
         edge: usize,
         offset: u64,
     },
+    /// Nothing crosses between two zones, or inside one, until they are joined again.
+    CutZones(usize, usize),
+    JoinZones,
     /// The operator replaces the group.
     Regroup {
         first: usize,
@@ -154,6 +159,7 @@
     calls: Vec<Call>,
     dispatches: Vec<Dispatch>,
     messages: Vec<Message>,
+    cuts: BTreeSet<(usize, usize)>,
 }
 
 fn replica_id(index: usize) -> ReplicaId {
@@ -194,6 +200,7 @@
             calls: Vec::new(),
             dispatches: Vec::new(),
             messages: Vec::new(),
+            cuts: BTreeSet::new(),
         };
         for index in 0..POOL {
             let offset = world.rng.random_range(0..=1) * SKEW_MILLIS;
@@ -277,6 +284,11 @@
             Action::SetEdgeClock { edge, offset } => {
                 self.edges[edge % EDGES].clock_offset = offset % (SKEW_MILLIS + 1);
             }
+            Action::CutZones(first, second) => {
+                let pair = (first % ZONES, second % ZONES);
+                self.cuts.insert((pair.0.min(pair.1), pair.0.max(pair.1)));
+            }
+            Action::JoinZones => self.cuts.clear(),
             Action::Regroup { first, size } => self.regroup(first, size),
             Action::ConfigureReplica(index) => self.configure_replica(index % POOL),
             Action::ConfigureEdge(edge) => self.configure_edge(edge % EDGES),
@@ -454,6 +466,9 @@
         let Some(message) = self.take_message(index) else {
             return;
         };
+        if self.is_cut(&message) {
+            return;
+        }
         let frozen = match &message {
             Message::ToReplica { to, .. }
             | Message::Fetch { to, .. }
@@ -467,6 +482,16 @@
         }
     }
 
+    fn is_cut(&self, message: &Message) -> bool {
+        let (first, second) = match *message {
+            Message::ToReplica { to, call, .. } => (to, self.calls[call].edge),
+            Message::ToCall { call, from, .. } => (from, self.calls[call].edge),
+            Message::Fetch { to, from, .. } | Message::Page { to, from, .. } => (to, from),
+        };
+        let (first, second) = (first % ZONES, second % ZONES);
+        self.cuts.contains(&(first.min(second), first.max(second)))
+    }
+
     fn deliver(&mut self, message: Message) {
         let now = self.now();
         match message {
@@ -586,6 +611,7 @@
 
     /// Ends every fault and lets the network be quiet for a while.
     pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
         for edge in 0..EDGES {
             self.edges[edge].frozen = false;
             self.configure_edge(edge);
