Keep slots for bookings and payments that are refused upstream

Cause: at lagos 8x bookings were refused at booking, whose slots were held while bookings waited behind less important calls at slot, eligibility and record. Change: each daemon tells from the mean rank of its priority 0 calls whether they are cut short upstream; if so, the others may use only the slots that priority 0 does not fill on average. The queue is aimed at one limit in place of a half, the capacity probed by 5% in place of 2%. Conclusion: kept for priority 0 alone.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -7,6 +7,7 @@
 use crate::admission::level::LevelController;
 use crate::admission::limit::{Limit, LimitBounds, LimitSample};
 use crate::admission::queue::{Pushed, WaitQueue, Waiting};
+use crate::admission::reserve::Reserve;
 use crate::admission::settings::AdmissionSettings;
 use crate::outcome::ResultCode;
 use crate::priority::{AdmissionKey, AdmissionLevel, Priority};
@@ -101,6 +102,7 @@
     executing: HashMap<CallTicket, Execution>,
     shortest: [FloorDuration; Priority::COUNT],
     mean: MeanDuration,
+    reserve: Reserve,
     draining: bool,
 }
 
@@ -115,6 +117,7 @@
             executing: HashMap::new(),
             shortest: [FloorDuration::default(); Priority::COUNT],
             mean: MeanDuration::default(),
+            reserve: Reserve::new(),
             draining: false,
             settings,
         }
@@ -137,6 +140,7 @@
             return effects;
         }
         self.level.arrived(call.key);
+        self.reserve.arrived(call.key);
         self.enqueue(now, call, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
@@ -150,6 +154,7 @@
         completion: Completion,
     ) -> Vec<AdmissionEffect> {
         if let Some(execution) = self.executing.remove(&ticket) {
+            self.reserve.ended(execution.key.priority());
             self.learn(now, &execution, completion);
         }
         let mut effects = self.advance(now);
@@ -274,7 +279,7 @@
     fn enqueue(&mut self, now: Timestamp, call: OfferedCall, effects: &mut Vec<AdmissionEffect>) {
         let longest = now + self.settings.maximum_queue_wait;
         let expires = longest.min(self.last_useful_start(&call));
-        if self.has_free_slot() && self.queue.is_empty() {
+        if self.queue.is_empty() && self.may_dispatch(call.key.priority()) {
             self.execute(now, &call);
             effects.push(AdmissionEffect::Dispatch(call.ticket));
             return;
@@ -291,7 +296,10 @@
     }
 
     fn dispatch_waiting(&mut self, now: Timestamp, effects: &mut Vec<AdmissionEffect>) {
-        while self.has_free_slot() {
+        while let Some(first) = self.queue.first() {
+            if !self.may_dispatch(first.call.key.priority()) {
+                return;
+            }
             let Some(waiting) = self.queue.pop() else {
                 return;
             };
@@ -307,6 +315,7 @@
 
     fn execute(&mut self, now: Timestamp, call: &OfferedCall) {
         self.level.dispatched();
+        self.reserve.dispatched(call.key.priority());
         let execution = Execution {
             key: call.key,
             dispatched_at: now,
@@ -383,8 +392,11 @@
             .max(self.settings.minimum_retry_after)
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.in_flight() < self.limit.current()
+    /// Whether a slot is free that calls of this priority may use.
+    fn may_dispatch(&self, priority: Priority) -> bool {
+        let limit = self.limit.current();
+        let free = self.in_flight() < limit;
+        free && (!self.settings.reserve || self.reserve.allows(priority, limit))
     }
 
     fn in_flight(&self) -> u32 {
--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -18,11 +18,11 @@
 /// Admitted share of a priority below which its rate can't be told.
 const SMALLEST_SEEN_SHARE: f64 = 0.05;
 /// Length of the queue that is aimed at, as a share of the concurrency limit.
-const QUEUE_SHARE: f64 = 0.5;
+const QUEUE_SHARE: f64 = 1.0;
 /// Intervals in which the queue is brought to the length that is aimed at.
 const CORRECTION_INTERVALS: f64 = 4.0;
 /// Share by which the capacity is overestimated, so that free slots are found.
-const PROBE_SHARE: f64 = 0.02;
+const PROBE_SHARE: f64 = 0.05;
 /// Keys by which the level rises at most in an interval, without headroom.
 const SMALLEST_STEP: f64 = 256.0;
 /// Keys by which the level rises at most in an interval with everything free.
@@ -92,7 +92,9 @@
     pub fn sample(&mut self, in_flight: u32, limit: u32, queued: usize) {
         self.limit = f64::from(limit.max(1));
         self.samples += 1.0;
-        self.utilisation += (f64::from(in_flight) / self.limit).min(1.0);
+        // Slots that stay free while calls wait are kept for others.
+        let used = if queued > 0 { limit } else { in_flight };
+        self.utilisation += (f64::from(used) / self.limit).min(1.0);
         self.queued += queued as f64;
     }
 
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -12,6 +12,7 @@
 pub mod settings;
 
 mod estimate;
+mod reserve;
 
 pub use controller::{
     AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall,
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// The call that is to be served next.
+    #[must_use]
+    pub fn first(&self) -> Option<&Waiting> {
+        self.order.first_key_value().map(|(_, waiting)| waiting)
+    }
+
     /// Takes the call that is to be served next.
     pub fn pop(&mut self) -> Option<Waiting> {
         let (&first, _) = self.order.first_key_value()?;
--- /dev/null
+++ b/crates/core/src/admission/reserve.rs
@@ -0,0 +1,85 @@
+//! Slots kept free for calls that are refused elsewhere on their path.
+//!
+//! While the most important kind of request is cut short at some service, less important calls must not
+//! slow it down at the others: a call that waits there holds a slot at the service that is short.
+//! No message is needed to know. Ranks are uniform, and admission cuts off the high ones, so the mean
+//! rank of the calls that arrive tells which share of a priority is still admitted upstream.
+
+use crate::priority::{AdmissionKey, Priority, Rank};
+
+/// Weight of one call in the mean rank.
+const RANK_WEIGHT: f64 = 1.0 / 128.0;
+/// Weight of one event in the mean number of executions.
+const EXECUTIONS_WEIGHT: f64 = 1.0 / 64.0;
+/// Admitted share from which no slot is kept.
+const UNCUT_SHARE: f64 = 0.98;
+/// Admitted share up to which slots are kept in full.
+const CUT_SHARE: f64 = 0.90;
+/// Calls up to this priority are protected. Protecting every priority against those below it was
+/// measured as well: it costs the lower ones more than the higher ones gain.
+const PROTECTED: Priority = Priority::HIGHEST;
+
+/// Tells how many slots less important calls may use.
+#[derive(Clone, Debug)]
+pub(super) struct Reserve {
+    executing: [u32; Priority::COUNT],
+    mean_executing: [f64; Priority::COUNT],
+    mean_rank: [f64; Priority::COUNT],
+}
+
+impl Reserve {
+    /// Nothing is known to be cut: no slot is kept.
+    pub(super) const fn new() -> Self {
+        Self {
+            executing: [0; Priority::COUNT],
+            mean_executing: [0.0; Priority::COUNT],
+            mean_rank: [Rank::COUNT as f64 / 2.0; Priority::COUNT],
+        }
+    }
+
+    /// Takes in a call that arrived.
+    pub(super) fn arrived(&mut self, key: AdmissionKey) {
+        let priority = key.priority().index();
+        let rank = f64::from(key.number() % Rank::COUNT);
+        let mean = &mut self.mean_rank[priority];
+        *mean += (rank - *mean) * RANK_WEIGHT;
+    }
+
+    /// Counts an execution that starts.
+    pub(super) fn dispatched(&mut self, priority: Priority) {
+        self.executing[priority.index()] += 1;
+        self.average();
+    }
+
+    /// Counts an execution that ended.
+    pub(super) fn ended(&mut self, priority: Priority) {
+        let executing = &mut self.executing[priority.index()];
+        *executing = executing.saturating_sub(1);
+        self.average();
+    }
+
+    /// Whether a call of this priority may take one of the free slots below `limit`.
+    pub(super) fn allows(&self, priority: Priority, limit: u32) -> bool {
+        if priority <= PROTECTED {
+            return true;
+        }
+        let protected = ..=PROTECTED.index();
+        let important: f64 = self.mean_executing[protected].iter().sum();
+        let others: u32 = self.executing[PROTECTED.index() + 1..].iter().sum();
+        let limit = f64::from(limit);
+        let kept = (important * self.cut(PROTECTED.index())).min(limit - 1.0);
+        f64::from(others + 1) <= limit - kept
+    }
+
+    /// How much a priority is cut short: 0 not at all, 1 enough to keep slots in full.
+    fn cut(&self, priority: usize) -> f64 {
+        let admitted = 2.0 * self.mean_rank[priority] / f64::from(Rank::COUNT);
+        ((UNCUT_SHARE - admitted) / (UNCUT_SHARE - CUT_SHARE)).clamp(0.0, 1.0)
+    }
+
+    fn average(&mut self) {
+        for (mean, &executing) in self.mean_executing.iter_mut().zip(&self.executing) {
+            *mean += (f64::from(executing) - *mean) * EXECUTIONS_WEIGHT;
+        }
+    }
+}
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -24,6 +24,8 @@
     pub discipline: QueueDiscipline,
     /// Whether the admission level adapts; otherwise it stays open.
     pub adaptive_level: bool,
+    /// Whether slots are kept free for calls that are refused elsewhere on their path.
+    pub reserve: bool,
     /// Time between two adjustments of the admission level.
     pub level_interval: Duration,
     /// Shortest Retry-After in a refusal.
@@ -43,6 +45,7 @@
             maximum_queue_wait: Duration::from_millis(50),
             discipline: QueueDiscipline::Priority,
             adaptive_level: true,
+            reserve: true,
             level_interval: Duration::from_millis(50),
             minimum_retry_after: Duration::from_millis(100),
             maximum_retry_after: Duration::from_secs(5),
--- a/crates/emulator/src/experiment/surge/arguments.rs
+++ b/crates/emulator/src/experiment/surge/arguments.rs
@@ -35,6 +35,7 @@
   --discipline D         priority, fifo or lifo
   --rank R               origin, per-hop or constant
   --no-folding           callers and edges don't refuse early
+  --no-reserve           no slots are kept for calls that are refused elsewhere
   --no-level             back ends keep their admission level open
   --reported-slots F     slots that the daemons are told, as a multiple of the true ones (1)
 ";
@@ -129,6 +130,7 @@
         }
         "rank" => mechanisms.rank = choose(parser, "rank", &RANKS)?,
         "no-folding" => mechanisms.folding = false,
+        "no-reserve" => mechanisms.admission.reserve = false,
         "no-level" => mechanisms.admission.adaptive_level = false,
         "reported-slots" => {
             mechanisms.reported_slots = number(parser, "reported-slots", 0.01, 100.0)?;
--- a/crates/emulator/src/simulator/call_path/policy.rs
+++ b/crates/emulator/src/simulator/call_path/policy.rs
@@ -73,6 +73,7 @@
         algorithm: LimitAlgorithm::Fixed,
         discipline: QueueDiscipline::Fifo,
         adaptive_level: false,
+        reserve: false,
         ..AdmissionSettings::default()
     }
 }
