Record the comparison of the allowance splits

The default stays the fair share. Conclusion: a driver should tell the ledger how many services the caller's resource lists. A constant two makes the fair share equal to half.

--- a/crates/core/src/retry/split.rs
+++ b/crates/core/src/retry/split.rs
@@ -1,4 +1,6 @@
 //! How a ledger divides its allowance among the calls that ask for a part of it.
+//!
+//! `docs/experiments/retry.md` compares the rules.
 
 use crate::call::RetryAllowance;
 
