--- a/crates/emulator/src/latency/arguments.rs
+++ b/crates/emulator/src/latency/arguments.rs
@@ -13,11 +13,12 @@
 /// Usage of the command.
 pub const USAGE: &str = "\
 wharfquay-emulator latency --scenario NAME|FILE --direct IP:PORT --edge IP:PORT
-    [--seconds N] [--warm-up N] [--rate-factor F] [--seed N] [--json]
+    [--seconds N] [--warm-up N] [--rate-factor F] [--seed N] [--pids N,…] [--json]
 
 Sends the scenario's requests at its rates, each either straight to the first back end of a chain
 without daemons or to the edge of a chain with daemons, and reports the percentiles of both ways
-and what the daemons add per call. scripts/latency starts the processes.
+and what the daemons add per call. With the processes of the daemons in --pids, their processor time
+per call and their wait for a processor are reported as well. scripts/latency starts the processes.
 
 Example:
   wharfquay-emulator latency --scenario scenarios/latency.toml --direct 127.0.0.1:9001 \\
@@ -46,6 +47,7 @@
     warm_up: Option<f64>,
     rate_factor: Option<f64>,
     seed: Option<u64>,
+    pids: Vec<u32>,
     json: bool,
 }
 
@@ -85,12 +87,20 @@
             given.rate_factor = Some(factor);
         }
         "seed" => given.seed = Some(arguments::value(parser, "seed", "0 to 2^64-1")?),
+        "pids" => given.pids = pids(&arguments::text(parser)?)?,
         "json" => given.json = true,
         other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}")).into()),
     }
     Ok(())
 }
 
+fn pids(given: &str) -> Result<Vec<u32>, ArgumentError> {
+    let parts = given.split(',');
+    parts
+        .map(|part| arguments::parse("pids", part.trim(), "process ids with commas in between"))
+        .collect()
+}
+
 fn seconds(parser: &mut lexopt::Parser, option: &'static str) -> Result<f64, ArgumentError> {
     arguments::number_in(parser, option, 0.1..=3_600.0, "0.1 to 3600")
 }
@@ -107,6 +117,7 @@
         length: Duration::from_secs_f64(length),
         warm_up: Duration::from_secs_f64(warm_up),
         rate_factor: given.rate_factor.unwrap_or(1.0),
+        pids: given.pids,
         seed: given.seed.unwrap_or(DEFAULT_SEED),
     };
     Ok(LatencyArguments {
--- a/crates/emulator/src/latency/measure.rs
+++ b/crates/emulator/src/latency/measure.rs
@@ -17,7 +17,8 @@
 use uuid::Uuid;
 use wharfquay_protocol::headers;
 
-use super::report::{KindLatency, LatencyReport};
+use super::processes::SchedulerTimes;
+use super::report::{DaemonTimes, KindLatency, LatencyReport, calls_of};
 use crate::answer_body;
 use crate::load::arrivals::Arrivals;
 use crate::scenario::{RequestModel, Scenario};
@@ -40,6 +41,8 @@
     pub warm_up: Duration,
     /// Factor on every rate; each rate is shared by the two ways.
     pub rate_factor: f64,
+    /// Processes of the daemons whose processor time is to be reported.
+    pub pids: Vec<u32>,
     /// Seed of the arrivals and of the choice of the way.
     pub seed: u64,
 }
@@ -100,8 +103,10 @@
         settings.seed,
     );
     let mut rng = Pcg64Mcg::seed_from_u64(settings.seed ^ 0x1A7E_9C11);
+    let before = SchedulerTimes::read(&settings.pids);
     let started = Instant::now();
     let mut requests = JoinSet::new();
+    let mut calls_through_daemons = 0;
     for arrival in arrivals {
         tokio::time::sleep_until((started + arrival.at).into()).await;
         let way = if rng.random_bool(0.5) {
@@ -109,13 +114,19 @@
         } else {
             Way::Daemons
         };
+        if way == Way::Daemons {
+            let model = &settings.scenario.requests[arrival.kind];
+            calls_through_daemons += u64::from(calls_of(model));
+        }
         let counted = arrival.at >= settings.warm_up;
         let meter = Arc::clone(&meter);
         requests.spawn(async move { meter.send(arrival.kind, way, counted).await });
         while requests.try_join_next().is_some() {}
     }
     while requests.join_next().await.is_some() {}
-    meter.report()
+    let times = SchedulerTimes::read(&settings.pids).since(before);
+    let daemons = DaemonTimes::per_call(times, calls_through_daemons);
+    meter.report((!settings.pids.is_empty()).then_some(daemons))
 }
 
 impl Meter {
@@ -166,7 +177,7 @@
         Some(time)
     }
 
-    fn report(&self) -> LatencyReport {
+    fn report(&self, daemon_times: Option<DaemonTimes>) -> LatencyReport {
         let settings = &self.settings;
         let kinds = settings.scenario.requests.iter().zip(&self.times);
         let kinds = kinds.map(|(model, times)| {
@@ -183,6 +194,7 @@
             seconds: settings.length.as_secs_f64(),
             seed: settings.seed,
             kinds: kinds.collect(),
+            daemon_times,
         }
     }
 }
--- a/crates/emulator/src/latency/mod.rs
+++ b/crates/emulator/src/latency/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod arguments;
 mod measure;
+mod processes;
 mod report;
 
 pub use measure::{LatencySettings, measure};
--- /dev/null
+++ b/crates/emulator/src/latency/processes.rs
@@ -0,0 +1,46 @@
+//! Processor time of processes, and the time that they were ready to run but had no processor.
+
+use std::fs;
+use std::path::Path;
+
+/// Sums over the threads of some processes, in nanoseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct SchedulerTimes {
+    /// On a processor.
+    pub(super) running: u64,
+    /// Ready, but waiting for a processor.
+    pub(super) waiting: u64,
+}
+
+impl SchedulerTimes {
+    /// Reads the sums; processes and threads that are gone count as zero.
+    pub(super) fn read(pids: &[u32]) -> Self {
+        let mut sum = Self::default();
+        for pid in pids {
+            let tasks = Path::new("/proc").join(pid.to_string()).join("task");
+            let Ok(threads) = fs::read_dir(tasks) else {
+                continue;
+            };
+            for thread in threads.flatten() {
+                let text = fs::read_to_string(thread.path().join("schedstat"));
+                sum.add(&text.unwrap_or_default());
+            }
+        }
+        sum
+    }
+
+    /// What was added since `earlier`.
+    pub(super) const fn since(self, earlier: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(earlier.running),
+            waiting: self.waiting.saturating_sub(earlier.waiting),
+        }
+    }
+
+    /// Adds one thread's line: time running, time waiting, number of time slices.
+    fn add(&mut self, line: &str) {
+        let mut fields = line.split_whitespace().map_while(|text| text.parse().ok());
+        self.running += fields.next().unwrap_or(0_u64);
+        self.waiting += fields.next().unwrap_or(0);
+    }
+}
--- a/crates/emulator/src/latency/report.rs
+++ b/crates/emulator/src/latency/report.rs
@@ -5,6 +5,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use super::processes::SchedulerTimes;
 use crate::scenario::{RequestModel, StepModel};
 
 const NANOS_PER_MILLI: f64 = 1e6;
@@ -89,12 +90,37 @@
     }
 }
 
+/// Calls of one request, the caller's included.
+pub(super) fn calls_of(model: &RequestModel) -> u32 {
+    let entry = model.step(&model.entry);
+    entry.map_or(1, |step| calls(model, step))
+}
+
 /// Calls of the tree below a step, the one to the step itself included.
 fn calls(model: &RequestModel, step: &StepModel) -> u32 {
     let below = step.calls.iter().filter_map(|service| model.step(service));
     1 + below.map(|step| calls(model, step)).sum::<u32>()
 }
 
+/// What the daemons' threads did per call through daemons, the warm-up included, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct DaemonTimes {
+    /// On a processor.
+    pub running_ms: f64,
+    /// Ready, but waiting for a processor; what other load on the machine adds.
+    pub waiting_ms: f64,
+}
+
+impl DaemonTimes {
+    pub(super) fn per_call(times: SchedulerTimes, calls: u64) -> Self {
+        let per_call = |nanos: u64| nanos as f64 / NANOS_PER_MILLI / calls.max(1) as f64;
+        Self {
+            running_ms: per_call(times.running),
+            waiting_ms: per_call(times.waiting),
+        }
+    }
+}
+
 /// Result of a measurement.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct LatencyReport {
@@ -104,6 +130,8 @@
     pub seed: u64,
     /// Per request kind.
     pub kinds: Vec<KindLatency>,
+    /// Processor time of the daemons, when their processes were named.
+    pub daemon_times: Option<DaemonTimes>,
 }
 
 impl Display for LatencyReport {
@@ -128,6 +156,13 @@
             )?;
             write_row(formatter, "added per call", None, kind.added_per_call_ms)?;
         }
+        if let Some(times) = self.daemon_times {
+            writeln!(
+                formatter,
+                "daemons, per call through them: {:.3} ms on a processor, {:.3} ms waiting for one",
+                times.running_ms, times.waiting_ms
+            )?;
+        }
         Ok(())
     }
 }
