Show goodput in the surge and refusals beside less important answers

Cause: the table hid that bookings were refused while lookups were answered. Change: columns 'in surge' and 'inverted' (upper bound per 250 ms of arrivals, kinds that share a service); not part of the exit status, since the refusal may be due to a service that only the refused request needs. Tests that bad arguments of scripts and emulator are named and end with status 2.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -17,7 +17,9 @@
     details: "\
 Starts the stand-in for the platform, a daemon beside each back end, an edge in each zone, the back
 ends and their callers in this process, without leaving loopback. Shows the progress once a second
-and a table at the end, and ends by itself within 60 s. Exit code 1 means that a promise was broken.",
+and a table at the end, and ends by itself within 60 s. Exit code 1 means that a promise was broken. Refusals beside
+answers to less important requests are shown (inverted) but not judged, since they may be due to
+a service that only the refused request needs.",
     positionals: Positionals {
         usage: "",
         minimum: 0,
--- a/crates/emulator/src/load/mod.rs
+++ b/crates/emulator/src/load/mod.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod audit;
 mod caller;
+mod inversions;
 pub mod recovery;
 pub mod report;
 mod run;
--- a/crates/emulator/src/load/recovery.rs
+++ b/crates/emulator/src/load/recovery.rs
@@ -21,6 +21,7 @@
 struct BucketCount {
     arrived: u64,
     whole: u64,
+    refused: u64,
 }
 
 impl Buckets {
@@ -34,6 +35,21 @@
         self.bucket(at).whole += 1;
     }
 
+    /// Counts the refusal of a request that arrived at `at`.
+    pub fn refused(&mut self, at: Duration) {
+        self.bucket(at).refused += 1;
+    }
+
+    /// Whole answers in time per bucket.
+    pub fn whole_counts(&self) -> impl Iterator<Item = u64> {
+        self.counts.iter().map(|count| count.whole)
+    }
+
+    /// Refusals per bucket.
+    pub fn refused_counts(&self) -> impl Iterator<Item = u64> {
+        self.counts.iter().map(|count| count.refused)
+    }
+
     /// Adds the counts of other requests.
     pub fn add(&mut self, other: &Self) {
         if self.counts.len() < other.counts.len() {
@@ -43,6 +59,7 @@
         for (count, added) in self.counts.iter_mut().zip(&other.counts) {
             count.arrived += added.arrived;
             count.whole += added.whole;
+            count.refused += added.refused;
         }
     }
 
--- a/crates/emulator/src/load/report.rs
+++ b/crates/emulator/src/load/report.rs
@@ -8,9 +8,11 @@
 use serde::Serialize;
 
 use super::audit::AttemptNote;
+use super::inversions;
 use super::recovery::Buckets;
 use super::run::LoadSettings;
 use super::tally::KindTally;
+use crate::scenario::RequestModel;
 
 /// Latency percentiles of answers whole in time, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
@@ -80,6 +82,9 @@
     pub altered: u64,
     /// Refusals that did not say when to come back.
     pub without_retry_after: u64,
+    /// Refused requests beside which a less important request that needs a common service was
+    /// answered whole in time; an upper bound, since the refusal may be due to another service.
+    pub priority_inversions: u64,
     /// Attempts per result code.
     pub result_codes: BTreeMap<u16, u64>,
     /// Latency from the planned arrival to the whole answer in time.
@@ -122,10 +127,12 @@
         tallies: &[KindTally],
         notes: HashMap<String, Vec<AttemptNote>>,
     ) -> Self {
-        let models = settings.scenario.requests.iter();
-        let kinds: Vec<_> = models
-            .zip(tallies)
-            .map(|(model, tally)| kind_report(settings, &model.kind, model.priority, tally))
+        let pairs = || settings.scenario.requests.iter().zip(tallies);
+        let buckets: Vec<_> = pairs()
+            .map(|(model, tally)| (model, &tally.buckets))
+            .collect();
+        let kinds: Vec<_> = pairs()
+            .map(|(model, tally)| kind_report(settings, model, tally, &buckets))
             .collect();
         let whole: u64 = kinds.iter().map(|kind| kind.whole).sum();
         let sent: u64 = kinds.iter().map(|kind| kind.sent).sum();
@@ -157,10 +164,15 @@
     }
 }
 
-fn kind_report(settings: &LoadSettings, kind: &str, priority: u8, tally: &KindTally) -> KindReport {
+fn kind_report(
+    settings: &LoadSettings,
+    model: &RequestModel,
+    tally: &KindTally,
+    all: &[(&RequestModel, &Buckets)],
+) -> KindReport {
     KindReport {
-        kind: kind.to_owned(),
-        priority,
+        kind: model.kind.clone(),
+        priority: model.priority,
         sent: tally.sent,
         attempts: tally.attempts,
         whole: tally.whole,
@@ -172,6 +184,7 @@
         truncated: tally.truncated,
         altered: tally.altered,
         without_retry_after: tally.without_retry_after,
+        priority_inversions: inversions::count(model, &tally.buckets, all),
         result_codes: tally.result_codes.clone(),
         latency_ms: Latencies::of(&tally.latency),
         goodput_per_second: tally.whole as f64 / settings.length.as_secs_f64(),
@@ -219,7 +232,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "{:<18} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>6} {:>9} {:>9} {:>9} {:>8}",
+            "{:<18} {:>8} {:>8} {:>8} {:>6} {:>7} {:>6} {:>5} {:>8} {:>8} {:>9} {:>7} {:>8} {:>8}",
             "kind",
             "sent",
             "whole",
@@ -231,7 +244,9 @@
             "p50 ms",
             "p99 ms",
             "goodput/s",
-            "in time"
+            "in time",
+            "in surge",
+            "inverted"
         )?;
         for kind in &self.kinds {
             write_kind(formatter, kind)?;
@@ -251,9 +266,12 @@
 }
 
 fn write_kind(formatter: &mut fmt::Formatter<'_>, kind: &KindReport) -> fmt::Result {
+    let in_surge = kind.phase_ratios.surge;
+    let in_surge =
+        in_surge.map_or_else(|| "-".to_owned(), |ratio| format!("{:.1}%", ratio * 100.0));
     writeln!(
         formatter,
-        "{:<18} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>6} {:>9.2} {:>9.2} {:>9.1} {:>7.1}%",
+        "{:<18} {:>8} {:>8} {:>8} {:>6} {:>7} {:>6} {:>5} {:>8.2} {:>8.2} {:>9.1} {:>6.1}% {:>8} {:>8}",
         kind.kind,
         kind.sent,
         kind.whole,
@@ -265,6 +283,8 @@
         kind.latency_ms.p50,
         kind.latency_ms.p99,
         kind.goodput_per_second,
-        kind.goodput_ratio * 100.0
+        kind.goodput_ratio * 100.0,
+        in_surge,
+        kind.priority_inversions
     )
 }
--- a/crates/emulator/src/load/tally.rs
+++ b/crates/emulator/src/load/tally.rs
@@ -116,7 +116,10 @@
                     .saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
             }
             RequestEnd::Late => self.late += 1,
-            RequestEnd::Refused => self.refused += 1,
+            RequestEnd::Refused => {
+                self.refused += 1;
+                self.buckets.refused(at);
+            }
             RequestEnd::Unknown => self.unknown += 1,
             // A wrong answer is counted as such by its attempt.
             RequestEnd::Failed | RequestEnd::Wrong(_) => self.failed += 1,
--- /dev/null
+++ b/crates/emulator/tests/mesh_script.rs
@@ -0,0 +1,81 @@
+//! Bad arguments of the scripts that start processes: usage and exit status 2, nothing started.
+
+use std::path::Path;
+use std::process::Command;
+
+#[test]
+fn bad_arguments_are_named_and_end_with_status_2() {
+    let table: [(&str, &[&str], &str); 8] = [
+        ("mesh", &[], "no scenario given (allowed: lagos, gujarat)"),
+        ("mesh", &["paris"], "unknown argument \"paris\""),
+        ("mesh", &["lagos", "gujarat"], "more than one scenario"),
+        ("mesh", &["lagos", "--seconds"], "--seconds: no value given"),
+        (
+            "mesh",
+            &["lagos", "--seconds", "x"],
+            "--seconds: can't use \"x\"",
+        ),
+        (
+            "mesh",
+            &["lagos", "--base-port", "80"],
+            "80 is out of range (allowed: 1024 to 60000)",
+        ),
+        (
+            "latency",
+            &["--rate-factor", "-1"],
+            "--rate-factor: can't use \"-1\"",
+        ),
+        ("latency", &["lagos"], "unknown argument \"lagos\""),
+    ];
+    let scripts = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scripts");
+    for (script, arguments, expected) in table {
+        let output = Command::new("bash")
+            .arg(scripts.join(script))
+            .args(arguments)
+            .output();
+        let output = output.expect("bash runs");
+        let shown = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(
+            output.status.code(),
+            Some(2),
+            "{script} {arguments:?}: {shown}"
+        );
+        assert!(shown.contains(expected), "{script} {arguments:?}: {shown}");
+        assert!(shown.contains("usage:"), "{script} {arguments:?}: {shown}");
+    }
+}
+
+#[test]
+fn bad_arguments_of_the_emulator_are_named_and_end_with_status_2() {
+    let table: [(&[&str], &str); 8] = [
+        (&[], "no command given"),
+        (&["brew"], "unknown command \"brew\""),
+        (&["load"], "--scenario is missing"),
+        (
+            &["load", "--scenario", "paris", "--edges", "127.0.0.1:1"],
+            "unknown scenario \"paris\" (allowed: lagos, gujarat)",
+        ),
+        (
+            &["load", "--scenario", "lagos", "--edges", "here"],
+            "--edges: can't use \"here\"",
+        ),
+        (
+            &["backend", "--slow", "0"],
+            "--slow: can't use \"0\": out of range (allowed: 0.01 to 1000)",
+        ),
+        (&["platform", "--listen", "x"], "--listen: can't use \"x\""),
+        (
+            &["layout", "--base-port", "1"],
+            "--base-port: can't use \"1\"",
+        ),
+    ];
+    for (arguments, expected) in table {
+        let output = Command::new(env!("CARGO_BIN_EXE_wharfquay-emulator"))
+            .args(arguments)
+            .output();
+        let output = output.expect("the emulator runs");
+        let shown = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {shown}");
+        assert!(shown.contains(expected), "{arguments:?}: {shown}");
+    }
+}
