Adopt the configuration through the acceptor and read the back end's health

Cause: the daemon took every object that parsed, whatever it referred to, did not notice a missing watch event, and applied drains to the machine list only when the platform answered. No source told of a back end that leaves by its own health endpoint. Ruled out: validating each object alone, since references need the whole set. Change: acceptance by the acceptor of the resources crate, a list after a gap in the watch, and a table of endpoints that follows each change at once even while the list is being read. The health endpoint is one more source of the leaving mark (backend.health_path, backend.health_interval_ms).

--- a/crates/daemon/src/control/configuration.rs
+++ b/crates/daemon/src/control/configuration.rs
@@ -1,150 +1,179 @@
 //! Reads the configuration from the platform: a list, then a watch, and a list again after a break.
 //!
-//! A revision below the one in force is never adopted.
+//! What is not valid is rejected and its last good version stays in force; a revision below the one
+//! in force is never adopted.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rand::Rng;
 use tokio::sync::watch;
 use wharfquay_platform::backoff::Backoff;
-use wharfquay_platform::conversion::{resource_from_object, resource_id};
+use wharfquay_platform::conversion::resource_id;
 use wharfquay_platform::wire::{Object, ObjectList, WatchEvent};
 use wharfquay_platform::{Client, PlatformError};
-use wharfquay_resources::kinds::{Resource, ResourceId};
+use wharfquay_resources::acceptance::{Rejection, StoredObject};
+use wharfquay_resources::acceptor::Acceptor;
+use wharfquay_resources::kinds::ResourceId;
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
 /// Reads the configuration and publishes each revision.
 pub(super) struct Reader {
     client: Arc<Client>,
     backoff: Backoff,
+    acceptor: Acceptor,
+    logged: Vec<Rejection>,
     published: watch::Sender<Arc<Snapshot>>,
 }
 
+/// How a watch came to its end.
+enum WatchEnd {
+    /// The platform ended it.
+    Ended,
+    /// An event is missing, so that only a list can tell the configuration.
+    Gap,
+    /// The list was older than what is in force.
+    Older,
+}
+
 impl Reader {
     pub(super) fn new(client: Arc<Client>, published: watch::Sender<Arc<Snapshot>>) -> Self {
         Self {
             client,
             backoff: Backoff::default(),
+            acceptor: Acceptor::default(),
+            logged: Vec::new(),
             published,
         }
     }
 
     /// Reads for ever.
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
         let mut failures = 0;
         loop {
             match self.list_and_watch(&mut failures).await {
-                Ok(()) => log::debug!("event=configuration_watch_ended"),
+                Ok(WatchEnd::Ended) => log::debug!("event=configuration_watch_ended"),
+                Ok(WatchEnd::Gap) => log::warn!("event=configuration_watch_gap"),
+                Ok(WatchEnd::Older) => {}
                 Err(error) => log::warn!("event=configuration_read_failed error=\"{error}\""),
             }
             failures += 1;
-            let delay = self.backoff.delay(failures, &mut random());
+            let delay = self.backoff.delay(failures, &mut rand::rng());
             tokio::time::sleep(delay).await;
         }
     }
 
-    async fn list_and_watch(&self, failures: &mut u32) -> Result<(), PlatformError> {
+    async fn list_and_watch(&mut self, failures: &mut u32) -> Result<WatchEnd, PlatformError> {
         let list = self.client.list().await?;
         let version = list.version;
         if !self.adopt_list(list) {
-            return Ok(());
+            return Ok(WatchEnd::Older);
         }
         let mut events = self.client.watch(version).await?;
         *failures = 0;
         while let Some(event) = events.next().await {
-            self.adopt_event(event?);
+            if !self.adopt_event(event?) {
+                return Ok(WatchEnd::Gap);
+            }
         }
-        Ok(())
+        Ok(WatchEnd::Ended)
     }
 
-    /// Publishes a list; false when it is older than what is in force.
-    fn adopt_list(&self, list: ObjectList) -> bool {
-        let current = self.published.borrow().clone();
-        if list.version < current.revision {
-            let (found, in_force) = (list.version.number(), current.revision.number());
+    /// Adopts a list; false when it is older than what is in force.
+    fn adopt_list(&mut self, list: ObjectList) -> bool {
+        let objects = list.objects.into_iter().filter_map(stored);
+        if !self.acceptor.replace(list.version, objects) {
+            let found = list.version.number();
+            let in_force = self.revision().number();
             log::warn!("event=configuration_older_ignored found={found} in_force={in_force}");
             return false;
         }
-        let mut snapshot = Snapshot {
-            revision: list.version,
-            ..Snapshot::default()
-        };
-        let kept = resources_by_id(&current);
-        for object in &list.objects {
-            if let Some(resource) = read(object).or_else(|| last_good(object, &kept)) {
-                snapshot.insert(resource);
-            }
-        }
-        self.publish(snapshot);
+        self.publish();
         true
     }
 
-    fn adopt_event(&self, event: WatchEvent) {
-        let mut snapshot = Snapshot::clone(&self.published.borrow());
-        let version = match event {
-            WatchEvent::Put { version, object } => {
-                if let Some(resource) = read(&object) {
-                    snapshot.insert(resource);
-                }
-                version
+    /// Adopts an event; false when one before it is missing.
+    fn adopt_event(&mut self, event: WatchEvent) -> bool {
+        let version = match &event {
+            WatchEvent::Put { version, .. }
+            | WatchEvent::Delete { version, .. }
+            | WatchEvent::Bookmark { version } => *version,
+        };
+        let in_force = self.revision();
+        if version <= in_force {
+            return true;
+        }
+        if version.number() != in_force.number() + 1 {
+            return false;
+        }
+        match event {
+            WatchEvent::Put { object, .. } => {
+                let Some(object) = stored(object) else {
+                    return false;
+                };
+                self.acceptor.put(version, &object);
             }
-            WatchEvent::Delete { version, object } => {
-                if let Some(id) = resource_id(&object.key) {
-                    snapshot.remove(&id);
-                }
-                version
+            WatchEvent::Delete { object, .. } => {
+                let Some(id) = known_id(&object) else {
+                    return false;
+                };
+                self.acceptor.delete(version, &id);
             }
-            WatchEvent::Bookmark { version } => version,
-        };
-        if version <= snapshot.revision {
-            return;
+            WatchEvent::Bookmark { .. } => return false,
         }
-        snapshot.revision = version;
-        self.publish(snapshot);
+        self.publish();
+        true
     }
 
-    fn publish(&self, snapshot: Snapshot) {
-        if snapshot.revision == Revision::ZERO {
+    fn revision(&self) -> Revision {
+        self.acceptor.snapshot().revision
+    }
+
+    fn publish(&mut self) {
+        if self.revision() == Revision::ZERO {
             return;
         }
-        let revision = snapshot.revision.number();
+        self.log_rejections();
+        let revision = self.revision().number();
         log::info!("event=configuration_in_force revision={revision}");
-        self.published.send_replace(Arc::new(snapshot));
+        let snapshot = Arc::new(self.acceptor.snapshot().clone());
+        self.published.send_replace(snapshot);
     }
-}
 
-fn random() -> impl Rng {
-    rand::rng()
+    /// Logs what was rejected, once for each version.
+    fn log_rejections(&mut self) {
+        let rejections = &self.acceptor.acceptance().rejections;
+        for rejection in rejections {
+            if !self.logged.contains(rejection) {
+                log_rejection(rejection);
+            }
+        }
+        self.logged.clone_from(rejections);
+    }
 }
 
-/// The resource in an object; one that can't be used is logged and left out.
-fn read(object: &Object) -> Option<Resource> {
-    match resource_from_object(object) {
-        Ok(resource) => Some(resource),
-        Err(error) => {
-            let key = &object.key;
-            log::warn!("event=resource_rejected object={key} error=\"{error}\"");
-            None
-        }
+fn log_rejection(rejection: &Rejection) {
+    let version = rejection.version.map_or(0, Revision::number);
+    for finding in &rejection.findings {
+        log::warn!(
+            "event=resource_rejected resource={} version={version} last_good_in_force={} reason=\"{finding}\"",
+            rejection.id,
+            rejection.is_last_good_in_force,
+        );
     }
 }
 
-fn last_good(object: &Object, kept: &BTreeMap<ResourceId, Resource>) -> Option<Resource> {
-    kept.get(&resource_id(&object.key)?).cloned()
+/// An object of a kind that this program knows.
+fn stored(object: Object) -> Option<StoredObject> {
+    Some(StoredObject {
+        id: known_id(&object)?,
+        version: object.version,
+        spec: object.spec,
+    })
 }
 
-fn resources_by_id(snapshot: &Snapshot) -> BTreeMap<ResourceId, Resource> {
-    let services = snapshot.services.values().cloned().map(Resource::Service);
-    let kinds = snapshot.request_kinds.values().cloned();
-    let budgets = snapshot.retry_budgets.values().cloned();
-    let drains = snapshot.drains.values().cloned();
-    let groups = snapshot.claim_groups.values().cloned();
-    services
-        .chain(kinds.map(Resource::RequestKind))
-        .chain(budgets.map(Resource::RetryBudget))
-        .chain(drains.map(Resource::Drain))
-        .chain(groups.map(Resource::ClaimGroup))
-        .map(|resource| (resource.id(), resource))
-        .collect()
+fn known_id(object: &Object) -> Option<ResourceId> {
+    let id = resource_id(&object.key);
+    if id.is_none() {
+        log::warn!("event=object_of_unknown_kind_ignored object={}", object.key);
+    }
+    id
 }
--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -94,6 +94,15 @@
     }
 }
 
+/// Brings the mark of the local back end's health endpoint up to date.
+pub(super) fn mark_health(leaving: &mut LeavingSet, id: &EndpointId, is_leaving: bool) {
+    if is_leaving {
+        leaving.mark(id, UNKNOWN_INCARNATION, LeavingSource::HealthEndpoint);
+    } else {
+        leaving.unmark(id, LeavingSource::HealthEndpoint);
+    }
+}
+
 /// Whether a machine must get no new work.
 pub(super) fn is_leaving(leaving: &LeavingSet, id: &EndpointId) -> bool {
     leaving.is_leaving(id, UNKNOWN_INCARNATION)
--- /dev/null
+++ b/crates/daemon/src/control/health.rs
@@ -0,0 +1,104 @@
+//! Reads the health endpoint of the local back end, which may lag or mislead: it is one of several
+//! sources for whether the back end is leaving.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::Request;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use crate::connect::connect;
+
+/// Longest answer of a health endpoint that is read, in bytes.
+const MAXIMUM_ANSWER: usize = 16 * 1024;
+
+/// Reads the health endpoint again and again.
+pub(super) struct HealthPoller {
+    pub(super) address: SocketAddr,
+    pub(super) path: String,
+    pub(super) interval: Duration,
+    pub(super) leaving: watch::Sender<bool>,
+}
+
+/// What a health endpoint says; other fields are ignored.
+#[derive(Debug, Deserialize)]
+struct Health {
+    state: HealthState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum HealthState {
+    Live,
+    Leaving,
+}
+
+/// Why a health endpoint could not be read.
+#[derive(Debug, Display)]
+enum HealthError {
+    /// no answer in time
+    Timeout,
+    /// no connection: {0}
+    Connect(std::io::Error),
+    /// no whole answer: {0}
+    Exchange(Box<dyn std::error::Error + Send + Sync>),
+    /// the answer is no health report: {0}
+    Malformed(serde_json::Error),
+}
+
+impl HealthPoller {
+    /// Reads for ever. An endpoint that can't be read changes nothing.
+    pub(super) async fn run(self) {
+        loop {
+            let read = tokio::time::timeout(self.interval, self.read());
+            match read.await.unwrap_or(Err(HealthError::Timeout)) {
+                Ok(state) => self.publish(state == HealthState::Leaving),
+                Err(error) => log::debug!("event=health_read_failed error=\"{error}\""),
+            }
+            tokio::time::sleep(self.interval).await;
+        }
+    }
+
+    async fn read(&self) -> Result<HealthState, HealthError> {
+        let stream = connect(self.address, self.interval).await;
+        let stream = stream.map_err(HealthError::Connect)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(exchange_error)?;
+        let request = Request::get(&self.path)
+            .header(http::header::HOST, self.address.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(exchange_error)?;
+        let exchange = async move {
+            let response = sender.send_request(request).await.map_err(exchange_error)?;
+            let body = Limited::new(response.into_body(), MAXIMUM_ANSWER);
+            let body = body.collect().await.map_err(HealthError::Exchange)?;
+            Ok(body.to_bytes())
+        };
+        // The connection ends with the exchange, when its sender is dropped.
+        let (body, _) = tokio::join!(exchange, connection);
+        let health: Health = serde_json::from_slice(&body?).map_err(HealthError::Malformed)?;
+        Ok(health.state)
+    }
+
+    fn publish(&self, leaving: bool) {
+        let changed = self.leaving.send_if_modified(|current| {
+            let changed = *current != leaving;
+            *current = leaving;
+            changed
+        });
+        if changed {
+            log::info!("event=backend_health_changed leaving={leaving}");
+        }
+    }
+}
+
+fn exchange_error(error: impl std::error::Error + Send + Sync + 'static) -> HealthError {
+    HealthError::Exchange(Box::new(error))
+}
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -17,77 +17,124 @@
 /// Polls are spread by up to this share of the interval, so that daemons don't poll together.
 const JITTER: f64 = 0.2;
 
-/// Polls the machine list and publishes what follows from it and from the drains.
+/// Polls the machine list and publishes what follows from it, from the drains and from the health of
+/// the local back end.
 pub(super) struct Poller {
     pub(super) client: Arc<Client>,
     pub(super) interval: Duration,
-    pub(super) own_id: EndpointId,
-    pub(super) own_zone: String,
-    pub(super) own_service: Option<String>,
+    pub(super) own: OwnPlace,
+    pub(super) sources: Sources,
+    pub(super) outputs: Outputs,
+}
+
+/// Where this daemon stands.
+pub(super) struct OwnPlace {
+    pub(super) id: EndpointId,
+    pub(super) zone: String,
+    pub(super) service: Option<String>,
+}
+
+/// What else tells of endpoints.
+pub(super) struct Sources {
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// Whether the back end's health endpoint says that it is leaving.
+    pub(super) health: watch::Receiver<bool>,
+}
+
+/// Where the results go.
+pub(super) struct Outputs {
     pub(super) endpoints: watch::Sender<Arc<EndpointTable>>,
     pub(super) leaving: watch::Sender<bool>,
     pub(super) addresses: watch::Sender<Arc<ControlAddresses>>,
 }
 
 impl Poller {
-    /// Polls for ever; the last list that was read stays in use while the platform is down.
+    /// Polls until the daemon ends. The last list that was read stays in use while the platform is
+    /// down; a new configuration and a change of health are applied to it at once.
     pub(super) async fn run(mut self) {
         let mut leaving = LeavingSet::new();
         let mut machines: Vec<Machine> = Vec::new();
-        loop {
-            match self.client.machines().await {
-                Ok(list) => machines = list.machines,
-                Err(error) => log::warn!("event=machine_list_read_failed error=\"{error}\""),
-            }
-            self.publish(&mut leaving, &machines);
-            self.wait(&mut leaving, &machines).await;
-        }
-    }
-
-    /// Waits for the next poll; a new configuration is applied to the list at once.
-    async fn wait(&mut self, leaving: &mut LeavingSet, machines: &[Machine]) {
-        let spread = 1.0 + JITTER * (rand::rng().random::<f64>() - 0.5);
-        let poll = tokio::time::sleep(self.interval.mul_f64(spread));
-        tokio::pin!(poll);
+        let mut reading = Box::pin(read(Arc::clone(&self.client), Duration::ZERO));
         loop {
             tokio::select! {
-                () = &mut poll => return,
-                changed = self.snapshot.changed() => {
+                list = &mut reading => {
+                    if let Some(list) = list {
+                        machines = list;
+                    }
+                    reading = Box::pin(read(Arc::clone(&self.client), self.next_wait()));
+                }
+                changed = self.sources.changed() => {
                     if changed.is_err() {
-                        poll.as_mut().await;
                         return;
                     }
-                    self.publish(leaving, machines);
                 }
             }
+            self.publish(&mut leaving, &machines);
         }
     }
 
+    fn next_wait(&self) -> Duration {
+        let spread = 1.0 + JITTER * (rand::rng().random::<f64>() - 0.5);
+        self.interval.mul_f64(spread)
+    }
+
     fn publish(&self, leaving: &mut LeavingSet, machines: &[Machine]) {
-        let snapshot = self.snapshot.borrow().clone();
+        let snapshot = self.sources.snapshot.borrow().clone();
+        let health = *self.sources.health.borrow();
+        endpoints::mark_health(leaving, &self.own.id, health);
         let table = endpoints::build(leaving, &snapshot, machines);
-        self.endpoints.send_if_modified(|current| {
-            let changed = **current != table;
-            if changed {
-                *current = Arc::new(table);
-            }
-            changed
-        });
+        let own = self.is_leaving(leaving, &snapshot);
+        replace_if_changed(&self.outputs.endpoints, Arc::new(table));
+        replace_if_changed(&self.outputs.leaving, own);
         let addresses = machines.iter();
         let addresses = addresses.map(|machine| (machine.id.clone(), machine.control_address));
-        self.addresses.send_replace(Arc::new(addresses.collect()));
+        replace_if_changed(&self.outputs.addresses, Arc::new(addresses.collect()));
+    }
+
+    /// Whether this daemon's own back end is leaving, be it on the list or not.
+    fn is_leaving(&self, leaving: &mut LeavingSet, snapshot: &Snapshot) -> bool {
         let placement = Placement {
-            id: &self.own_id,
-            zone: &self.own_zone,
-            service: self.own_service.as_deref(),
+            id: &self.own.id,
+            zone: &self.own.zone,
+            service: self.own.service.as_deref(),
         };
-        endpoints::mark_drains(leaving, &snapshot, placement);
-        let own = endpoints::is_leaving(leaving, &self.own_id);
-        self.leaving.send_if_modified(|current| {
-            let changed = *current != own;
-            *current = own;
-            changed
-        });
+        endpoints::mark_drains(leaving, snapshot, placement);
+        endpoints::is_leaving(leaving, &self.own.id)
     }
 }
+
+impl Sources {
+    /// Waits for a change of any source.
+    async fn changed(&mut self) -> Result<(), watch::error::RecvError> {
+        tokio::select! {
+            changed = self.snapshot.changed() => changed,
+            () = health_changed(&mut self.health) => Ok(()),
+        }
+    }
+}
+
+/// Waits for a change of health, for ever where nothing reads it.
+async fn health_changed(health: &mut watch::Receiver<bool>) {
+    if health.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn read(client: Arc<Client>, wait: Duration) -> Option<Vec<Machine>> {
+    tokio::time::sleep(wait).await;
+    match client.machines().await {
+        Ok(list) => Some(list.machines),
+        Err(error) => {
+            log::warn!("event=machine_list_read_failed error=\"{error}\"");
+            None
+        }
+    }
+}
+
+fn replace_if_changed<T: PartialEq>(output: &watch::Sender<T>, value: T) {
+    output.send_if_modified(|current| {
+        let changed = *current != value;
+        *current = value;
+        changed
+    });
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,11 +5,13 @@
 pub mod claims;
 mod configuration;
 mod endpoints;
+mod health;
 mod machines;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -63,23 +65,32 @@
         PeerPool::new(limits.connect_timeout(), limits.header_bytes),
         tasks.clone(),
     ));
+    let (health_sender, health) = watch::channel(false);
     let reader = configuration::Reader::new(Arc::clone(&client), snapshot_sender);
+    let backend = settings.backend.as_ref();
     let poller = machines::Poller {
         client,
-        interval: std::time::Duration::from_millis(settings.platform.poll_interval_ms),
-        own_id: EndpointId::from(settings.id.as_str()),
-        own_zone: settings.zone.clone(),
-        own_service: settings
-            .backend
-            .as_ref()
-            .map(|backend| backend.service.clone()),
-        snapshot: snapshot.clone(),
-        endpoints: endpoints_sender,
-        leaving: leaving_sender,
-        addresses: addresses_sender,
+        interval: Duration::from_millis(settings.platform.poll_interval_ms),
+        own: machines::OwnPlace {
+            id: EndpointId::from(settings.id.as_str()),
+            zone: settings.zone.clone(),
+            service: backend.map(|backend| backend.service.clone()),
+        },
+        sources: machines::Sources {
+            snapshot: snapshot.clone(),
+            health,
+        },
+        outputs: machines::Outputs {
+            endpoints: endpoints_sender,
+            leaving: leaving_sender,
+            addresses: addresses_sender,
+        },
     };
     spawn_until(tasks, stop, reader.run());
     spawn_until(tasks, stop, poller.run());
+    if let Some(poller) = health_poller(settings, health_sender) {
+        spawn_until(tasks, stop, poller.run());
+    }
     spawn_until(tasks, stop, claims::run_replica(Arc::clone(&claims)));
     ControlView {
         snapshot,
@@ -89,6 +100,20 @@
     }
 }
 
+/// Reads the back end's health where the settings say that it has an endpoint.
+fn health_poller(
+    settings: &Settings,
+    leaving: watch::Sender<bool>,
+) -> Option<health::HealthPoller> {
+    let backend = settings.backend.as_ref()?;
+    (!backend.health_path.is_empty()).then(|| health::HealthPoller {
+        address: backend.address,
+        path: backend.health_path.clone(),
+        interval: Duration::from_millis(backend.health_interval_ms),
+        leaving,
+    })
+}
+
 fn spawn_until(
     tasks: &TaskTracker,
     stop: &CancellationToken,
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -196,6 +196,9 @@
     fn sides(&self, settings: &Settings) -> Result<(), SettingsError> {
         if let Some(backend) = &settings.backend {
             self.name("backend.service", &backend.service)?;
+            self.path("backend.health_path", &backend.health_path)?;
+            let field = "backend.health_interval_ms";
+            self.range(field, backend.health_interval_ms, 50..=60_000)?;
             if settings.inbound.is_none() {
                 return self.invalid("inbound", "nothing", "required beside a [backend]");
             }
@@ -256,6 +259,15 @@
         self.invalid(field, &format!("\"{value}\""), allowed)
     }
 
+    fn path(&self, field: &str, value: &str) -> Result<(), SettingsError> {
+        let is_path = value.starts_with('/') && value.parse::<http::Uri>().is_ok();
+        if value.is_empty() || is_path {
+            return Ok(());
+        }
+        let allowed = "empty, or a path such as /health";
+        self.invalid(field, &format!("\"{value}\""), allowed)
+    }
+
     fn range(
         &self,
         field: &str,
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -49,6 +49,17 @@
     /// Address at which the back end accepts HTTP/1.1, as ip:port.
     #[serde(deserialize_with = "load::socket_address")]
     pub address: SocketAddr,
+    /// Path of the back end's health endpoint, which answers with JSON whose field `state` is `live`
+    /// or `leaving`. Default empty: it is not read.
+    #[serde(default)]
+    pub health_path: String,
+    /// Time between two reads of the health endpoint, in milliseconds. 50 to 60000, default 500.
+    #[serde(default = "default_health_interval_ms")]
+    pub health_interval_ms: u64,
+}
+
+const fn default_health_interval_ms() -> u64 {
+    500
 }
 
 /// Where a listener is bound.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -85,6 +85,14 @@
         "limits.streams_per_peer=0",
         &["limits.streams_per_peer", "1 to 100000"],
     ),
+    (
+        "backend.health_path=health",
+        &["backend.health_path", "health", "empty, or a path"],
+    ),
+    (
+        "backend.health_interval_ms=1",
+        &["backend.health_interval_ms", "given 1", "50 to 60000"],
+    ),
     (
         "limits.worker_threads=0",
         &["limits.worker_threads", "given 0", "1 to 256"],
--- a/crates/daemon/tests/support/deployment.rs
+++ b/crates/daemon/tests/support/deployment.rs
@@ -134,6 +134,7 @@
     format!(
         "id = \"{id}\"\nzone = \"north\"\n\
          [backend]\nservice = \"{service}\"\naddress = \"{backend}\"\n\
+         health_path = \"/health\"\nhealth_interval_ms = 50\n\
          [inbound]\nlisten = \"{listen}\"\n\
          [outbound]\nlisten = \"127.0.0.1:0\"\n\
          [admin]\nlisten = \"127.0.0.1:0\"\n\
