Tell unprocessed calls from lost ones more often, and answer HEAD without a body

Cause: a call that a stopping peer proved unprocessed by GOAWAY was reported as unknown; the allowance of an attempt that was never sent counted as spent; a large body could not go to a sibling although none of it had left; the daemon's own answers to HEAD had a body, which broke the stream on HTTP/2. Ruled out: taking a remote GOAWAY for a lost call in general. Change: those four, plus a counter of calls whose caller went away, a debug line for each call, refusal of requests without a path, and peers that are no longer listed are forgotten.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Drops a body that the daemon itself wrote, for an answer that must have none.
+    pub fn remove_own(&mut self) {
+        if let Source::Own(bytes) = &mut self.source {
+            *bytes = None;
+        }
+    }
+
     /// Lets `observer` learn how the body ends; a body in memory ends at once.
     pub fn observe(&mut self, observer: Box<dyn BodyObserver>) {
         match &mut self.source {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Putting a daemon together: listeners, control, and the orderly stop.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -365,6 +366,11 @@
         node.forwarder
             .routes()
             .update(node.clock.now(), &current, &table);
+        let listed: HashSet<_> = table
+            .iter()
+            .map(|(_, record)| record.call_address)
+            .collect();
+        node.forwarder.peers().retain(|peer| listed.contains(peer));
         let service = backend.and_then(|backend| current.services.get(&backend.service));
         if let (Some(backend), Some(service)) = (backend, service)
             && configured.as_ref() != Some(service)
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -43,8 +43,11 @@
 
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let call = self.node.begin_call();
+        let method = request.method().clone();
+        let cancellation = self.node.watch_cancellation(Side::Edge);
         let result = self.answer(request).await;
-        let mut response = self.node.finish(Side::Edge, result);
+        cancellation.answered();
+        let mut response = self.node.finish(Side::Edge, &method, result);
         response.body_mut().observe(Box::new(call));
         response
     }
@@ -69,7 +72,7 @@
             ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
             backoff: backoff_for(&snapshot, &context.request_kind),
         };
-        let (head, body) = RequestHead::split(request);
+        let (head, body) = RequestHead::split(request)?;
         let call = OutgoingCall {
             service,
             context,
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -67,11 +67,14 @@
 
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let call = self.node.begin_call();
+        let method = request.method().clone();
+        let cancellation = self.node.watch_cancellation(Side::Inbound);
         let result = match self.read_context(&request) {
             Ok(context) => self.execute(context, request).await,
             Err(failure) => Err(failure),
         };
-        let mut response = self.node.finish(Side::Inbound, result);
+        cancellation.answered();
+        let mut response = self.node.finish(Side::Inbound, &method, result);
         response.body_mut().observe(Box::new(call));
         response
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,7 +19,9 @@
 impl Side {
     const ALL: [Self; 3] = [Self::Edge, Self::Inbound, Self::Outbound];
 
-    const fn name(self) -> &'static str {
+    /// The name used in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
         match self {
             Self::Edge => "edge",
             Self::Inbound => "inbound",
@@ -34,6 +36,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     results: [[AtomicU64; CODES]; Side::ALL.len()],
+    cancelled: [AtomicU64; Side::ALL.len()],
     retries: AtomicU64,
     bodies_cut: AtomicU64,
     accept_errors: AtomicU64,
@@ -43,6 +46,7 @@
     fn default() -> Self {
         Self {
             results: std::array::from_fn(|_| std::array::from_fn(|_| AtomicU64::new(0))),
+            cancelled: std::array::from_fn(|_| AtomicU64::new(0)),
             retries: AtomicU64::new(0),
             bodies_cut: AtomicU64::new(0),
             accept_errors: AtomicU64::new(0),
@@ -70,6 +74,17 @@
         }
     }
 
+    /// Counts a call whose caller went away before its answer.
+    pub fn call_cancelled(&self, side: Side) {
+        self.cancelled[side as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Calls at this side whose caller went away before their answer.
+    #[must_use]
+    pub fn cancelled(&self, side: Side) -> u64 {
+        self.cancelled[side as usize].load(Ordering::Relaxed)
+    }
+
     /// Counts a retry.
     pub fn retried(&self) {
         self.retries.fetch_add(1, Ordering::Relaxed);
@@ -105,6 +120,7 @@
     pub fn render(&self, gauges: &[Gauge]) -> String {
         let mut text = String::with_capacity(4_096);
         self.render_results(&mut text);
+        self.render_cancelled(&mut text);
         let counters = [
             ("wharfquay_retries_total", "Retries sent.", &self.retries),
             (
@@ -133,6 +149,18 @@
         text
     }
 
+    fn render_cancelled(&self, text: &mut String) {
+        text.push_str("# HELP wharfquay_calls_cancelled_total Calls whose caller went away.\n");
+        text.push_str("# TYPE wharfquay_calls_cancelled_total counter\n");
+        for side in Side::ALL {
+            let (name, value) = (side.name(), self.cancelled(side));
+            let _ = writeln!(
+                text,
+                "wharfquay_calls_cancelled_total{{side=\"{name}\"}} {value}"
+            );
+        }
+    }
+
     fn render_results(&self, text: &mut String) {
         text.push_str("# HELP wharfquay_calls_total Calls by side and result.\n");
         text.push_str("# TYPE wharfquay_calls_total counter\n");
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use http::Response;
+use http::{Method, Response};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
@@ -65,6 +65,15 @@
         CallInFlight(Arc::clone(&self.in_flight))
     }
 
+    /// Counts the call at `side` as cancelled unless it is reported as answered.
+    pub(crate) fn watch_cancellation(&self, side: Side) -> CancellationWatch {
+        CancellationWatch {
+            metrics: Arc::clone(&self.metrics),
+            side,
+            answered: false,
+        }
+    }
+
     /// Calls that have not ended.
     pub(crate) fn calls_in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
@@ -74,11 +83,22 @@
     pub(crate) fn finish(
         &self,
         side: Side,
+        method: &Method,
         ended: Result<Response<AnswerBody>, Failure>,
     ) -> Response<AnswerBody> {
         let mut response = ended.unwrap_or_else(Failure::into_response);
         let code = result(response.headers()).unwrap_or(ResultCode::MalformedAnswer);
         self.metrics.call_ended(side, code);
+        log::debug!(
+            "event=call_ended side={} result={} name={} outcome={}",
+            side.name(),
+            code.number(),
+            code.name(),
+            code.outcome().as_str(),
+        );
+        if *method == Method::HEAD {
+            response.body_mut().remove_own();
+        }
         if code == ResultCode::Answered {
             let observer = CutCounter(Arc::clone(&self.metrics));
             response.body_mut().observe(Box::new(observer));
@@ -102,6 +122,29 @@
     fn ended(self: Box<Self>, _end: BodyEnd) {}
 }
 
+/// Counts a call whose caller went away before its answer: the future that holds this is dropped.
+#[derive(Debug)]
+pub(crate) struct CancellationWatch {
+    metrics: Arc<Metrics>,
+    side: Side,
+    answered: bool,
+}
+
+impl CancellationWatch {
+    /// The call has its answer.
+    pub(crate) fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for CancellationWatch {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.metrics.call_cancelled(self.side);
+        }
+    }
+}
+
 /// Counts answers that broke off.
 #[derive(Debug)]
 struct CutCounter(Arc<Metrics>);
--- a/crates/daemon/src/outbound/attempt.rs
+++ b/crates/daemon/src/outbound/attempt.rs
@@ -32,15 +32,39 @@
 pub(crate) struct AttemptEnd {
     /// The answer of the back end, or the failure in its place.
     pub(crate) result: Result<Response<Incoming>, Failure>,
+    /// What became of the allowance that the attempt carried.
+    pub(crate) allowance: GrantEnd,
     /// What the answering daemon told along with it.
     pub(crate) metadata: Option<WireAnswer>,
+    /// The body, where none of it was sent.
+    pub(crate) unsent: Option<RequestBody>,
+}
+
+/// What became of the allowance that an attempt carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GrantEnd {
+    /// The attempt was not processed, so nothing was spent.
+    Untouched,
+    /// The answer hands this much back.
+    Returned(RetryAllowance),
+    /// Nobody can tell.
+    Lost,
 }
 
 impl AttemptEnd {
-    const fn failed(code: ResultCode) -> Self {
+    const fn failed(code: ResultCode, allowance: GrantEnd) -> Self {
         Self {
             result: Err(Failure::new(code)),
+            allowance,
             metadata: None,
+            unsent: None,
+        }
+    }
+
+    fn not_sent(request: Request<RequestBody>) -> Self {
+        Self {
+            unsent: Some(request.into_body()),
+            ..Self::failed(ResultCode::ConnectFailed, GrantEnd::Untouched)
         }
     }
 }
@@ -55,17 +79,18 @@
     body: RequestBody,
 ) -> AttemptEnd {
     let Some(request) = build(call, clock.now(), allowance, body) else {
-        return AttemptEnd::failed(ResultCode::MalformedRequest);
+        return AttemptEnd::failed(ResultCode::MalformedRequest, GrantEnd::Untouched);
     };
     let deadline = clock.instant(call.context.deadline);
     let sent = peers.send(target.address, request);
     match tokio::time::timeout_at(deadline, sent).await {
         Ok(Ok(response)) => read_answer(response),
-        Ok(Err(PeerError::ConnectFailed | PeerError::Unprocessed)) => {
-            AttemptEnd::failed(ResultCode::ConnectFailed)
+        Ok(Err(PeerError::NotSent(request))) => AttemptEnd::not_sent(request),
+        Ok(Err(PeerError::Unprocessed)) => {
+            AttemptEnd::failed(ResultCode::ConnectFailed, GrantEnd::Untouched)
         }
-        Ok(Err(PeerError::Lost)) => AttemptEnd::failed(ResultCode::ConnectionLost),
-        Err(_) => AttemptEnd::failed(ResultCode::DeadlineAfterDispatch),
+        Ok(Err(PeerError::Lost)) => AttemptEnd::failed(ResultCode::ConnectionLost, GrantEnd::Lost),
+        Err(_) => AttemptEnd::failed(ResultCode::DeadlineAfterDispatch, GrantEnd::Lost),
     }
 }
 
@@ -114,7 +139,13 @@
         }
         None => Err(Failure::new(ResultCode::MalformedAnswer)),
     };
-    AttemptEnd { result, metadata }
+    let returned = metadata.map(|metadata| GrantEnd::Returned(metadata.returned));
+    AttemptEnd {
+        result,
+        allowance: returned.unwrap_or(GrantEnd::Lost),
+        metadata,
+        unsent: None,
+    }
 }
 
 /// The router's record of an attempt in flight. Dropped without an end, the attempt was cancelled.
--- a/crates/daemon/src/outbound/call.rs
+++ b/crates/daemon/src/outbound/call.rs
@@ -29,19 +29,24 @@
 
 impl RequestHead {
     /// Takes a request apart and removes the headers that must not cross this hop.
-    pub(crate) fn split(request: Request<Incoming>) -> (Self, Incoming) {
+    ///
+    /// # Errors
+    /// [`ResultCode::MalformedRequest`] when the request has no path, such as one for a tunnel.
+    pub(crate) fn split(request: Request<Incoming>) -> Result<(Self, Incoming), Failure> {
         let (parts, body) = request.into_parts();
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
         remove_internal_request(&mut headers);
         headers.remove(http::header::HOST);
         let path = parts.uri.path_and_query().cloned();
+        let path = path.filter(|path| path.as_str().starts_with('/'));
+        let path = path.filter(|_| parts.method != Method::CONNECT);
         let head = Self {
             method: parts.method,
-            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
+            path: path.ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?,
             headers,
         };
-        (head, body)
+        Ok((head, body))
     }
 }
 
@@ -125,6 +130,13 @@
         }
     }
 
+    /// Takes back a body of which nothing was sent.
+    pub(crate) fn restore(&mut self, unsent: RequestBody) {
+        if let Self::Stream(body) = self {
+            *body = Some(unsent);
+        }
+    }
+
     /// Whether another attempt could send the body.
     pub(crate) const fn can_repeat(&self) -> bool {
         match self {
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -8,7 +8,7 @@
 use wharfquay_core::call::Repeatability;
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::AdmissionLevel;
-use wharfquay_core::retry::{FailureLocation, RetryDecision, RetryQuestion};
+use wharfquay_core::retry::{FailureLocation, Grant, RetryDecision, RetryQuestion};
 use wharfquay_core::routing::EndpointId;
 
 use crate::answer::{Failure, set_result};
@@ -16,8 +16,8 @@
 use crate::clock::Clock;
 use crate::headers::remove_hop_by_hop;
 use crate::metrics::Metrics;
-use crate::outbound::attempt::{self, Flight};
-use crate::outbound::call::{CallBody, OutgoingCall};
+use crate::outbound::attempt::{self, Flight, GrantEnd};
+use crate::outbound::call::{CallBody, OutgoingCall, RetryAccount};
 use crate::outbound::routes::{Route, RouteTable, Target};
 use crate::peers::PeerPool;
 use crate::sync::lock;
@@ -208,20 +208,18 @@
         target: &Target,
     ) -> Result<Response<AnswerBody>, Failure> {
         let mut flight = Flight::new(route, target, self.clock);
-        let body = body
+        let sent = body
             .for_attempt()
             .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
         let grant = lock(&call.account.ledger).grant(ALLOWANCE_PARTS);
         let allowance = grant.allowance();
-        let end = attempt::send(&self.peers, &self.clock, call, target, allowance, body).await;
-        match end.metadata {
-            Some(metadata) => {
-                lock(&call.account.ledger).settle(grant, metadata.returned);
-                self.heard_level(call, metadata.folded_level);
-            }
-            None => {
-                lock(&call.account.ledger).lose(grant);
-            }
+        let end = attempt::send(&self.peers, &self.clock, call, target, allowance, sent).await;
+        settle(&call.account, grant, end.allowance);
+        if let Some(metadata) = end.metadata {
+            self.heard_level(call, metadata.folded_level);
+        }
+        if let Some(unsent) = end.unsent {
+            body.restore(unsent);
         }
         flight.heard(end.metadata);
         match end.result {
@@ -282,6 +280,15 @@
     }
 }
 
+fn settle(account: &RetryAccount, grant: Grant, end: GrantEnd) {
+    let mut ledger = lock(&account.ledger);
+    match end {
+        GrantEnd::Untouched => ledger.settle(grant, grant.allowance()),
+        GrantEnd::Returned(returned) => ledger.settle(grant, returned),
+        GrantEnd::Lost => ledger.lose(grant),
+    };
+}
+
 /// A body that can't be sent again makes a call unrepeatable.
 const fn effective_repeatability(call: &OutgoingCall, body: &CallBody) -> Repeatability {
     if body.can_repeat() {
--- a/crates/daemon/src/outbound/handler.rs
+++ b/crates/daemon/src/outbound/handler.rs
@@ -39,8 +39,11 @@
     }
 
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let method = request.method().clone();
+        let cancellation = self.node.watch_cancellation(Side::Outbound);
         let result = self.answer(request).await;
-        self.node.finish(Side::Outbound, result)
+        cancellation.answered();
+        self.node.finish(Side::Outbound, &method, result)
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
@@ -72,7 +75,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Failure> {
         let backoff = backoff_for(snapshot, &context.request_kind);
-        let (head, body) = RequestHead::split(request);
+        let (head, body) = RequestHead::split(request)?;
         let call = OutgoingCall {
             service,
             context,
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -27,10 +27,10 @@
 const LONGEST_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Why a peer gave no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum PeerError {
-    /// No connection could be opened, so the peer saw nothing of the request.
-    ConnectFailed,
+    /// The peer saw nothing of the request, which is given back.
+    NotSent(Request<RequestBody>),
     /// The peer proved that it did not process the request.
     Unprocessed,
     /// The connection was lost after the request was sent.
@@ -66,13 +66,13 @@
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, PeerError> {
         let peer = self.peer(address);
-        let mut sender = peer.sender(self).await.ok_or(PeerError::ConnectFailed)?;
+        let Some(mut sender) = peer.sender(self).await else {
+            return Err(PeerError::NotSent(request));
+        };
         let answer = sender.try_send_request(request).await;
-        answer.map_err(|mut failed| {
-            if failed.take_message().is_some() {
-                return PeerError::Unprocessed;
-            }
-            classify(failed.error())
+        answer.map_err(|mut failed| match failed.take_message() {
+            Some(request) => PeerError::NotSent(request),
+            None => classify(failed.error()),
         })
     }
 
@@ -196,13 +196,16 @@
     }
 }
 
-/// Only a stream that the peer refused is proof that it was not processed.
+/// Two ends prove that the peer did not process a stream: it refused the stream, or it closed the
+/// connection with a GOAWAY frame whose last stream lies before this one. The library ends a stream
+/// with a remote GOAWAY in the latter case only.
 fn classify(error: &hyper::Error) -> PeerError {
     let cause = error.source().and_then(|source| source.downcast_ref());
-    let refused = cause.is_some_and(|cause: &h2::Error| {
-        cause.is_remote() && cause.is_reset() && cause.reason() == Some(h2::Reason::REFUSED_STREAM)
+    let unprocessed = cause.is_some_and(|cause: &h2::Error| {
+        let refused = cause.is_reset() && cause.reason() == Some(h2::Reason::REFUSED_STREAM);
+        cause.is_remote() && (refused || cause.is_go_away())
     });
-    if refused {
+    if unprocessed {
         PeerError::Unprocessed
     } else {
         PeerError::Lost
--- a/crates/daemon/tests/call_path.rs
+++ b/crates/daemon/tests/call_path.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use http::StatusCode;
+use http::{Method, StatusCode};
 use support::backend::PIECE;
 use support::client::Call;
-use support::deployment::Deployment;
+use support::deployment::{Deployment, request_kind, standard_resources};
 use wharfquay_core::outcome::ResultCode;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -41,6 +41,29 @@
     }
 }
 
+/// Answers to HEAD have no body, be they the back end's or the daemon's own.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_to_head_have_no_body() {
+    let mut resources = standard_resources(&["booking"]);
+    resources.push(request_kind("booking", "HEAD", true));
+    let deployment = Deployment::start_with(&["booking"], &resources).await;
+    let cases = [
+        ("booking", "/echo", ResultCode::Answered),
+        ("booking", "/refuse", ResultCode::RefusedByBackend),
+        ("nowhere", "/echo", ResultCode::UnknownService),
+    ];
+    for (service, path, code) in cases {
+        for http2 in [false, true] {
+            let mut call = Call::get(service, path);
+            call.method = Method::HEAD;
+            call.http2 = http2;
+            let answer = deployment.send(call).await;
+            assert_eq!(answer.code(), Some(code), "{path} http2={http2}");
+            assert_eq!(answer.text(), "", "{path} http2={http2}");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_chain_of_three_services_answers() {
     let deployment = Deployment::start(&["booking", "slot", "record"]).await;
--- a/crates/daemon/tests/cancellation.rs
+++ b/crates/daemon/tests/cancellation.rs
@@ -7,6 +7,7 @@
 use support::client::{self, Call};
 use support::deployment::{Deployment, request_kind, service};
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_daemon::metrics::Side;
 use wharfquay_resources::kinds::Resource;
 
 /// Connections that the back end of these tests accepts.
@@ -57,6 +58,10 @@
             admission(&deployment).await["in_flight"] == 0
         })
         .await;
+        assert_eq!(deployment.edge.metrics().cancelled(Side::Edge), 1);
+        for member in &deployment.members {
+            assert_eq!(member.daemon.metrics().cancelled(Side::Inbound), 1);
+        }
     }
 }
 
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -69,6 +69,7 @@
         own_status(get("/status/404"), 404),
         case(Call::get("nowhere", "/"), Code::UnknownService, (0, 0)),
         case(Call::get("", "/"), Code::MalformedRequest, (0, 0)),
+        case(asterisk(), Code::UnknownService, (0, 0)),
         case(
             get("/echo").header("wharfquay-deadline-ms", "soon"),
             Code::MalformedRequest,
@@ -87,6 +88,13 @@
     ]
 }
 
+/// A request without a path.
+fn asterisk() -> Call {
+    let mut call = Call::get("booking", "*");
+    call.method = http::Method::OPTIONS;
+    call
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn every_fault_has_its_code_and_its_number_of_executions() {
     for case in cases() {
@@ -287,6 +295,7 @@
             get().header("wharfquay-scope", "no scope"),
             ResultCode::InvalidContext,
         ),
+        (outbound, asterisk(), ResultCode::MalformedRequest),
         (outbound, get(), ResultCode::Answered),
     ];
     for (address, call, expected) in cases {
--- a/crates/daemon/tests/retry_bound.rs
+++ b/crates/daemon/tests/retry_bound.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::client::Call;
-use support::deployment::Deployment;
+use support::deployment::{Deployment, machine};
 use wharfquay_core::outcome::ResultCode;
 
 /// Allowance that the test deployment configures.
@@ -54,6 +54,34 @@
     assert_eq!(deployment.members[1].backend.executions("/work"), 20);
 }
 
+/// A body that is too large to be held can still go to a sibling as long as none of it was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_body_goes_to_a_sibling_if_the_first_daemon_is_down() {
+    let deployment = Deployment::start(&["booking"]).await;
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = machine(
+        "booking-gone",
+        "booking",
+        gone.local_addr().unwrap(),
+        "live",
+    );
+    drop(gone);
+    deployment.platform.put_machine(entry);
+    let body = "x".repeat(100_000);
+    let mut retried = 0;
+    for _ in 0..200 {
+        let call = Call::post("booking", "/echo", body.clone());
+        let answer = deployment.send(call).await;
+        assert_eq!(answer.code(), Some(ResultCode::Answered));
+        assert_eq!(answer.text().len(), body.len() + "POST /echo ".len());
+        retried = retries(&deployment);
+        if retried > 0 {
+            break;
+        }
+    }
+    assert!(retried > 0, "the daemon that is gone was never picked");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_without_a_scope_has_no_retries() {
     let deployment = Deployment::start(&["booking"]).await;
