--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -3,89 +3,16 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 use support::backend::BackendStub;
 use support::client::{self, Call};
 use support::deployment::{edge_text, machine, member_text, standard_resources};
 use support::platform::PlatformStub;
+use support::process::{PROGRAM, Process, settings_file};
 use wharfquay_core::outcome::ResultCode;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_wharfquayd");
-
-/// A daemon in a process of its own; it is killed when dropped.
-struct Process {
-    child: Child,
-    started: String,
-}
-
-impl Process {
-    /// Starts a daemon and waits for its log line that names the addresses.
-    fn start(name: &str, text: &str) -> Self {
-        let mut child = Command::new(PROGRAM)
-            .arg("--config")
-            .arg(settings_file(name, text))
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut started = String::new();
-        while !started.contains("event=started") {
-            started.clear();
-            assert_ne!(log.read_line(&mut started).unwrap(), 0, "no start: {name}");
-        }
-        // The rest of the log is read, so that the daemon never waits for a reader.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, started }
-    }
-
-    fn address(&self, side: &str) -> SocketAddr {
-        let key = format!("{side}=");
-        let value = self
-            .started
-            .split_whitespace()
-            .find_map(|pair| pair.strip_prefix(&key));
-        value.unwrap().parse().unwrap()
-    }
-
-    /// Freezes the process and waits until it is frozen.
-    async fn freeze(&self) {
-        self.signal("STOP");
-        let path = format!("/proc/{}/stat", self.child.id());
-        support::eventually("the process is frozen", async || {
-            let stat = std::fs::read_to_string(&path).unwrap();
-            let state = stat.rsplit(')').next().unwrap();
-            state.trim_start().starts_with('T')
-        })
-        .await;
-    }
-
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status();
-        assert!(status.unwrap().success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn settings_file(name: &str, text: &str) -> PathBuf {
-    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let path = directory.join(format!("{name}-{}.toml", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
 /// An edge and one back end with its daemon, each daemon a process.
 struct Mesh {
     platform: PlatformStub,
@@ -143,7 +70,7 @@
         mesh.backend.executions("/slow/60000") == 1
     })
     .await;
-    mesh.member.child.kill().unwrap();
+    mesh.member.kill();
     let answer = in_flight.await.unwrap().unwrap();
     assert_eq!(answer.code(), Some(ResultCode::ConnectionLost));
     assert_eq!(answer.header("wharfquay-outcome"), Some("unknown"));
@@ -162,7 +89,7 @@
     let took = started.elapsed();
     assert_eq!(answer.code(), Some(ResultCode::DeadlineAfterDispatch));
     assert!(took < Duration::from_secs(1), "took {took:?}");
-    mesh.member.signal("CONT");
+    mesh.member.thaw();
     support::eventually("calls get through again", async || {
         let answer = mesh.send(Call::get("booking", "/echo")).await;
         answer.code() == Some(ResultCode::Answered)
@@ -182,7 +109,7 @@
         let answer = mesh.send(call).await;
         assert_eq!(answer.code(), Some(ResultCode::DeadlineAfterDispatch));
     }
-    mesh.member.signal("CONT");
+    mesh.member.thaw();
     support::eventually("calls get through again", async || {
         let answer = mesh.send(Call::get("booking", "/echo")).await;
         answer.code() == Some(ResultCode::Answered)
@@ -194,7 +121,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_terminated_daemon_ends_its_calls_and_exits_with_zero() {
-    let mut mesh = Mesh::start("term").await;
+    let mesh = Mesh::start("term").await;
     let edge = mesh.edge.address("edge");
     let call = Call::post("booking", "/slow/300", "");
     let in_flight = tokio::spawn(client::send(edge, call));
@@ -202,18 +129,17 @@
         mesh.backend.executions("/slow/300") == 1
     })
     .await;
-    mesh.member.signal("TERM");
+    mesh.member.terminate();
     assert_eq!(in_flight.await.unwrap().unwrap().text(), "slow answer");
-    let status = tokio::task::spawn_blocking(move || mesh.member.child.wait()).await;
-    assert!(status.unwrap().unwrap().success());
+    let ended = tokio::task::spawn_blocking(move || mesh.member.ended_well());
+    assert!(ended.await.unwrap());
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_daemon_serves_the_configuration_again() {
     let mut mesh = Mesh::start("restart").await;
     let inbound = mesh.member.address("inbound");
-    mesh.member.child.kill().unwrap();
-    mesh.member.child.wait().unwrap();
+    mesh.member.kill();
     let (platform, backend) = (mesh.platform.address, mesh.backend.address);
     let listen = inbound.to_string();
     let text = member_text(platform, "booking-0", "booking", backend, &listen);
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -7,7 +7,8 @@
 
 use super::eventually;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_wharfquayd");
+/// The program under test.
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_wharfquayd");
 
 /// A daemon in a process of its own; it is killed when dropped.
 pub struct Process {
@@ -66,6 +67,16 @@
         self.child.wait().unwrap();
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits for the end of the process; true when it ended well.
+    pub fn ended_well(mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+
     fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([format!("-{name}"), self.child.id().to_string()])
@@ -81,7 +92,8 @@
     }
 }
 
-fn settings_file(name: &str, text: &str) -> PathBuf {
+/// Writes a settings file of this test process.
+pub fn settings_file(name: &str, text: &str) -> PathBuf {
     let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let path = directory.join(format!("{name}-{}.toml", std::process::id()));
     std::fs::write(&path, text).unwrap();
