Leave routes alone that a change does not concern

Cause: each new configuration or machine list rebuilt the route of every service, with the table locked against calls all the while; and endpoints of the first machine list counted as cold when the configuration had come first. Change: a route keeps what it was last told and skips an update that says the same; the table is locked only to add and remove services; the first list of a service is the first with endpoints.

--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -41,6 +41,22 @@
     router: Router,
     budget: DestinationBudget,
     known: HashMap<EndpointId, KnownEndpoint>,
+    applied: Option<RoutePlan>,
+}
+
+/// What the control side says of the way to one service.
+#[derive(Clone, Debug, PartialEq)]
+struct RoutePlan {
+    service: Service,
+    budget: BudgetSettings,
+    endpoints: Vec<EndpointRecord>,
+}
+
+impl RoutePlan {
+    /// As `self == other`, without copying what is compared.
+    fn is(&self, service: &Service, budget: BudgetSettings, endpoints: &[EndpointRecord]) -> bool {
+        self.service == *service && self.budget == budget && self.endpoints == endpoints
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +73,7 @@
                 router: Router::new(RouterSettings::default(), zone.clone()),
                 budget: DestinationBudget::with_settings(BudgetSettings::default(), now),
                 known: HashMap::new(),
+                applied: None,
             }),
         }
     }
@@ -128,35 +145,50 @@
         authorize(question, ledger, &mut lock(&self.state).budget)
     }
 
-    fn update(&self, now: Timestamp, service: &Service, budget: BudgetSettings, listed: Listed) {
+    /// Takes over what the control side says, unless it says what it said before.
+    fn update(
+        &self,
+        now: Timestamp,
+        service: &Service,
+        budget: BudgetSettings,
+        endpoints: &[EndpointRecord],
+    ) {
         let mut state = lock(&self.state);
-        state.router.reconfigure(RouterSettings {
-            warm_up: Duration::from_millis(u64::from(service.warm_up_ms)),
-            ..RouterSettings::default()
-        });
-        state.budget.reconfigure(budget, now);
-        state.set_endpoints(now, service, listed);
+        let applied = state.applied.as_ref();
+        if applied.is_some_and(|applied| applied.is(service, budget, endpoints)) {
+            return;
+        }
+        let plan = RoutePlan {
+            service: service.clone(),
+            budget,
+            endpoints: endpoints.to_vec(),
+        };
+        state.apply(now, &plan);
+        state.applied = Some(plan);
     }
 }
 
-/// The endpoints of a service as the control side lists them.
-#[derive(Clone, Copy)]
-struct Listed<'a> {
-    records: &'a [EndpointRecord],
-    first: bool,
-}
-
 impl RouteState {
+    fn apply(&mut self, now: Timestamp, plan: &RoutePlan) {
+        self.router.reconfigure(RouterSettings {
+            warm_up: Duration::from_millis(u64::from(plan.service.warm_up_ms)),
+            ..RouterSettings::default()
+        });
+        self.budget.reconfigure(plan.budget, now);
+        self.set_endpoints(now, plan);
+    }
+
     /// Endpoints that appear after the first list are cold.
-    fn set_endpoints(&mut self, now: Timestamp, service: &Service, listed: Listed<'_>) {
-        let mut known = HashMap::with_capacity(listed.records.len());
-        let mut endpoints = Vec::with_capacity(listed.records.len());
-        for record in listed.records {
+    fn set_endpoints(&mut self, now: Timestamp, plan: &RoutePlan) {
+        let is_first_list = self.known.is_empty();
+        let mut known = HashMap::with_capacity(plan.endpoints.len());
+        let mut endpoints = Vec::with_capacity(plan.endpoints.len());
+        for record in &plan.endpoints {
             let before = self
                 .known
                 .get(&record.id)
                 .filter(|known| known.incarnation == record.incarnation);
-            let appeared = (!listed.first).then_some(now);
+            let appeared = (!is_first_list).then_some(now);
             let started_at = before.map_or(appeared, |known| known.started_at);
             known.insert(
                 record.id.clone(),
@@ -172,8 +204,8 @@
                 incarnation: record.incarnation,
                 state: record.state,
                 started_at,
-                slots: service.slots,
-                connections: service.connections,
+                slots: plan.service.slots,
+                connections: plan.service.connections,
             });
         }
         self.known = known;
@@ -202,20 +234,25 @@
         routes.get(service).cloned()
     }
 
-    /// Takes over a configuration and the endpoints that are known.
+    /// Takes over a configuration and the endpoints that are known. Calls go on meanwhile.
     pub(crate) fn update(&self, now: Timestamp, snapshot: &Snapshot, endpoints: &EndpointTable) {
+        self.set_services(now, snapshot);
         let budget = budget_settings(snapshot);
+        for (name, service) in &snapshot.services {
+            if let Some(route) = self.get(name) {
+                route.update(now, service, budget, endpoints.of_service(name));
+            }
+        }
+    }
+
+    /// Makes the table have a route for each service and no other.
+    fn set_services(&self, now: Timestamp, snapshot: &Snapshot) {
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
         routes.retain(|name, _| snapshot.services.contains_key(name));
-        for (name, service) in &snapshot.services {
-            let listed = Listed {
-                records: endpoints.of_service(name),
-                first: !routes.contains_key(name),
-            };
-            let route = routes
-                .entry(name.clone())
-                .or_insert_with(|| Arc::new(Route::new(&self.zone, now)));
-            route.update(now, service, budget, listed);
+        for name in snapshot.services.keys() {
+            if !routes.contains_key(name) {
+                routes.insert(name.clone(), Arc::new(Route::new(&self.zone, now)));
+            }
         }
     }
 }
