Let calls of the highest priority wait longer before they are refused

Cause: at lagos 8x bookings timed out in one back end's queue while a sibling served less important calls (8 inversions in 5 s), and booking's slots stood 5% idle. Change: priority 0 waits up to four times the longest wait; the queue is aimed at 1.5 limits. Conclusion: kept for the inversions; what is left at lagos 2x to 8x is waiting at record, whose slots are all used.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -15,6 +15,8 @@
 
 /// Weight of one call in the mean time in execution.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Longest wait of calls of the highest priority, as a multiple of the others'.
+const HIGHEST_PRIORITY_PATIENCE: u32 = 4;
 
 /// Identity of a call between the driver and its controller; the driver never uses one twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -277,7 +279,7 @@
     }
 
     fn enqueue(&mut self, now: Timestamp, call: OfferedCall, effects: &mut Vec<AdmissionEffect>) {
-        let longest = now + self.settings.maximum_queue_wait;
+        let longest = now + self.longest_wait(call.key.priority());
         let expires = longest.min(self.last_useful_start(&call));
         if self.queue.is_empty() && self.may_dispatch(call.key.priority()) {
             self.execute(now, &call);
@@ -295,6 +297,17 @@
         }
     }
 
+    /// Longest wait of a call. The most important ones wait longer before they are refused, since
+    /// less important ones may still make room.
+    fn longest_wait(&self, priority: Priority) -> Duration {
+        let longest = self.settings.maximum_queue_wait;
+        if priority == Priority::HIGHEST {
+            longest * HIGHEST_PRIORITY_PATIENCE
+        } else {
+            longest
+        }
+    }
+
     fn dispatch_waiting(&mut self, now: Timestamp, effects: &mut Vec<AdmissionEffect>) {
         while let Some(first) = self.queue.first() {
             if !self.may_dispatch(first.call.key.priority()) {
--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -18,7 +18,7 @@
 /// Admitted share of a priority below which its rate can't be told.
 const SMALLEST_SEEN_SHARE: f64 = 0.05;
 /// Length of the queue that is aimed at, as a share of the concurrency limit.
-const QUEUE_SHARE: f64 = 1.0;
+const QUEUE_SHARE: f64 = 1.5;
 /// Intervals in which the queue is brought to the length that is aimed at.
 const CORRECTION_INTERVALS: f64 = 4.0;
 /// Share by which the capacity is overestimated, so that free slots are found.
