--- a/crates/emulator/src/experiment/surge/arguments.rs
+++ b/crates/emulator/src/experiment/surge/arguments.rs
@@ -19,6 +19,7 @@
   --scenario NAME|FILE   lagos, gujarat or a scenario file
   --factor F             factor on the arrivals during the surge (2)
   --seed N               seed of arrivals, work and faults (1)
+  --seeds N              runs seeds from --seed on, in parallel, and prints a JSON summary (1)
   --before S             seconds before the surge (5)
   --seconds S            seconds of the surge (10)
   --after S              seconds after the surge (10)
@@ -51,6 +52,8 @@
     pub policies: Vec<Policy>,
     /// Whether to print JSON.
     pub json: bool,
+    /// Consecutive seeds to run; above one only a summary is printed.
+    pub seeds: u64,
     /// Whether the table lists services too.
     pub services: bool,
 }
@@ -67,6 +70,7 @@
     let mut policies = parse_policies("all".to_owned())?;
     let mut json = false;
     let mut services = false;
+    let mut seeds = 1;
     let mut run = RunSettings::new(Policy::Wharfquay, 2.0, 1);
     while let Some(argument) = parser.next()? {
         match argument {
@@ -74,6 +78,7 @@
             Arg::Long("scenario") => scenario = Some(load(&text(&mut parser)?)?),
             Arg::Long("policy") => policies = parse_policies(text(&mut parser)?)?,
             Arg::Long("json") => json = true,
+            Arg::Long("seeds") => seeds = value(&mut parser, "seeds", "1 or more")?,
             Arg::Long("services") => services = true,
             Arg::Long(name) => {
                 let name = name.to_owned();
@@ -90,6 +95,7 @@
         policies,
         json,
         services,
+        seeds,
     }))
 }
 
--- a/crates/emulator/src/experiment/surge/mod.rs
+++ b/crates/emulator/src/experiment/surge/mod.rs
@@ -4,10 +4,13 @@
 mod measure;
 mod oracle;
 mod report;
+mod sweep;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+use serde::Serialize;
+
 use crate::arguments::{BAD_USE, Command};
 use crate::simulator::call_path::policy::Policy;
 use crate::simulator::call_path::settings::RunSettings;
@@ -17,6 +20,7 @@
 pub use measure::{KindMeasure, PolicyMeasure, ServiceMeasure, measure};
 pub use oracle::{OracleGoodput, oracle_goodput};
 pub use report::{SurgeReport, render_table};
+pub use sweep::{SweepReport, sweep};
 
 /// Runs the experiment from the command line.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -31,21 +35,40 @@
             return ExitCode::from(BAD_USE);
         }
     };
+    if settings.seeds > 1 {
+        return print_json(&sweep_all(&settings));
+    }
     let report = compare(&settings);
     if settings.json {
-        match serde_json::to_string_pretty(&report) {
-            Ok(text) => println!("{text}"),
-            Err(error) => {
-                eprintln!("experiment surge: {error}");
-                return ExitCode::FAILURE;
-            }
-        }
-    } else {
-        print!("{}", render_table(&report, settings.services));
+        return print_json(&report);
     }
+    print!("{}", render_table(&report, settings.services));
     ExitCode::SUCCESS
 }
 
+fn print_json(report: &impl Serialize) -> ExitCode {
+    match serde_json::to_string_pretty(report) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("experiment surge: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs every chosen policy over many seeds.
+#[must_use]
+pub fn sweep_all(settings: &SurgeSettings) -> Vec<SweepReport> {
+    let layout = Layout::new(&settings.scenario);
+    let policies = settings.policies.iter();
+    policies
+        .map(|&policy| sweep(&layout, &settings.run, policy, settings.seeds))
+        .collect()
+}
+
 /// Runs every chosen policy over the same arrivals.
 #[must_use]
 pub fn compare(settings: &SurgeSettings) -> SurgeReport {
--- a/crates/emulator/src/simulator/call_path/engine/mod.rs
+++ b/crates/emulator/src/simulator/call_path/engine/mod.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod inbound;
 mod outgoing;
+mod retries;
 
 use std::time::Duration;
 
--- a/crates/emulator/src/simulator/call_path/engine/outgoing.rs
+++ b/crates/emulator/src/simulator/call_path/engine/outgoing.rs
@@ -5,9 +5,7 @@
 use rand::RngExt;
 use wharfquay_core::call::{Repeatability, RetryAllowance};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
-use wharfquay_core::retry::{
-    Backoff, FailureLocation, Grant, Ledger, RetryDecision, RetryQuestion, authorize,
-};
+use wharfquay_core::retry::{Grant, Ledger};
 use wharfquay_core::routing::{EndpointId, Observation, Pick, PickRequest, ReportedLoad};
 use wharfquay_core::time::Timestamp;
 
@@ -21,10 +19,6 @@
 /// Parts into which a hop divides an allowance, as the daemon does: one for the call below and one
 /// that stays.
 const ALLOWANCE_PARTS: usize = 2;
-/// Retries of a hop without control.
-const NAIVE_RETRIES: u32 = 2;
-/// Wait before a retry of a hop without control.
-const NAIVE_WAIT: Duration = Duration::from_millis(10);
 
 /// How a call to a service ended, over all its attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -215,7 +209,11 @@
     }
 
     /// The ledger that pays for a call: its parent's, or the request's at the edge.
-    fn with_ledger<T>(&mut self, id: OutgoingId, use_it: impl FnOnce(&mut Ledger) -> T) -> T {
+    pub(super) fn with_ledger<T>(
+        &mut self,
+        id: OutgoingId,
+        use_it: impl FnOnce(&mut Ledger) -> T,
+    ) -> T {
         let outgoing = self.outgoing.get(id);
         let parent = outgoing.and_then(|outgoing| outgoing.parent);
         let request = outgoing.map(|outgoing| outgoing.request);
@@ -284,7 +282,7 @@
     }
 
     /// Takes in what an answer says about endpoint, path and allowance.
-    fn learn(&mut self, id: OutgoingId, attempt: &Attempt, answer: &Answer) {
+    pub(super) fn learn(&mut self, id: OutgoingId, attempt: &Attempt, answer: &Answer) {
         let returned = answer.metadata.map(|metadata| metadata.returned);
         self.with_ledger(id, |ledger| match returned {
             Some(returned) => ledger.settle(attempt.grant, returned),
@@ -314,108 +312,8 @@
         }
     }
 
-    fn attempt_failed(
-        &mut self,
-        id: OutgoingId,
-        attempt: Attempt,
-        code: ResultCode,
-        retry_after: Option<Duration>,
-    ) {
-        if self.is_naive() {
-            self.retry_naively(id, code);
-            return;
-        }
-        let Some(outgoing) = self.outgoing.get_mut(id) else {
-            return;
-        };
-        outgoing.tried.push(attempt.endpoint);
-        if code.outcome() == OutcomeClass::Unknown {
-            outgoing.uncertain = Some(code);
-        }
-        match self.decide(id, code) {
-            Some(RetryDecision::Retry { after }) => self.schedule_retry(id, after),
-            Some(RetryDecision::GiveUp(_)) | None => self.fail(id, code, retry_after),
-        }
-    }
-
-    fn schedule_retry(&mut self, id: OutgoingId, after: Duration) {
-        let Some(outgoing) = self.outgoing.get_mut(id) else {
-            return;
-        };
-        outgoing.retries += 1;
-        if let Some(request) = self.requests.get_mut(outgoing.request) {
-            request.retries += 1;
-        }
-        if after.is_zero() {
-            self.try_outgoing(id);
-        } else {
-            self.events
-                .add(self.now + after, Event::Retry { outgoing: id });
-        }
-    }
-
-    /// Asks the core whether a failed attempt is tried again, and pays for it.
-    fn decide(&mut self, id: OutgoingId, code: ResultCode) -> Option<RetryDecision> {
-        let outgoing = self.outgoing.get(id)?;
-        let (node, service, retries) = (outgoing.node, outgoing.service, outgoing.retries);
-        let request = self.requests.get(outgoing.request)?;
-        let key = self.key_at(request, service);
-        let picks = PickRequest {
-            key,
-            excluded: &outgoing.tried,
-        };
-        let sibling_available = self.nodes[node].routers[service].can_pick(self.now, &picks);
-        let repeatability = self.layout.kinds[request.kind].repeatability;
-        let deadline = request.deadline;
-        let backoff = Backoff::default().delay(retries, &mut self.routing_rng);
-        let question = RetryQuestion {
-            now: self.now,
-            deadline,
-            code,
-            location: FailureLocation::ThisHop,
-            repeatability,
-            sibling_available,
-            allowance: RetryAllowance::NONE,
-            budget_available: true,
-            backoff,
-            expected_latency: Duration::ZERO,
-        };
-        let mut budget = self.nodes[node].budgets[service].clone();
-        let decision = self.with_ledger(id, |ledger| authorize(&question, ledger, &mut budget));
-        self.nodes[node].budgets[service] = budget;
-        Some(decision)
-    }
-
-    /// A hop without control repeats whatever failed a fixed number of times.
-    fn retry_naively(&mut self, id: OutgoingId, code: ResultCode) {
-        let Some(outgoing) = self.outgoing.get(id) else {
-            return;
-        };
-        if outgoing.retries < NAIVE_RETRIES {
-            self.schedule_retry(id, NAIVE_WAIT);
-        } else if code == ResultCode::Answered {
-            self.conclude(id, CallEnd::DeeperFailed { retry_after: None });
-        } else {
-            self.fail(id, code, None);
-        }
-    }
-
-    /// A hop without deadline propagation gives up on its attempt and repeats it; what runs, runs on.
-    pub(super) fn attempt_times_out(&mut self, id: OutgoingId, execution: ExecutionId) {
-        let awaited = self.outgoing.get_mut(id).and_then(|outgoing| {
-            outgoing
-                .attempt
-                .take_if(|attempt| attempt.execution == execution)
-        });
-        let Some(attempt) = awaited else {
-            return;
-        };
-        self.learn(id, &attempt, &lost_answer());
-        self.retry_naively(id, ResultCode::DeadlineAfterDispatch);
-    }
-
     /// Ends a call without an answer: "not run" only if that holds for every attempt.
-    fn fail(&mut self, id: OutgoingId, code: ResultCode, retry_after: Option<Duration>) {
+    pub(super) fn fail(&mut self, id: OutgoingId, code: ResultCode, retry_after: Option<Duration>) {
         let uncertain = self
             .outgoing
             .get(id)
@@ -428,7 +326,7 @@
     }
 
     /// Ends a call and tells its parent, or the caller.
-    fn conclude(&mut self, id: OutgoingId, end: CallEnd) {
+    pub(super) fn conclude(&mut self, id: OutgoingId, end: CallEnd) {
         let Some(outgoing) = self.outgoing.remove(id) else {
             return;
         };
