Join gossip and the configuration relay into the daemon

Cause: every daemon read the store by itself, and a daemon restarted while the store was down had no configuration. Change: with [control] a daemon speaks gossip in datagrams on the control address and sends what is larger over the control listener; the store is read by a few elected readers, which accept its objects against the configuration in force and relay deltas; endpoints come from the members, the machine list only adds machines that are no members; a stop is announced to all before the exit. A configuration comes into force once the daemon is ready by the rule. Without [control] the daemon reads the store as before. A reader takes its peers' configuration before it reads the store, since the store does not hold the last good form of a rejected resource. Not done: the machine list is still polled by every daemon.

--- a/crates/daemon/src/control/configuration.rs
+++ b/crates/daemon/src/control/configuration.rs
@@ -14,6 +14,8 @@
 use wharfquay_resources::kinds::{Resource, ResourceId};
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
+use crate::control::relay::resources;
+
 /// Reads the configuration and publishes each revision.
 pub(super) struct Reader {
     client: Arc<Client>,
@@ -135,16 +137,7 @@
 }
 
 fn resources_by_id(snapshot: &Snapshot) -> BTreeMap<ResourceId, Resource> {
-    let services = snapshot.services.values().cloned().map(Resource::Service);
-    let kinds = snapshot.request_kinds.values().cloned();
-    let budgets = snapshot.retry_budgets.values().cloned();
-    let drains = snapshot.drains.values().cloned();
-    let groups = snapshot.claim_groups.values().cloned();
-    services
-        .chain(kinds.map(Resource::RequestKind))
-        .chain(budgets.map(Resource::RetryBudget))
-        .chain(drains.map(Resource::Drain))
-        .chain(groups.map(Resource::ClaimGroup))
+    resources(snapshot)
         .map(|resource| (resource.id(), resource))
         .collect()
 }
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -1,4 +1,5 @@
-//! Polls the platform's machine list and keeps the table of endpoints.
+//! Polls the platform's machine list and keeps the table of endpoints, together with what gossip
+//! knows of the members.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,12 +8,14 @@
 use tokio::sync::watch;
 use wharfquay_core::drain::LeavingSet;
 use wharfquay_core::routing::EndpointId;
+use wharfquay_membership::member::{MemberId, ZoneName};
+use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::Client;
 use wharfquay_platform::wire::Machine;
 use wharfquay_resources::snapshot::Snapshot;
 
 use crate::control::ControlAddresses;
-use crate::control::endpoints::{self, EndpointTable, Placement};
+use crate::control::endpoints::{self, EndpointTable, Placement, Sources};
 
 /// Polls are spread by up to this share of the interval, so that daemons don't poll together.
 const JITTER: f64 = 0.2;
@@ -25,6 +28,7 @@
     pub(super) own_zone: String,
     pub(super) own_service: Option<String>,
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
+    pub(super) members: watch::Receiver<MemberTable>,
     pub(super) endpoints: watch::Sender<Arc<EndpointTable>>,
     pub(super) leaving: watch::Sender<bool>,
     pub(super) addresses: watch::Sender<Arc<ControlAddresses>>,
@@ -53,20 +57,21 @@
         loop {
             tokio::select! {
                 () = &mut poll => return,
-                changed = self.snapshot.changed() => {
-                    if changed.is_err() {
-                        poll.as_mut().await;
-                        return;
-                    }
-                    self.publish(leaving, machines);
-                }
+                Ok(()) = self.snapshot.changed() => self.publish(leaving, machines),
+                Ok(()) = self.members.changed() => self.publish(leaving, machines),
             }
         }
     }
 
     fn publish(&self, leaving: &mut LeavingSet, machines: &[Machine]) {
         let snapshot = self.snapshot.borrow().clone();
-        let table = endpoints::build(leaving, &snapshot, machines);
+        let members = self.members.borrow().clone();
+        let sources = Sources {
+            snapshot: &snapshot,
+            machines,
+            members: &members,
+        };
+        let table = endpoints::build(leaving, sources);
         self.endpoints.send_if_modified(|current| {
             let changed = **current != table;
             if changed {
@@ -82,8 +87,11 @@
             zone: &self.own_zone,
             service: self.own_service.as_deref(),
         };
-        endpoints::mark_drains(leaving, &snapshot, placement);
-        let own = endpoints::is_leaving(leaving, &self.own_id);
+        let zone = ZoneName::from(self.own_zone.as_str());
+        let own_member = members.get(&zone, &MemberId::from(self.own_id.as_str()));
+        let incarnation = endpoints::incarnation_of(own_member);
+        endpoints::mark_drains(leaving, &snapshot, placement, incarnation);
+        let own = leaving.is_leaving(&self.own_id, incarnation);
         self.leaving.send_if_modified(|current| {
             let changed = *current != own;
             *current = own;
--- a/crates/daemon/tests/support/platform.rs
+++ b/crates/daemon/tests/support/platform.rs
@@ -23,6 +23,8 @@
     objects: Vec<Value>,
     machines: Vec<Value>,
     watches: Vec<Feed>,
+    most_watches: usize,
+    down: bool,
 }
 
 /// A platform on loopback.
@@ -41,6 +43,8 @@
             objects: Vec::new(),
             machines: Vec::new(),
             watches: Vec::new(),
+            most_watches: 0,
+            down: false,
         }));
         let served = Arc::clone(&state);
         tokio::spawn(async move {
@@ -82,6 +86,23 @@
             .retain(|feed| feed.send(Ok(line.clone().into())).is_ok());
     }
 
+    /// Answers nothing but errors, or works again. Watches end when it goes down.
+    pub fn set_down(&self, down: bool) {
+        let mut state = self.state.lock().unwrap();
+        state.down = down;
+        state.watches.clear();
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> u64 {
+        self.state.lock().unwrap().version
+    }
+
+    /// Most watches that were open at the same time.
+    pub fn most_watches(&self) -> usize {
+        self.state.lock().unwrap().most_watches
+    }
+
     /// Lists a machine, or changes its entry.
     pub fn put_machine(&self, machine: Value) {
         let mut state = self.state.lock().unwrap();
@@ -92,6 +113,11 @@
 
 fn answer(state: &Mutex<State>, request: &Request<Incoming>) -> Response<TestBody> {
     let mut state = state.lock().unwrap();
+    if state.down {
+        let mut response = whole(&json!({"error": "down"}));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return response;
+    }
     match request.uri().path() {
         "/v1/objects" => whole(&json!({"version": state.version, "objects": state.objects})),
         "/v1/machines" => whole(&json!({"version": state.version, "machines": state.machines})),
@@ -124,5 +150,6 @@
     let bookmark = json!({"type": "bookmark", "version": state.version});
     feed.send(Ok(format!("{bookmark}\n").into())).unwrap();
     state.watches.push(feed);
+    state.most_watches = state.most_watches.max(state.watches.len());
     Response::new(body)
 }
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -60,6 +60,11 @@
         self.signal("CONT");
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
