--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -1,4 +1,5 @@
-//! Polls the platform's machine list and keeps the table of endpoints.
+//! Polls the platform's machine list and keeps the table of endpoints, together with what gossip
+//! knows of the members.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,8 @@
 use tokio::sync::watch;
 use wharfquay_core::drain::LeavingSet;
 use wharfquay_core::routing::EndpointId;
+use wharfquay_membership::member::{MemberId, ZoneName};
+use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::Client;
 use wharfquay_platform::wire::Machine;
 use wharfquay_resources::snapshot::Snapshot;
@@ -37,6 +40,7 @@
 /// What else tells of endpoints.
 pub(super) struct Sources {
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
+    pub(super) members: watch::Receiver<MemberTable>,
     /// Whether the back end's health endpoint says that it is leaving.
     pub(super) health: watch::Receiver<bool>,
 }
@@ -63,8 +67,8 @@
                     }
                     reading = Box::pin(read(Arc::clone(&self.client), self.next_wait()));
                 }
-                changed = self.sources.changed() => {
-                    if changed.is_err() {
+                is_open = self.sources.changed() => {
+                    if !is_open {
                         return;
                     }
                 }
@@ -80,10 +84,14 @@
 
     fn publish(&self, leaving: &mut LeavingSet, machines: &[Machine]) {
         let snapshot = self.sources.snapshot.borrow().clone();
-        let health = *self.sources.health.borrow();
-        endpoints::mark_health(leaving, &self.own.id, health);
-        let table = endpoints::build(leaving, &snapshot, machines);
-        let own = self.is_leaving(leaving, &snapshot);
+        let members = self.sources.members.borrow().clone();
+        let sources = endpoints::Sources {
+            snapshot: &snapshot,
+            machines,
+            members: &members,
+        };
+        let table = endpoints::build(leaving, sources);
+        let own = self.is_leaving(leaving, &snapshot, &members);
         replace_if_changed(&self.outputs.endpoints, Arc::new(table));
         replace_if_changed(&self.outputs.leaving, own);
         let addresses = machines.iter();
@@ -92,30 +100,41 @@
     }
 
     /// Whether this daemon's own back end is leaving, be it on the list or not.
-    fn is_leaving(&self, leaving: &mut LeavingSet, snapshot: &Snapshot) -> bool {
+    fn is_leaving(
+        &self,
+        leaving: &mut LeavingSet,
+        snapshot: &Snapshot,
+        members: &MemberTable,
+    ) -> bool {
         let placement = Placement {
             id: &self.own.id,
             zone: &self.own.zone,
             service: self.own.service.as_deref(),
         };
-        endpoints::mark_drains(leaving, snapshot, placement);
-        endpoints::is_leaving(leaving, &self.own.id)
+        let zone = ZoneName::from(self.own.zone.as_str());
+        let own_member = members.get(&zone, &MemberId::from(self.own.id.as_str()));
+        let incarnation = endpoints::incarnation_of(own_member);
+        endpoints::mark_drains(leaving, snapshot, placement, incarnation);
+        let health = *self.sources.health.borrow();
+        endpoints::mark_health(leaving, &self.own.id, health, incarnation);
+        leaving.is_leaving(&self.own.id, incarnation)
     }
 }
 
 impl Sources {
-    /// Waits for a change of any source.
-    async fn changed(&mut self) -> Result<(), watch::error::RecvError> {
+    /// Waits for a change of any source; false once the daemon ends.
+    async fn changed(&mut self) -> bool {
         tokio::select! {
-            changed = self.snapshot.changed() => changed,
-            () = health_changed(&mut self.health) => Ok(()),
+            changed = self.snapshot.changed() => changed.is_ok(),
+            () = changed_if_fed(&mut self.members) => true,
+            () = changed_if_fed(&mut self.health) => true,
         }
     }
 }
 
-/// Waits for a change of health, for ever where nothing reads it.
-async fn health_changed(health: &mut watch::Receiver<bool>) {
-    if health.changed().await.is_err() {
+/// Waits for a change, for ever where nothing feeds the source.
+async fn changed_if_fed<T>(source: &mut watch::Receiver<T>) {
+    if source.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -61,17 +61,17 @@
         self.signal("CONT");
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
     }
 
-    /// Asks the process to stop.
-    pub fn terminate(&self) {
-        self.signal("TERM");
-    }
-
     /// Waits for the end of the process; true when it ended well.
     pub fn ended_well(mut self) -> bool {
         self.child.wait().unwrap().success()
