Join gossip and the configuration relay into the daemon

Cause: every daemon read the store by itself, and a daemon restarted while the store was down had no configuration. Change: with [control] a daemon speaks gossip in datagrams on the control address and sends what is larger over the control listener; the store is read by a few elected readers, which accept its objects against the configuration in force and relay deltas; endpoints come from the members, the machine list only adds machines that are no members; a stop is announced to all before the exit. A configuration comes into force once the daemon is ready by the rule. Without [control] the daemon reads the store as before. A reader takes its peers' configuration before it reads the store, since the store does not hold the last good form of a rejected resource. Not done: the machine list is still polled by every daemon.

--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -1,10 +1,13 @@
-//! The endpoints of each service, from the machine list and the leaving marks of every source.
+//! The endpoints of each service, from gossip membership, the machine list and the leaving marks of
+//! every source.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use wharfquay_core::drain::{LeavingSet, LeavingSource};
 use wharfquay_core::routing::{EndpointId, EndpointState, Zone};
+use wharfquay_membership::member::{Member, MemberId, ZoneName};
+use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::wire::{Machine, MachineState};
 use wharfquay_resources::kinds::DrainTarget;
 use wharfquay_resources::snapshot::Snapshot;
@@ -64,13 +67,18 @@
 }
 
 /// Brings the marks of the configuration's drains up to date for one machine.
-pub(super) fn mark_drains(leaving: &mut LeavingSet, snapshot: &Snapshot, placement: Placement<'_>) {
+pub(super) fn mark_drains(
+    leaving: &mut LeavingSet,
+    snapshot: &Snapshot,
+    placement: Placement<'_>,
+    incarnation: u64,
+) {
     let covered = snapshot
         .drains
         .values()
         .any(|drain| covers(&drain.target, placement));
     if covered {
-        leaving.mark(placement.id, UNKNOWN_INCARNATION, LeavingSource::Resource);
+        leaving.mark(placement.id, incarnation, LeavingSource::Resource);
     } else {
         leaving.unmark(placement.id, LeavingSource::Resource);
     }
@@ -85,61 +93,139 @@
 }
 
 /// Brings the mark of the machine list up to date for one machine.
-pub(super) fn mark_machine(leaving: &mut LeavingSet, id: &EndpointId, state: MachineState) {
+pub(super) fn mark_machine(
+    leaving: &mut LeavingSet,
+    id: &EndpointId,
+    state: MachineState,
+    incarnation: u64,
+) {
     match state {
         MachineState::Leaving => {
-            leaving.mark(id, UNKNOWN_INCARNATION, LeavingSource::MachineList);
+            leaving.mark(id, incarnation, LeavingSource::MachineList);
         }
         MachineState::Live => leaving.unmark(id, LeavingSource::MachineList),
     }
 }
 
 /// Brings the mark of the local back end's health endpoint up to date.
-pub(super) fn mark_health(leaving: &mut LeavingSet, id: &EndpointId, is_leaving: bool) {
+pub(super) fn mark_health(
+    leaving: &mut LeavingSet,
+    id: &EndpointId,
+    is_leaving: bool,
+    incarnation: u64,
+) {
     if is_leaving {
-        leaving.mark(id, UNKNOWN_INCARNATION, LeavingSource::HealthEndpoint);
+        leaving.mark(id, incarnation, LeavingSource::HealthEndpoint);
     } else {
         leaving.unmark(id, LeavingSource::HealthEndpoint);
     }
 }
 
-/// Whether a machine must get no new work.
-pub(super) fn is_leaving(leaving: &LeavingSet, id: &EndpointId) -> bool {
-    leaving.is_leaving(id, UNKNOWN_INCARNATION)
+/// Brings the mark that a daemon has spread about itself up to date.
+fn mark_member(leaving: &mut LeavingSet, id: &EndpointId, member: &Member) {
+    if member.leaving {
+        let incarnation = member.incarnation.process();
+        leaving.mark(id, incarnation, LeavingSource::Shutdown);
+    }
 }
 
-/// The table that follows from the machine list, the drains and the marks so far.
-pub(super) fn build(
-    leaving: &mut LeavingSet,
-    snapshot: &Snapshot,
-    machines: &[Machine],
-) -> EndpointTable {
+/// The incarnation of a member, or the one of an endpoint that is no member.
+pub(super) fn incarnation_of(member: Option<&Member>) -> u64 {
+    member.map_or(UNKNOWN_INCARNATION, |member| member.incarnation.process())
+}
+
+/// What the endpoints follow from.
+#[derive(Clone, Copy)]
+pub(super) struct Sources<'a> {
+    /// The configuration in force.
+    pub(super) snapshot: &'a Snapshot,
+    /// The platform's machine list.
+    pub(super) machines: &'a [Machine],
+    /// The members that gossip knows.
+    pub(super) members: &'a MemberTable,
+}
+
+/// The table that follows from members, machine list, drains and the marks so far.
+///
+/// Members come first; the machine list adds machines that are no members. A machine whose member
+/// record is dead is left out unless its service has no other endpoint, since a lagging list and a
+/// wrong suspicion are both possible.
+pub(super) fn build(leaving: &mut LeavingSet, sources: Sources<'_>) -> EndpointTable {
     let mut table = EndpointTable::default();
-    for machine in machines {
+    let mut doubtful = Vec::new();
+    for machine in sources.machines {
         let Some(service) = &machine.service else {
             continue;
         };
+        let zone = ZoneName::from(machine.zone.as_str());
+        let member = sources
+            .members
+            .get(&zone, &MemberId::from(machine.id.as_str()));
         let id = EndpointId::from(machine.id.as_str());
+        mark_machine(leaving, &id, machine.state, incarnation_of(member));
+        let address = match member {
+            Some(member) if member.is_live() => continue,
+            Some(_) | None => machine.call_address,
+        };
         let placement = Placement {
             id: &id,
             zone: &machine.zone,
             service: Some(service),
         };
-        mark_machine(leaving, &id, machine.state);
-        mark_drains(leaving, snapshot, placement);
-        let state = if is_leaving(leaving, &id) {
-            EndpointState::Leaving
+        let record = record(leaving, sources.snapshot, placement, member, address);
+        if member.is_some() {
+            doubtful.push((service.as_str(), record));
         } else {
-            EndpointState::Live
+            table.insert(service, record);
+        }
+    }
+    insert_members(&mut table, leaving, sources);
+    for (service, record) in doubtful {
+        if table.of_service(service).is_empty() {
+            table.insert(service, record);
+        }
+    }
+    table
+}
+
+fn insert_members(table: &mut EndpointTable, leaving: &mut LeavingSet, sources: Sources<'_>) {
+    for member in sources.members.members().filter(|member| member.is_live()) {
+        let profile = &member.profile;
+        let Some(service) = &profile.service else {
+            continue;
         };
-        let record = EndpointRecord {
-            id,
-            zone: Zone::from(machine.zone.as_str()),
-            incarnation: UNKNOWN_INCARNATION,
-            state,
-            call_address: machine.call_address,
+        let id = EndpointId::from(profile.id.as_str());
+        mark_member(leaving, &id, member);
+        let placement = Placement {
+            id: &id,
+            zone: profile.zone.as_str(),
+            service: Some(service),
         };
+        let address = profile.call_address;
+        let record = record(leaving, sources.snapshot, placement, Some(member), address);
         table.insert(service, record);
     }
-    table
+}
+
+fn record(
+    leaving: &mut LeavingSet,
+    snapshot: &Snapshot,
+    placement: Placement<'_>,
+    member: Option<&Member>,
+    call_address: SocketAddr,
+) -> EndpointRecord {
+    let incarnation = incarnation_of(member);
+    mark_drains(leaving, snapshot, placement, incarnation);
+    let state = if leaving.is_leaving(placement.id, incarnation) {
+        EndpointState::Leaving
+    } else {
+        EndpointState::Live
+    };
+    EndpointRecord {
+        id: placement.id.clone(),
+        zone: Zone::from(placement.zone),
+        incarnation,
+        state,
+        call_address,
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -0,0 +1,314 @@
+//! The task that drives this daemon's part in gossip membership and the configuration relay.
+
+mod transport;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio_util::task::TaskTracker;
+use wharfquay_membership::gossip::Seed;
+use wharfquay_membership::member::{MemberId, MemberProfile, ZoneName};
+use wharfquay_membership::message::{Delta, Snapshot as RelayedSnapshot};
+use wharfquay_membership::node::{Effect, Identity, Node};
+use wharfquay_membership::settings::Settings as MembershipSettings;
+use wharfquay_membership::table::MemberTable;
+use wharfquay_platform::{Client, SourceEvent};
+use wharfquay_resources::snapshot::{Revision, Snapshot};
+
+use crate::clock::{Clock, wall_clock};
+use crate::control::ControlAddresses;
+use crate::control::readers::{Reading, StoreReader};
+use crate::control::relay::{self, ConfigurationDelta};
+use crate::peers::PeerPool;
+use crate::settings::Settings;
+
+pub(crate) use transport::StreamInbox;
+use transport::{Datagrams, ReceivedStream, StreamSender};
+
+/// Entries of the machine list that are used as seeds; more would help no joining daemon.
+const MAX_LISTED_SEEDS: usize = 64;
+
+/// Where this daemon speaks with others.
+#[derive(Debug)]
+pub(crate) struct ControlSockets {
+    /// Bound to the address of the control listener.
+    pub(crate) datagrams: UdpSocket,
+    /// Address of the control listener.
+    pub(crate) control_address: SocketAddr,
+    /// Address for calls of other daemons.
+    pub(crate) call_address: SocketAddr,
+}
+
+/// What the task publishes and listens to.
+pub(super) struct Channels {
+    /// The configuration in force, from the moment on when this daemon is ready.
+    pub(super) snapshot: watch::Sender<Arc<Snapshot>>,
+    /// The members.
+    pub(super) members: watch::Sender<MemberTable>,
+    /// Control addresses of the machine list.
+    pub(super) machines: watch::Receiver<Arc<ControlAddresses>>,
+    /// Whether this daemon was told to stop.
+    pub(super) stopping: watch::Receiver<bool>,
+}
+
+/// The control plane's task.
+pub(super) struct GossipTask {
+    clock: Clock,
+    own_id: String,
+    seeds: Vec<SocketAddr>,
+    node: Node,
+    datagrams: Datagrams,
+    streams: StreamSender,
+    inbox: mpsc::Receiver<ReceivedStream>,
+    client: Arc<Client>,
+    reader: Option<StoreReader>,
+    held: Arc<Snapshot>,
+    channels: Channels,
+}
+
+/// What the task goes on with.
+enum Next {
+    Datagram(SocketAddr, Vec<u8>),
+    Stream(ReceivedStream),
+    Store(Option<SourceEvent>),
+    Machines,
+    Stopping,
+    Timer,
+}
+
+impl GossipTask {
+    /// A task and the inbox for messages that arrive over streams.
+    pub(super) fn new(
+        settings: &Settings,
+        clock: Clock,
+        client: Arc<Client>,
+        sockets: ControlSockets,
+        channels: Channels,
+        tasks: &TaskTracker,
+    ) -> (Self, StreamInbox) {
+        let profile = MemberProfile {
+            id: MemberId::from(settings.id.as_str()),
+            zone: ZoneName::from(settings.zone.as_str()),
+            service: settings
+                .backend
+                .as_ref()
+                .map(|backend| backend.service.clone()),
+            call_address: sockets.call_address,
+            control_address: sockets.control_address,
+            slots: 0,
+            connections: 0,
+        };
+        let identity = Identity {
+            profile,
+            started_at_ms: wall_clock().as_millis(),
+        };
+        let seeds = settings
+            .control
+            .as_ref()
+            .map_or_else(Vec::new, |control| control.seeds.clone());
+        let known = seeds
+            .iter()
+            .map(|&control_address| Seed { control_address });
+        let now = clock.now();
+        let random = &mut rand::rng();
+        let node = Node::new(
+            MembershipSettings::default(),
+            identity,
+            known.collect(),
+            now,
+            random,
+        );
+        let limits = &settings.limits;
+        let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
+        let (sender, inbox) = transport::inbox();
+        let task = Self {
+            clock,
+            own_id: settings.id.clone(),
+            seeds,
+            node,
+            datagrams: Datagrams::new(sockets.datagrams),
+            streams: StreamSender::new(peers, tasks.clone(), sockets.control_address),
+            inbox,
+            client,
+            reader: None,
+            held: Arc::new(Snapshot::default()),
+            channels,
+        };
+        (task, sender)
+    }
+
+    /// Runs for ever.
+    pub(super) async fn run(mut self) {
+        loop {
+            let next = self.next().await;
+            let effects = self.take(next);
+            self.carry_out(effects).await;
+        }
+    }
+
+    async fn next(&mut self) -> Next {
+        let wakeup = self.node.next_wakeup();
+        tokio::select! {
+            (source, bytes) = self.datagrams.receive() => Next::Datagram(source, bytes),
+            Some(stream) = self.inbox.recv() => Next::Stream(stream),
+            event = next_of(&mut self.reader) => Next::Store(event),
+            Ok(()) = self.channels.machines.changed() => Next::Machines,
+            Ok(()) = self.channels.stopping.changed() => Next::Stopping,
+            () = self.clock.sleep_until(Some(wakeup)) => Next::Timer,
+        }
+    }
+
+    fn take(&mut self, next: Next) -> Vec<Effect> {
+        let now = self.clock.now();
+        let random = &mut rand::rng();
+        match next {
+            Next::Datagram(source, bytes) => self.node.receive(now, source, &bytes, random),
+            Next::Stream(stream) => self.node.receive(now, stream.source, &stream.bytes, random),
+            Next::Timer => self.node.advance(now, random),
+            Next::Stopping => self.node.leave(now, random),
+            Next::Machines => {
+                self.update_seeds();
+                Vec::new()
+            }
+            Next::Store(Some(event)) => self.take_store(event),
+            Next::Store(None) => {
+                self.reader = None;
+                Vec::new()
+            }
+        }
+    }
+
+    fn take_store(&mut self, event: SourceEvent) -> Vec<Effect> {
+        let Some(reader) = &mut self.reader else {
+            return Vec::new();
+        };
+        match reader.take(event, &self.held) {
+            Reading::Report(report) => {
+                let now = self.clock.now();
+                self.node.on_store(now, &report, &mut rand::rng())
+            }
+            Reading::NoContact => {
+                self.node.store_contact(false);
+                Vec::new()
+            }
+            Reading::Nothing => Vec::new(),
+        }
+    }
+
+    /// The settings file's seeds and the machine list's.
+    fn update_seeds(&mut self) {
+        let machines = self.channels.machines.borrow_and_update().clone();
+        let others = machines.iter().filter(|(id, _)| **id != self.own_id);
+        let listed = others.map(|(_, address)| *address).take(MAX_LISTED_SEEDS);
+        let seeds = self.seeds.iter().copied().chain(listed);
+        let seeds = seeds.map(|control_address| Seed { control_address });
+        self.node.set_seeds(seeds.collect());
+    }
+
+    async fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, channel, bytes } => match channel {
+                    wharfquay_membership::node::Channel::Datagram => {
+                        self.datagrams.send(to, &bytes).await;
+                    }
+                    wharfquay_membership::node::Channel::Stream => self.streams.send(to, bytes),
+                },
+                other => self.carry_out_locally(other),
+            }
+        }
+        self.publish_configuration();
+    }
+
+    fn carry_out_locally(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { .. } => {}
+            Effect::MembersChanged => {
+                let members = self.node.table().clone();
+                self.channels.members.send_replace(members);
+            }
+            Effect::DeclaredDead(id) => log::warn!("event=member_dead id={id}"),
+            Effect::AdoptSnapshot(snapshot) => self.adopt_snapshot(&snapshot),
+            Effect::AdoptDelta(delta) => self.adopt_delta(&delta),
+            Effect::Ready(revision) => log::info!("event=ready revision={revision}"),
+            Effect::Read(read) => self.read_store(read),
+            Effect::ReadSnapshot => {
+                if let Some(reader) = &self.reader {
+                    reader.request_snapshot();
+                }
+            }
+            Effect::StoreOlder { store, held } => {
+                log::warn!("event=store_older_ignored found={store} in_force={held}");
+            }
+            Effect::Compact(revision) => self.compact(revision),
+            Effect::Dropped { source, reason } => {
+                log::warn!("event=control_message_dropped source={source} reason=\"{reason}\"");
+            }
+        }
+    }
+
+    fn read_store(&mut self, read: bool) {
+        log::info!("event=store_reader reading={read}");
+        self.reader = read.then(|| StoreReader::start(Arc::clone(&self.client)));
+    }
+
+    fn adopt_snapshot(&mut self, relayed: &RelayedSnapshot) {
+        match relay::decode::<Snapshot>(&relayed.payload) {
+            Ok(mut snapshot) => {
+                snapshot.revision = Revision::new(relayed.revision);
+                self.held = Arc::new(snapshot);
+            }
+            Err(error) => log_undecodable(relayed.revision, &error),
+        }
+    }
+
+    fn adopt_delta(&mut self, relayed: &Delta) {
+        match relay::decode::<ConfigurationDelta>(&relayed.payload) {
+            Ok(delta) => {
+                let mut snapshot = Snapshot::clone(&self.held);
+                delta.apply(&mut snapshot, Revision::new(relayed.revision));
+                self.held = Arc::new(snapshot);
+            }
+            Err(error) => log_undecodable(relayed.revision, &error),
+        }
+    }
+
+    fn compact(&mut self, revision: u64) {
+        match relay::encode(&*self.held) {
+            Ok(payload) => self.node.compacted(revision, payload),
+            Err(error) => log::error!("event=configuration_not_encoded error=\"{error}\""),
+        }
+    }
+
+    /// Puts what is held in force once this daemon is ready.
+    fn publish_configuration(&self) {
+        if !self.node.is_ready() {
+            return;
+        }
+        let held = &self.held;
+        let newer = |current: &Arc<Snapshot>| current.revision < held.revision;
+        self.channels.snapshot.send_if_modified(|current| {
+            let adopt = newer(current);
+            if adopt {
+                let revision = held.revision.number();
+                log::info!("event=configuration_in_force revision={revision}");
+                *current = Arc::clone(held);
+            }
+            adopt
+        });
+    }
+}
+
+fn log_undecodable(revision: u64, error: &str) {
+    log::error!("event=configuration_undecodable revision={revision} error=\"{error}\"");
+}
+
+/// The next event of the reader; never when this daemon does not read.
+async fn next_of(reader: &mut Option<StoreReader>) -> Option<SourceEvent> {
+    match reader {
+        Some(reader) => reader.next().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -1,4 +1,5 @@
-//! Polls the platform's machine list and keeps the table of endpoints.
+//! Polls the platform's machine list and keeps the table of endpoints, together with what gossip
+//! knows of the members.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,8 @@
 use tokio::sync::watch;
 use wharfquay_core::drain::LeavingSet;
 use wharfquay_core::routing::EndpointId;
+use wharfquay_membership::member::{MemberId, ZoneName};
+use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::Client;
 use wharfquay_platform::wire::Machine;
 use wharfquay_resources::snapshot::Snapshot;
@@ -37,6 +40,8 @@
 /// What else tells of endpoints.
 pub(super) struct Sources {
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// The members; none where the daemon takes no part in gossip.
+    pub(super) members: watch::Receiver<MemberTable>,
     /// Whether the back end's health endpoint says that it is leaving.
     pub(super) health: watch::Receiver<bool>,
 }
@@ -80,26 +85,39 @@
 
     fn publish(&self, leaving: &mut LeavingSet, machines: &[Machine]) {
         let snapshot = self.sources.snapshot.borrow().clone();
+        let members = self.sources.members.borrow().clone();
+        let incarnation = self.incarnation(&members);
         let health = *self.sources.health.borrow();
-        endpoints::mark_health(leaving, &self.own.id, health);
-        let table = endpoints::build(leaving, &snapshot, machines);
-        let own = self.is_leaving(leaving, &snapshot);
+        endpoints::mark_health(leaving, &self.own.id, health, incarnation);
+        let sources = endpoints::Sources {
+            snapshot: &snapshot,
+            machines,
+            members: &members,
+        };
+        let table = endpoints::build(leaving, sources);
+        let own = self.is_leaving(leaving, &snapshot, incarnation);
         replace_if_changed(&self.outputs.endpoints, Arc::new(table));
         replace_if_changed(&self.outputs.leaving, own);
-        let addresses = machines.iter();
-        let addresses = addresses.map(|machine| (machine.id.clone(), machine.control_address));
-        replace_if_changed(&self.outputs.addresses, Arc::new(addresses.collect()));
+        let addresses = control_addresses(machines, &members);
+        replace_if_changed(&self.outputs.addresses, Arc::new(addresses));
+    }
+
+    /// The incarnation of this daemon.
+    fn incarnation(&self, members: &MemberTable) -> u64 {
+        let zone = ZoneName::from(self.own.zone.as_str());
+        let id = MemberId::from(self.own.id.as_str());
+        endpoints::incarnation_of(members.get(&zone, &id))
     }
 
     /// Whether this daemon's own back end is leaving, be it on the list or not.
-    fn is_leaving(&self, leaving: &mut LeavingSet, snapshot: &Snapshot) -> bool {
+    fn is_leaving(&self, leaving: &mut LeavingSet, snapshot: &Snapshot, incarnation: u64) -> bool {
         let placement = Placement {
             id: &self.own.id,
             zone: &self.own.zone,
             service: self.own.service.as_deref(),
         };
-        endpoints::mark_drains(leaving, snapshot, placement);
-        endpoints::is_leaving(leaving, &self.own.id)
+        endpoints::mark_drains(leaving, snapshot, placement, incarnation);
+        leaving.is_leaving(&self.own.id, incarnation)
     }
 }
 
@@ -108,14 +126,27 @@
     async fn changed(&mut self) -> Result<(), watch::error::RecvError> {
         tokio::select! {
             changed = self.snapshot.changed() => changed,
-            () = health_changed(&mut self.health) => Ok(()),
+            () = may_change(&mut self.members) => Ok(()),
+            () = may_change(&mut self.health) => Ok(()),
         }
     }
 }
 
-/// Waits for a change of health, for ever where nothing reads it.
-async fn health_changed(health: &mut watch::Receiver<bool>) {
-    if health.changed().await.is_err() {
+/// The control addresses of the machine list; the members' own word goes first.
+fn control_addresses(machines: &[Machine], members: &MemberTable) -> ControlAddresses {
+    let listed = machines.iter();
+    let listed = listed.map(|machine| (machine.id.clone(), machine.control_address));
+    let mut addresses: ControlAddresses = listed.collect();
+    for member in members.members().filter(|member| member.is_live()) {
+        let id = member.profile.id.as_str().to_owned();
+        addresses.insert(id, member.profile.control_address);
+    }
+    addresses
+}
+
+/// Waits for a change, for ever where nothing publishes one.
+async fn may_change<T>(source: &mut watch::Receiver<T>) {
+    if source.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,28 +5,41 @@
 pub mod claims;
 mod configuration;
 mod endpoints;
+pub(crate) mod gossip;
 mod health;
 mod machines;
+mod readers;
+mod relay;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{Request, Response};
+use hyper::body::Incoming;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wharfquay_core::routing::EndpointId;
+use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::Client;
 use wharfquay_resources::snapshot::Snapshot;
 
+use crate::body::AnswerBody;
 use crate::clock::Clock;
 use crate::control::claims::Claims;
+use crate::control::gossip::{ControlSockets, GossipTask, StreamInbox};
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
 pub use endpoints::{EndpointRecord, EndpointTable};
 
+/// Time in which a leaving mark reaches the other daemons of a small deployment; a stopping daemon
+/// goes on to refuse calls for as long.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(200);
+
 /// Where each daemon of the machine list takes control messages.
 pub type ControlAddresses = BTreeMap<String, SocketAddr>;
 
@@ -41,14 +54,40 @@
     pub leaving: watch::Receiver<bool>,
     /// Claims on idempotency keys.
     pub claims: Arc<Claims>,
+    /// Takes control messages that arrive over streams; absent without a control listener.
+    pub(crate) inbox: Option<StreamInbox>,
+    /// Tells the other daemons that this one leaves.
+    stopping: watch::Sender<bool>,
+}
+
+impl ControlView {
+    /// Serves a request on the control listener.
+    pub(crate) async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match &self.inbox {
+            Some(inbox) if StreamInbox::takes(&request) => inbox.serve(request).await,
+            _ => self.claims.serve(request).await,
+        }
+    }
+
+    /// Spreads the mark that this daemon leaves; returns when the others may be taken to know it.
+    pub(crate) fn announce_stop(&self) -> Instant {
+        self.stopping.send_replace(true);
+        let now = Instant::now();
+        if self.inbox.is_some() {
+            now + ANNOUNCEMENT_TIME
+        } else {
+            now
+        }
+    }
 }
 
 /// Starts the tasks that keep the view up to date until `stop`.
 #[must_use]
-pub fn start(
+pub(crate) fn start(
     settings: &Settings,
     clock: Clock,
     client: Arc<Client>,
+    sockets: Option<ControlSockets>,
     tasks: &TaskTracker,
     stop: &CancellationToken,
 ) -> ControlView {
@@ -56,17 +95,25 @@
     let (endpoints_sender, endpoints) = watch::channel(Arc::new(EndpointTable::default()));
     let (leaving_sender, leaving) = watch::channel(false);
     let (addresses_sender, addresses) = watch::channel(Arc::new(ControlAddresses::default()));
+    let (members_sender, members) = watch::channel(MemberTable::default());
+    let (stopping, stopping_receiver) = watch::channel(false);
     let limits = &settings.limits;
     let claims = Arc::new(Claims::new(
         &settings.id,
         clock,
         snapshot.clone(),
-        addresses,
+        addresses.clone(),
         PeerPool::new(limits.connect_timeout(), limits.header_bytes),
         tasks.clone(),
     ));
     let (health_sender, health) = watch::channel(false);
-    let reader = configuration::Reader::new(Arc::clone(&client), snapshot_sender);
+    let channels = gossip::Channels {
+        snapshot: snapshot_sender,
+        members: members_sender,
+        machines: addresses,
+        stopping: stopping_receiver,
+    };
+    let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
     let backend = settings.backend.as_ref();
     let poller = machines::Poller {
         client,
@@ -78,6 +125,7 @@
         },
         sources: machines::Sources {
             snapshot: snapshot.clone(),
+            members,
             health,
         },
         outputs: machines::Outputs {
@@ -86,7 +134,6 @@
             addresses: addresses_sender,
         },
     };
-    spawn_until(tasks, stop, reader.run());
     spawn_until(tasks, stop, poller.run());
     if let Some(poller) = health_poller(settings, health_sender) {
         spawn_until(tasks, stop, poller.run());
@@ -97,6 +144,8 @@
         endpoints,
         leaving,
         claims,
+        inbox,
+        stopping,
     }
 }
 
@@ -114,6 +163,28 @@
     })
 }
 
+/// Gets the configuration from the other daemons, or straight from the store where there is no
+/// control listener.
+fn start_reading(
+    settings: &Settings,
+    clock: Clock,
+    client: &Arc<Client>,
+    sockets: Option<ControlSockets>,
+    channels: gossip::Channels,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) -> Option<StreamInbox> {
+    let client = Arc::clone(client);
+    let Some(sockets) = sockets else {
+        let reader = configuration::Reader::new(client, channels.snapshot);
+        spawn_until(tasks, stop, reader.run());
+        return None;
+    };
+    let (task, inbox) = GossipTask::new(settings, clock, client, sockets, channels, tasks);
+    spawn_until(tasks, stop, task.run());
+    Some(inbox)
+}
+
 fn spawn_until(
     tasks: &TaskTracker,
     stop: &CancellationToken,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use salvo::conn::tcp::TcpAcceptor;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -22,7 +23,7 @@
 use crate::backend_pool::BackendPool;
 use crate::body::AnswerBody;
 use crate::clock::Clock;
-use crate::control;
+use crate::control::{self, gossip::ControlSockets};
 use crate::edge::EdgeHandler;
 use crate::inbound::gate::AdmissionGate;
 use crate::inbound::{InboundHandler, LocalBackend};
@@ -89,7 +90,8 @@
         let addresses = listeners.addresses();
         let tasks = TaskTracker::new();
         let stop = CancellationToken::new();
-        let node = build_node(settings, &tasks, &stop);
+        let sockets = listeners.control_sockets().await?;
+        let node = build_node(settings, sockets, &tasks, &stop);
         let backend = node.settings.backend.as_ref();
         let backend = backend.map(|backend| build_backend(&node, backend));
         let running = RunningDaemon {
@@ -116,15 +118,39 @@
 
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let control = settings.control.as_ref();
+        let control = control.map(|control| ListenSettings {
+            listen: control.listen,
+        });
         Ok(Self {
             edge: bind_optional("edge.listen", settings.edge).await?,
             inbound: bind_optional("inbound.listen", settings.inbound).await?,
             outbound: bind_optional("outbound.listen", settings.outbound).await?,
-            control: bind_optional("control.listen", settings.control).await?,
+            control: bind_optional("control.listen", control).await?,
             admin: bind("admin.listen", settings.admin.listen).await?,
         })
     }
 
+    /// The socket for datagrams at the address of the control listener, where there is one.
+    async fn control_sockets(&self) -> Result<Option<ControlSockets>, StartError> {
+        let Some(address) = self.control.as_ref().map(|bound| bound.address) else {
+            return Ok(None);
+        };
+        let datagrams = UdpSocket::bind(address)
+            .await
+            .map_err(|source| StartError::Listen {
+                field: "control.listen",
+                address,
+                source,
+            })?;
+        let inbound = self.inbound.as_ref().map(|bound| bound.address);
+        Ok(Some(ControlSockets {
+            datagrams,
+            control_address: address,
+            call_address: inbound.unwrap_or(address),
+        }))
+    }
+
     fn addresses(&self) -> Addresses {
         let address = |bound: &Option<BoundListener>| bound.as_ref().map(|bound| bound.address);
         Addresses {
@@ -157,7 +183,12 @@
         })
 }
 
-fn build_node(settings: Settings, tasks: &TaskTracker, stop: &CancellationToken) -> Arc<Node> {
+fn build_node(
+    settings: Settings,
+    sockets: Option<ControlSockets>,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) -> Arc<Node> {
     let clock = Clock::start();
     let metrics = Arc::new(Metrics::default());
     let platform = &settings.platform;
@@ -166,7 +197,7 @@
         ..ClientSettings::default()
     };
     let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
-    let control = control::start(&settings, clock, client, tasks, stop);
+    let control = control::start(&settings, clock, client, sockets, tasks, stop);
     let routes = RouteTable::new(Zone::from(settings.zone.as_str()));
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
@@ -220,12 +251,14 @@
     /// Refuses new work, waits for the calls in flight up to the configured limit and ends.
     pub async fn shutdown(self) {
         self.node.stopping.store(true, Ordering::Relaxed);
+        let announced = self.node.control.announce_stop();
         if let Some(backend) = &self.backend {
             backend.gate.begin_drain();
         }
         let in_flight = self.node.calls_in_flight();
         log::info!("event=stopping calls_in_flight={in_flight}");
         let left = self.drain().await;
+        tokio::time::sleep_until(announced).await;
         self.stop.cancel();
         self.tasks.close();
         let _ = tokio::time::timeout(CLOSE_GRACE, self.tasks.wait()).await;
@@ -301,10 +334,10 @@
             });
         }
         if let Some(listener) = listeners.control {
-            let claims = Arc::clone(&self.node.control.claims);
+            let control = self.node.control.clone();
             self.spawn_listener(listener, Protocols::Http2, move |request| {
-                let claims = Arc::clone(&claims);
-                async move { claims.serve(request).await }
+                let control = control.clone();
+                async move { control.serve(request).await }
             });
         }
         self.spawn_admin(listeners.admin);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -28,8 +28,9 @@
     pub outbound: Option<ListenSettings>,
     /// Listener for health, readiness, metrics and status.
     pub admin: ListenSettings,
-    /// Listener for control messages of other daemons.
-    pub control: Option<ListenSettings>,
+    /// Gossip and configuration relay with other daemons; without it the daemon reads the store by
+    /// itself.
+    pub control: Option<ControlSettings>,
     /// The platform's object API.
     pub platform: PlatformSettings,
     /// Logging.
@@ -71,6 +72,20 @@
     pub listen: SocketAddr,
 }
 
+/// Gossip and configuration relay.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Address to bind for datagrams and streams, as ip:port; port 0 lets the operating system
+    /// choose. Other daemons reach this one under it.
+    #[serde(deserialize_with = "load::socket_address")]
+    pub listen: SocketAddr,
+    /// Control addresses of daemons to contact at the start, beside those of the machine list; as
+    /// ip:port. Default none.
+    #[serde(default, deserialize_with = "load::socket_addresses")]
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// The platform's object API.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daemon/tests/support/platform.rs
+++ b/crates/daemon/tests/support/platform.rs
@@ -24,6 +24,7 @@
     machines: Vec<Value>,
     watches: Vec<Feed>,
     down: bool,
+    most_watches: usize,
 }
 
 impl State {
@@ -50,6 +51,7 @@
             objects: Vec::new(),
             machines: Vec::new(),
             watches: Vec::new(),
+            most_watches: 0,
             down: false,
         }));
         let served = Arc::clone(&state);
@@ -143,6 +145,11 @@
         state.watches.clear();
     }
 
+    /// Most watches that were open at the same time.
+    pub fn most_watches(&self) -> usize {
+        self.state.lock().unwrap().most_watches
+    }
+
     /// Lists a machine, or changes its entry.
     pub fn put_machine(&self, machine: Value) {
         let mut state = self.state.lock().unwrap();
@@ -186,5 +193,6 @@
     let bookmark = json!({"type": "bookmark", "version": state.version});
     feed.send(Ok(format!("{bookmark}\n").into())).unwrap();
     state.watches.push(feed);
+    state.most_watches = state.most_watches.max(state.watches.len());
     Response::new(body)
 }
--- a/crates/emulator/src/simulator/control/faults.rs
+++ b/crates/emulator/src/simulator/control/faults.rs
@@ -116,15 +116,16 @@
             return;
         };
         let zone = &node.me().profile.zone;
-        let address = node
-            .table()
-            .get(zone, id)
-            .map(|member| member.profile.control_address);
-        let Some(dead) = address.and_then(daemon_at) else {
+        let Some(member) = node.table().get(zone, id) else {
+            return;
+        };
+        let Some(dead) = daemon_at(member.profile.control_address) else {
             return;
         };
         let frozen = self.daemons[dead].frozen_until.is_some();
-        let runs = self.daemons[dead].node.is_some() && !frozen;
+        let process = member.incarnation.process();
+        let same_process = |node: &Node| node.me().incarnation.process() == process;
+        let runs = self.daemons[dead].node.as_ref().is_some_and(same_process) && !frozen;
         if runs && self.network.is_connected(dead) && self.network.is_connected(by) {
             self.observations.false_deaths += 1;
         } else {
--- a/crates/membership/src/gossip/mod.rs
+++ b/crates/membership/src/gossip/mod.rs
@@ -99,6 +99,12 @@
     failed_probes: u32,
     declared_dead: Vec<MemberId>,
     joined: bool,
+    /// The own zone's records have arrived from a daemon that is ready.
+    zone_known: bool,
+    seed_contacts: usize,
+    seed_turn: bool,
+    /// The table has once agreed with another daemon's.
+    filled: bool,
     changed: bool,
     join_deadline: Timestamp,
     next_probe: Timestamp,
@@ -135,6 +141,10 @@
             failed_probes: 0,
             declared_dead: Vec::new(),
             joined: false,
+            zone_known: false,
+            seed_contacts: 0,
+            seed_turn: false,
+            filled: false,
             changed: true,
             join_deadline: now + sync::JOIN_LIMIT,
             next_probe: now + jitter(settings.probe_interval, rng),
@@ -153,6 +163,8 @@
         self.table = table;
         self.table.extend([self.me.clone()]);
         self.joined = true;
+        self.zone_known = true;
+        self.filled = true;
         self.queue = UpdateQueue::default();
         self.next_table_sync = now + jitter(self.settings.table_sync_interval, rng);
         for (zone, _) in self.table.zones() {
@@ -178,6 +190,12 @@
         self.joined
     }
 
+    /// Whether the members of the own zone are known, or the wait for them is over.
+    #[must_use]
+    pub const fn is_zone_known(&self) -> bool {
+        self.zone_known || self.joined
+    }
+
     /// Whether this daemon is a delegate of its zone, and which: zero is the first.
     #[must_use]
     pub fn delegate_rank(&self) -> Option<usize> {
--- a/crates/membership/src/gossip/sync.rs
+++ b/crates/membership/src/gossip/sync.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
-use rand::{Rng, RngExt};
 use wharfquay_core::time::Timestamp;
 
 use crate::counters::Counters;
@@ -24,8 +24,15 @@
 pub(super) const JOIN_LIMIT: Duration = Duration::from_secs(10);
 /// Time between two exchanges of a joining daemon.
 const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two exchanges of a daemon whose table has not agreed with another's yet, after the
+/// limit for joining.
+const FILL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two contacts to a seed or to a member that is held to be dead.
 pub(super) const REJOIN_INTERVAL: Duration = Duration::from_secs(30);
+/// Contacts with each seed before agreement among starting daemons counts.
+const SEED_ROUNDS: usize = 1;
+/// Contacts with seeds that are enough, however many there are.
+const MAX_SEED_CONTACTS: usize = 8;
 /// Zones that one answer to a digest takes up.
 const ZONES_PER_EXCHANGE: usize = 3;
 /// Buckets that one exchange takes up in a running daemon.
@@ -46,13 +53,20 @@
         if self.seeds.is_empty() || waited {
             self.joined = true;
         }
-        let interval = if self.joined {
+        let interval = if self.joined && !self.filled && self.table.live_count() > 1 {
+            FILL_INTERVAL
+        } else if self.joined {
             self.settings.table_sync_interval.mul_f64(0.75)
                 + jitter(self.settings.table_sync_interval.mul_f64(0.5), rng)
         } else {
             JOIN_INTERVAL
         };
         self.next_table_sync = now + interval;
+        self.seed_turn = !self.seed_turn;
+        if !self.joined && self.seed_turn && !self.seeds.is_empty() {
+            self.contact_seed(out);
+            return;
+        }
         let partner = self.sync_partner(rng);
         if let Some(to) = partner {
             out.push(self.open_exchange(to, false));
@@ -60,17 +74,42 @@
     }
 
     fn sync_partner(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
-        const SEED_CHANCE: f64 = 0.3;
         let peer = self
             .random_peer(rng)
             .map(|member| member.profile.control_address);
-        if self.joined {
+        if self.filled {
             return peer;
         }
-        if peer.is_none() || rng.random_bool(SEED_CHANCE) {
-            return self.random_seed(rng).or(peer);
+        let elsewhere = self.random_elsewhere(rng);
+        elsewhere.or(peer).or_else(|| self.random_seed(rng))
+    }
+
+    /// Any member of a zone by chance: who fills its table asks everywhere, so that nobody bears the
+    /// return of a whole zone alone.
+    fn random_elsewhere(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let zones: Vec<&ZoneName> = self.table.zones().map(|(zone, _)| zone).collect();
+        let zone = zones.choose(rng)?;
+        let member = self.random_member(zone, rng, Member::is_live)?;
+        Some(member.profile.control_address)
+    }
+
+    /// Opens an exchange with the next seed in turn.
+    pub(crate) fn contact_seed(&mut self, out: &mut Vec<Outgoing>) {
+        let Some(turn) = self.seed_contacts.checked_rem(self.seeds.len()) else {
+            return;
+        };
+        self.seed_contacts += 1;
+        let to = self.seeds[turn].control_address;
+        if to != self.me.profile.control_address {
+            out.push(self.open_exchange(to, true));
         }
-        peer
+    }
+
+    /// Whether the seeds have had their chance to answer: daemons that start together and find only
+    /// each other must not take themselves for the whole deployment.
+    fn seeds_tried(&self) -> bool {
+        let enough = (self.seeds.len() * SEED_ROUNDS).min(MAX_SEED_CONTACTS);
+        self.seed_contacts >= enough
     }
 
     fn random_seed(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
@@ -179,7 +218,10 @@
         out: &mut Vec<Outgoing>,
     ) {
         if digests.is_empty() {
-            self.joined = true;
+            if header.ready || self.seeds_tried() {
+                self.joined = true;
+                self.filled = true;
+            }
             return;
         }
         let theirs: BTreeMap<&ZoneName, u64> = digests
@@ -238,7 +280,7 @@
             .map(|(bucket, _)| bucket)
             .collect();
         differing.shuffle(rng);
-        if self.joined {
+        if self.filled {
             differing.truncate(BUCKETS_PER_EXCHANGE);
         }
         if differing.is_empty() {
@@ -332,6 +374,7 @@
         counters: &mut Counters,
         out: &mut Vec<Outgoing>,
     ) {
+        self.zone_known |= header.ready && *zone == self.me.profile.zone;
         let mut answer: Vec<Update> = wanted
             .iter()
             .filter_map(|id| self.table.get(zone, id))
@@ -355,12 +398,11 @@
         out.push(Outgoing::routine(reply_to, body));
     }
 
-    /// Merges a record. News from another zone is passed on; what came from the own zone by
-    /// anti-entropy reaches the rest of the zone the same way.
+    /// Merges a record. What is news to a daemon whose table was full is passed on; a daemon that
+    /// fills its table only takes what the others know.
     fn learn(&mut self, now: Timestamp, header: &Header, record: &Update, counters: &mut Counters) {
-        let from_own_zone = header.zone == self.me.profile.zone;
         let about_me = record.id == self.me.profile.id;
-        if about_me || (self.joined && !from_own_zone) {
+        if about_me || self.filled {
             self.apply(now, record, &header.zone, counters);
             return;
         }
--- a/crates/membership/src/node/upkeep.rs
+++ b/crates/membership/src/node/upkeep.rs
@@ -41,6 +41,9 @@
             self.next_upkeep = now + UPKEEP_INTERVAL;
         } else {
             self.next_upkeep = now + STARTING_INTERVAL;
+            if self.gossip.is_joined() {
+                self.gossip.contact_seed(out);
+            }
             self.ask_peers(rng, out);
         }
         let should_read = self.should_read(now);
@@ -57,7 +60,7 @@
 
     /// Asks peers of the own zone, then of others, which revision they hold.
     fn ask_peers(&mut self, rng: &mut impl Rng, out: &mut Vec<Outgoing>) {
-        if self.gossip.is_joined() {
+        if self.gossip.is_zone_known() {
             self.relay.readiness_mut().members_known();
         }
         let wanted = self.settings.readiness_peers;
@@ -167,6 +170,9 @@
         let Some(rank) = self.gossip.delegate_rank() else {
             return false;
         };
+        if !self.relay.may_read_store(now) {
+            return false;
+        }
         let own_zone = &self.me().profile.zone;
         let mut zones: Vec<&ZoneName> = self
             .table()
--- a/crates/membership/src/relay/mod.rs
+++ b/crates/membership/src/relay/mod.rs
@@ -116,6 +116,12 @@
         self.readiness.is_ready()
     }
 
+    /// Whether a reader may read the store; see [`Readiness::may_read_store`].
+    #[must_use]
+    pub fn may_read_store(&self, now: Timestamp) -> bool {
+        self.readiness.may_read_store(now, self.revision())
+    }
+
     /// The wait of a starting daemon.
     pub const fn readiness_mut(&mut self) -> &mut Readiness {
         &mut self.readiness
--- a/crates/membership/src/relay/readiness.rs
+++ b/crates/membership/src/relay/readiness.rs
@@ -100,6 +100,21 @@
         peers.unwrap_or(0).max(self.store.unwrap_or(0))
     }
 
+    /// Whether a reader may read the store: it first takes the configuration of its peers, since the
+    /// store does not hold the last good form of a rejected resource.
+    #[must_use]
+    pub fn may_read_store(&self, now: Timestamp, held: u64) -> bool {
+        if self.ready || held > 0 {
+            return true;
+        }
+        let late = now.saturating_since(self.started) >= self.limit;
+        let peers_hold = self.answers.values().any(|answer| answer.revision > 0);
+        let answered = |peer: &&MemberId| self.answers.contains_key(*peer);
+        let heard = self.asked.iter().filter(answered).count();
+        let asked_enough = self.members_known && heard * 2 >= self.asked.len();
+        late || (asked_enough && !peers_hold)
+    }
+
     /// Becomes ready when the rule allows it; returns whether this call did it.
     pub fn decide(&mut self, now: Timestamp, held: u64) -> bool {
         if self.ready || held == 0 || held < self.highest() {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -87,7 +87,7 @@
             reports_per_second: 32,
             report_interval: Duration::from_millis(500),
             bytes_per_second: 3_500,
-            burst_bytes: 24_000,
+            burst_bytes: 48_000,
         }
     }
 }
