Run the control experiments from the toolbox

Change: wharfquay experiment propagation|drain|churn with scenario, zones, daemons, seed, seconds, loss and JSON. Tests: the same report for the same seed apart from the object host, the goals of the small deployments, bad options named.

--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -3,6 +3,8 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+use wharfquay_emulator::experiment::control_command::{self, ControlExperiment};
+
 /// Exit status for arguments that can't be used.
 const BAD_USE: u8 = 2;
 
@@ -11,12 +13,19 @@
 usage: wharfquay experiment NAME [options]
 
   surge        a surge of demand: goodput and recovery of each policy
+  propagation  time until a configuration change is in force, control traffic
+  drain        time until every daemon knows that back ends leave
+  churn        restarts, failures, loss of a rack and a zone, parted regions
 ";
 
 /// Runs the experiment that the first argument names.
 pub(crate) fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     let mut arguments = arguments.into_iter();
     let name = arguments.next().unwrap_or_default();
+    let control_experiment = name.to_str().and_then(ControlExperiment::named);
+    if let Some(experiment) = control_experiment {
+        return control_command::run(experiment, arguments);
+    }
     match name.to_str() {
         Some("surge") => wharfquay_emulator::experiment::surge::run(arguments),
         Some("--help" | "-h" | "help") => {
@@ -25,7 +34,7 @@
         }
         _ => {
             eprintln!(
-                "wharfquay experiment: unknown experiment \"{}\" (allowed: surge)",
+                "wharfquay experiment: unknown experiment \"{}\" (allowed: surge, propagation, drain, churn)",
                 name.display()
             );
             ExitCode::from(BAD_USE)
--- /dev/null
+++ b/crates/emulator/src/experiment/control_command.rs
@@ -0,0 +1,148 @@
+//! Command line of the experiments on the control plane: `propagation`, `drain` and `churn`.
+
+use std::ffi::OsString;
+use std::fmt::Display;
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use serde::Serialize;
+
+use super::propagation::ControlOptions;
+use super::{churn, drain, propagation};
+use crate::arguments::{ArgumentError, BAD_USE, Command, number_in, text, value};
+use crate::scenario::ScenarioError;
+
+/// The usage text.
+pub const USAGE: &str = "\
+usage: wharfquay experiment propagation|drain|churn [options]
+
+  --scenario NAME  lagos, gujarat or target: zones, latencies and sizes (lagos)
+  --zones N        number of zones (the scenario's)
+  --daemons N      number of daemons, up to 13000 (the scenario's)
+  --seed N         seed of everything random (1)
+  --seconds S      simulated seconds of changes and faults (60)
+  --loss SHARE     share of packets lost, 0 to 0.9 (0)
+  --json           prints JSON; all but the object \"host\" is the same for the same seed
+";
+
+/// Which experiment to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ControlExperiment {
+    /// Time in force of configuration changes.
+    Propagation,
+    /// Spread of leaving marks.
+    Drain,
+    /// Restarts, failures and cuts.
+    Churn,
+}
+
+impl ControlExperiment {
+    /// The experiment with this name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "propagation" => Some(Self::Propagation),
+            "drain" => Some(Self::Drain),
+            "churn" => Some(Self::Churn),
+            _ => None,
+        }
+    }
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub struct ControlArguments {
+    /// What to run.
+    pub options: ControlOptions,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// Reads the command line.
+///
+/// # Errors
+/// [`ArgumentError`] that names the option, what was given and what is allowed.
+pub fn parse(
+    arguments: impl IntoIterator<Item = OsString>,
+) -> Result<Command<ControlArguments>, ArgumentError> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut options = ControlOptions::default();
+    let mut json = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long("json") => json = true,
+            Arg::Long("scenario") => options.scenario = text(&mut parser)?,
+            Arg::Long("zones") => options.zones = Some(value(&mut parser, "zones", "1 to 64")?),
+            Arg::Long("daemons") => {
+                options.daemons = Some(value(&mut parser, "daemons", "1 to 13000")?);
+            }
+            Arg::Long("seed") => {
+                options.seed = value(&mut parser, "seed", "a whole number of 64 bits")?;
+            }
+            Arg::Long("seconds") => {
+                options.seconds = value(&mut parser, "seconds", "1 to 86400")?;
+            }
+            Arg::Long("loss") => {
+                options.loss = number_in(&mut parser, "loss", 0.0..=0.9, "0 to 0.9")?;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if !(1..=86_400).contains(&options.seconds) {
+        return Err(ArgumentError::Value {
+            option: "seconds",
+            given: options.seconds.to_string(),
+            problem: "out of range".to_owned(),
+            allowed: "1 to 86400",
+        });
+    }
+    Ok(Command::Run(ControlArguments { options, json }))
+}
+
+/// Runs an experiment from the command line.
+pub fn run(
+    experiment: ControlExperiment,
+    arguments: impl IntoIterator<Item = OsString>,
+) -> ExitCode {
+    let arguments = match parse(arguments) {
+        Ok(Command::Run(arguments)) => arguments,
+        Ok(Command::Help) => {
+            print!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => return bad_use(&error),
+    };
+    let (options, json) = (&arguments.options, arguments.json);
+    match experiment {
+        ControlExperiment::Propagation => print_report(propagation::run(options), json),
+        ControlExperiment::Drain => print_report(drain::run(options), json),
+        ControlExperiment::Churn => print_report(churn::run(options), json),
+    }
+}
+
+fn print_report<R: Serialize + Display>(report: Result<R, ScenarioError>, json: bool) -> ExitCode {
+    let report = match report {
+        Ok(report) => report,
+        Err(error) => return bad_use(&error),
+    };
+    if !json {
+        print!("{report}");
+        return ExitCode::SUCCESS;
+    }
+    match serde_json::to_string_pretty(&report) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("experiment: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn bad_use(error: &impl Display) -> ExitCode {
+    eprintln!("experiment: {error}");
+    ExitCode::from(BAD_USE)
+}
--- /dev/null
+++ b/crates/emulator/tests/control_experiments.rs
@@ -0,0 +1,85 @@
+//! The experiments on the control plane: same bytes for the same seed, and the goals of the small
+//! deployments.
+
+use wharfquay_emulator::experiment::control_command::{ControlExperiment, parse};
+use wharfquay_emulator::experiment::propagation::ControlOptions;
+use wharfquay_emulator::experiment::{churn, drain, propagation};
+
+fn options(scenario: &str) -> ControlOptions {
+    ControlOptions {
+        scenario: scenario.to_owned(),
+        seed: 9,
+        seconds: 20,
+        ..ControlOptions::default()
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_report_apart_from_the_host() {
+    let run = |experiment| {
+        let options = options("gujarat");
+        let report = match experiment {
+            ControlExperiment::Propagation => serde_json::to_value(propagation::run(&options).ok()),
+            ControlExperiment::Drain => serde_json::to_value(drain::run(&options).ok()),
+            ControlExperiment::Churn => serde_json::to_value(churn::run(&options).ok()),
+        };
+        let mut report = report.expect("a report");
+        let host = report.as_object_mut().expect("an object").remove("host");
+        assert!(host.is_some(), "no figures of the host");
+        report
+    };
+    for name in ["propagation", "drain", "churn"] {
+        let experiment = ControlExperiment::named(name).expect("a known experiment");
+        assert_eq!(run(experiment), run(experiment), "{name}");
+    }
+}
+
+#[test]
+fn the_small_deployments_meet_their_goals() {
+    for scenario in ["lagos", "gujarat"] {
+        let report = propagation::run(&options(scenario)).expect("a report");
+        let relay = &report.relay;
+        assert!(relay.time_in_force_ms.max <= 2_000.0, "{scenario}: {relay}");
+        assert!(relay.time_in_force_ms.p50 < 500.0, "{scenario}: {relay}");
+        assert_eq!(relay.without_last_revision, 0, "{scenario}");
+        assert_eq!(relay.revisions_reverted, 0, "{scenario}");
+        let sent = report.traffic.sent_bytes_per_second.max;
+        assert!(sent <= 4_096.0, "{scenario}: {sent} bytes/s");
+        let drained = drain::run(&options(scenario)).expect("a report");
+        for figures in [&drained.planned_stops, &drained.zone_stop] {
+            assert_eq!(figures.later_than_promised, 0, "{scenario}: {figures}");
+        }
+        let churned = churn::run(&options(scenario)).expect("a report");
+        assert_eq!(churned.relay.revisions_reverted, 0, "{scenario}");
+        assert_eq!(churned.relay.ready_with_older, 0, "{scenario}");
+        assert_eq!(churned.not_ready, 0, "{scenario}");
+    }
+}
+
+#[test]
+fn bad_options_are_named() {
+    for (arguments, named) in [
+        (["--scenario", "nowhere"], "allowed: lagos, gujarat, target"),
+        (["--zones", "0"], "allowed: 1 to 64"),
+        (
+            ["--daemons", "1"],
+            "allowed: 4 (one for each zone) to 13000",
+        ),
+        (["--seconds", "0"], "allowed: 1 to 86400"),
+        (["--loss", "1.5"], "allowed: 0 to 0.9"),
+        (["--seed", "x"], "allowed: a whole number of 64 bits"),
+    ] {
+        let parsed = parse(arguments.map(Into::into));
+        let message = match parsed {
+            Ok(wharfquay_emulator::arguments::Command::Run(arguments)) => {
+                propagation::run(&arguments.options)
+                    .err()
+                    .map(|error| error.to_string())
+            }
+            Ok(_) => None,
+            Err(error) => Some(error.to_string()),
+        };
+        let message = message.expect("refused");
+        assert!(message.contains(named), "{arguments:?}: {message}");
+    }
+}
