--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -27,6 +27,9 @@
 pub(crate) use transport::StreamInbox;
 use transport::{Datagrams, ReceivedStream, StreamSender};
 
+/// Entries of the machine list that are used as seeds; more would help no joining daemon.
+const MAX_LISTED_SEEDS: usize = 64;
+
 /// Where this daemon speaks with others.
 #[derive(Debug)]
 pub(crate) struct ControlSockets {
@@ -198,7 +201,7 @@
     fn update_seeds(&mut self) {
         let machines = self.channels.machines.borrow_and_update().clone();
         let others = machines.iter().filter(|(id, _)| **id != self.own_id);
-        let listed = others.map(|(_, address)| *address);
+        let listed = others.map(|(_, address)| *address).take(MAX_LISTED_SEEDS);
         let seeds = self.seeds.iter().copied().chain(listed);
         let seeds = seeds.map(|control_address| Seed { control_address });
         self.node.set_seeds(seeds.collect());
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -106,6 +106,7 @@
         PeerPool::new(limits.connect_timeout(), limits.header_bytes),
         tasks.clone(),
     ));
+    let (health_sender, health) = watch::channel(false);
     let channels = gossip::Channels {
         snapshot: snapshot_sender,
         members: members_sender,
@@ -113,7 +114,6 @@
         stopping: stopping_receiver,
     };
     let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
-    let (health_sender, health) = watch::channel(false);
     let backend = settings.backend.as_ref();
     let poller = machines::Poller {
         client,
--- a/crates/daemon/tests/support/platform.rs
+++ b/crates/daemon/tests/support/platform.rs
@@ -25,6 +25,7 @@
     watches: Vec<Feed>,
     most_watches: usize,
     down: bool,
+    most_watches: usize,
 }
 
 impl State {
