Keep a service open while one of its back ends admits

Cause: the forwarder stored the folded level of each answer, the answering endpoint's own level included, as the level of the whole service. One busy back end so closed the service for up to 1.1 s to calls that its siblings admit.

Change: an endpoint's own level goes to the router only, and a service is as open as the most open of its endpoints (Router::level). What an answer says about the path below its endpoint goes into PathLevels; where the endpoint's own level is the strictest it hides the path below, and nothing is noted. Early refusal and the level folded upstream use both.

--- a/crates/core/src/admission/path.rs
+++ b/crates/core/src/admission/path.rs
@@ -14,6 +14,15 @@
 /// Shortest Retry-After of an early refusal.
 const MINIMUM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// What a back end's answer says about the path below it, apart from the back end itself.
+///
+/// `own` is its admission level and `folded` the strictest on the path, its own included. `None` when
+/// its own level is the strictest: it hides how far open the path below is.
+#[must_use]
+pub fn level_below(own: AdmissionLevel, folded: AdmissionLevel) -> Option<AdmissionLevel> {
+    (folded < own || own == AdmissionLevel::OPEN).then_some(folded)
+}
+
 /// An early refusal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/core/tests/admission_path.rs
+++ b/crates/core/tests/admission_path.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wharfquay_core::admission::PathLevels;
+use wharfquay_core::admission::{PathLevels, level_below};
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use wharfquay_core::time::Timestamp;
 
@@ -80,3 +80,20 @@
     advice.dedup();
     assert_eq!(advice.len(), 4, "the advice is spread");
 }
+
+/// What an answer says about the path below the back end that gave it.
+#[test]
+fn the_level_below_is_known_unless_the_back_end_hides_it() {
+    let open = AdmissionLevel::OPEN;
+    let level = AdmissionLevel::new;
+    let cases = [
+        (open, open, Some(open)),
+        (open, level(7), Some(level(7))),
+        (level(9), level(7), Some(level(7))),
+        (level(7), level(7), None),
+        (AdmissionLevel::CLOSED, AdmissionLevel::CLOSED, None),
+    ];
+    for (own, folded, expected) in cases {
+        assert_eq!(level_below(own, folded), expected, "{own:?} {folded:?}");
+    }
+}
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -4,12 +4,14 @@
 
 use http::Response;
 use hyper::body::Incoming;
-use wharfquay_core::admission::PathLevels;
+use wharfquay_core::admission::{PathLevels, level_below};
 use wharfquay_core::call::Repeatability;
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::AdmissionLevel;
 use wharfquay_core::retry::{FailureLocation, Grant, RetryDecision, RetryQuestion};
 use wharfquay_core::routing::EndpointId;
+use wharfquay_core::time::Timestamp;
+use wharfquay_protocol::answer::WireAnswer;
 
 use crate::answer::{Failure, set_result};
 use crate::body::AnswerBody;
@@ -87,19 +89,26 @@
         &self.peers
     }
 
-    /// Strictest level heard for a request kind towards any of `services`.
+    /// Strictest level for a request kind towards any of `services`, each of which is as open as the
+    /// most open of its endpoints and the path below them.
     pub(crate) fn folded_level<'a>(
         &self,
         services: impl Iterator<Item = &'a String>,
         request_kind: &str,
     ) -> AdmissionLevel {
         let now = self.clock.now();
-        let levels = lock(&self.levels);
         services
-            .map(|service| levels.level(now, service, request_kind))
+            .map(|service| self.level_towards(now, service, request_kind))
             .fold(AdmissionLevel::OPEN, AdmissionLevel::fold)
     }
 
+    fn level_towards(&self, now: Timestamp, service: &str, request_kind: &str) -> AdmissionLevel {
+        let below = lock(&self.levels).level(now, service, request_kind);
+        let route = self.routes.get(service);
+        let endpoints = route.map_or(AdmissionLevel::OPEN, |route| route.level(now));
+        below.fold(endpoints)
+    }
+
     /// Takes a call to a back end of its service and gives the whole answer, or the failure in its
     /// place.
     ///
@@ -170,7 +179,7 @@
         }
     }
 
-    /// Refuses a call that the path would refuse.
+    /// Refuses a call that every endpoint of its service, or the path below them, would refuse.
     pub(crate) fn check_level(&self, call: &OutgoingCall) -> Result<(), Failure> {
         let now = self.clock.now();
         let key = call.context.admission_key();
@@ -178,7 +187,9 @@
         let admitted = lock(&self.levels).admits(now, &call.service, kind, key);
         admitted.map_err(|refusal| {
             Failure::with_retry_after(ResultCode::RefusedByLevel, refusal.retry_after)
-        })
+        })?;
+        let route = self.routes.get(&call.service);
+        route.map_or(Ok(()), |route| route.check_level(now, key))
     }
 
     /// Picks an endpoint that was not tried; after an uncertain attempt also one that was.
@@ -215,8 +226,8 @@
         let allowance = grant.allowance();
         let end = attempt::send(&self.peers, &self.clock, call, target, allowance, sent).await;
         settle(&call.account, grant, end.allowance);
-        if let Some(metadata) = end.metadata {
-            self.heard_level(call, metadata.folded_level);
+        if let Some(metadata) = &end.metadata {
+            self.heard_level(call, target, metadata);
         }
         if let Some(unsent) = end.unsent {
             body.restore(unsent);
@@ -246,10 +257,15 @@
         Response::from_parts(parts, body)
     }
 
-    fn heard_level(&self, call: &OutgoingCall, folded: AdmissionLevel) {
+    /// Notes what an answer says about the path below its endpoint. The endpoint's own level goes to
+    /// the router only: siblings may admit what this one refuses.
+    fn heard_level(&self, call: &OutgoingCall, target: &Target, metadata: &WireAnswer) {
+        let Some(below) = level_below(metadata.level, metadata.folded_level) else {
+            return;
+        };
         let now = self.clock.now();
-        let kind = &call.context.request_kind;
-        lock(&self.levels).observe(now, &call.service, kind, folded);
+        let (service, kind) = (&call.service, &call.context.request_kind);
+        lock(&self.levels).observe_from(now, service, target.id.as_str(), kind, below);
     }
 
     fn decide(
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use wharfquay_core::priority::AdmissionKey;
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
     BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
 };
@@ -116,6 +116,30 @@
         lock(&self.state).router.can_pick(now, &request)
     }
 
+    /// Level of the most open endpoint.
+    pub(crate) fn level(&self, now: Timestamp) -> AdmissionLevel {
+        lock(&self.state).router.level(now)
+    }
+
+    /// Refuses a call that the levels of all endpoints refuse.
+    ///
+    /// # Errors
+    /// The refusal, with the time until an endpoint may admit the call.
+    pub(crate) fn check_level(&self, now: Timestamp, key: AdmissionKey) -> Result<(), Failure> {
+        let state = lock(&self.state);
+        if state.router.level(now).admits(key) {
+            return Ok(());
+        }
+        let request = PickRequest { key, excluded: &[] };
+        match state.router.pick(now, &mut rand::rng(), &request) {
+            Pick::Endpoint(_) => Ok(()),
+            Pick::None {
+                reason,
+                retry_after,
+            } => Err(Failure::with_retry_after(reason, retry_after)),
+        }
+    }
+
     /// Takes in the end of an attempt.
     pub(crate) fn observe(&self, now: Timestamp, endpoint: &EndpointId, seen: Observation) {
         let mut state = lock(&self.state);
--- /dev/null
+++ b/crates/daemon/tests/levels.rs
@@ -0,0 +1,136 @@
+//! What the admission levels that answers carry do to later calls.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use support::client::{self, Call};
+use support::deployment::{
+    Deployment, edge_settings, machine, request_kind, service, standard_resources,
+};
+use support::peer::{PeerAnswer, PeerStub};
+use support::platform::PlatformStub;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::AdmissionLevel;
+use wharfquay_daemon::{Daemon, RunningDaemon};
+
+/// Calls after the one that told of a level; they end well before it has reopened.
+const CALLS: usize = 20;
+
+const BUSY: PeerAnswer = PeerAnswer {
+    code: ResultCode::Answered,
+    status: 200,
+    level: AdmissionLevel::CLOSED,
+    folded_level: AdmissionLevel::CLOSED,
+};
+
+const BUSY_BELOW: PeerAnswer = PeerAnswer {
+    level: AdmissionLevel::OPEN,
+    ..BUSY
+};
+
+/// An edge in front of peers of one service.
+struct Edge {
+    peers: Vec<PeerStub>,
+    daemon: RunningDaemon,
+    _platform: PlatformStub,
+}
+
+impl Edge {
+    async fn start(answers: &[PeerAnswer]) -> Self {
+        let platform = PlatformStub::start().await;
+        for resource in standard_resources(&["booking"]) {
+            platform.put(&resource);
+        }
+        let peers = start_peers(&platform, "booking", answers).await;
+        let daemon = Daemon::start(edge_settings(&platform, "")).await.unwrap();
+        let admin = daemon.addresses().admin.unwrap();
+        wait_for_endpoints(admin, answers.len()).await;
+        Self {
+            peers,
+            daemon,
+            _platform: platform,
+        }
+    }
+
+    async fn send(&self) -> Option<ResultCode> {
+        let address = self.daemon.addresses().edge.unwrap();
+        let answer = client::send(address, Call::get("booking", "/work")).await;
+        answer.unwrap().code()
+    }
+}
+
+async fn start_peers(
+    platform: &PlatformStub,
+    service: &str,
+    answers: &[PeerAnswer],
+) -> Vec<PeerStub> {
+    let mut peers = Vec::new();
+    for (number, answer) in answers.iter().enumerate() {
+        let peer = PeerStub::start(*answer).await;
+        let id = format!("{service}-peer-{number}");
+        platform.put_machine(machine(&id, service, peer.address, "live"));
+        peers.push(peer);
+    }
+    peers
+}
+
+async fn wait_for_endpoints(admin: SocketAddr, count: usize) {
+    support::eventually("every endpoint is known", async || {
+        let status = client::send(admin, Call::get("admin", "/status")).await;
+        let text = status.map(|status| status.text()).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        let known = status["endpoints"].as_array().map_or(0, Vec::len);
+        status["ready"] == true && known == count
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_back_end_does_not_close_the_service_while_a_sibling_admits() {
+    let edge = Edge::start(&[BUSY, PeerAnswer::default()]).await;
+    support::eventually("the busy back end was heard", async || {
+        assert_eq!(edge.send().await, Some(ResultCode::Answered));
+        edge.peers[0].calls() > 0
+    })
+    .await;
+    for call in 0..CALLS {
+        assert_eq!(edge.send().await, Some(ResultCode::Answered), "call {call}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edge_refuses_early_what_every_back_end_or_the_path_below_would_refuse() {
+    for answer in [BUSY, BUSY_BELOW] {
+        let edge = Edge::start(&[answer]).await;
+        assert_eq!(edge.send().await, Some(ResultCode::Answered), "{answer:?}");
+        let refused = edge.send().await;
+        assert_eq!(refused, Some(ResultCode::RefusedByLevel), "{answer:?}");
+        assert_eq!(edge.peers[0].calls(), 1, "{answer:?}");
+    }
+}
+
+/// The edge does not call the deep service itself: only the folded level can tell it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_level_that_every_deep_back_end_has_is_folded_up_to_the_edge() {
+    let resources = [
+        service("booking", &["slot"]),
+        service("slot", &[]),
+        request_kind("booking", "GET", true),
+    ];
+    let deployment = Deployment::start_with(&["booking"], &resources).await;
+    let peers = start_peers(&deployment.platform, "slot", &[BUSY, BUSY]).await;
+    for admin in deployment.admin_addresses() {
+        wait_for_endpoints(admin, 1 + peers.len()).await;
+    }
+    let backend = &deployment.members[0].backend;
+    support::eventually("the edge refuses early", async || {
+        let executed = backend.executions("/call/slot/work");
+        let answer = deployment
+            .send(Call::get("booking", "/call/slot/work"))
+            .await;
+        answer.code() == Some(ResultCode::RefusedByLevel)
+            && backend.executions("/call/slot/work") == executed
+    })
+    .await;
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 pub mod deployment;
+pub mod peer;
 pub mod platform;
 pub mod process;
 pub mod raw;
--- /dev/null
+++ b/crates/daemon/tests/support/peer.rs
@@ -0,0 +1,115 @@
+//! A daemon beside a back end, as far as its callers see it: it answers with chosen metadata.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::TcpListener;
+use wharfquay_core::call::RetryAllowance;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::AdmissionLevel;
+use wharfquay_core::time::Timestamp;
+use wharfquay_protocol::answer::WireAnswer;
+use wharfquay_protocol::context::WireContext;
+
+use super::body::TestBody;
+
+/// What a peer answers.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerAnswer {
+    pub code: ResultCode,
+    /// Status of the back end.
+    pub status: u16,
+    pub level: AdmissionLevel,
+    pub folded_level: AdmissionLevel,
+}
+
+impl Default for PeerAnswer {
+    fn default() -> Self {
+        Self {
+            code: ResultCode::Answered,
+            status: 200,
+            level: AdmissionLevel::OPEN,
+            folded_level: AdmissionLevel::OPEN,
+        }
+    }
+}
+
+/// A peer on loopback.
+#[derive(Clone, Debug)]
+pub struct PeerStub {
+    pub address: SocketAddr,
+    answer: PeerAnswer,
+    calls: Arc<AtomicUsize>,
+    allowances: Arc<Mutex<Vec<u16>>>,
+}
+
+impl PeerStub {
+    pub async fn start(answer: PeerAnswer) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stub = Self {
+            address: listener.local_addr().unwrap(),
+            answer,
+            calls: Arc::default(),
+            allowances: Arc::default(),
+        };
+        let served = stub.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let stub = served.clone();
+                let service = service_fn(move |request| {
+                    let answer = stub.answer(&request);
+                    async move { Ok::<_, Infallible>(answer) }
+                });
+                tokio::spawn(async move {
+                    let _ = hyper::server::conn::http2::Builder::new(TokioExecutor::new())
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        stub
+    }
+
+    /// Calls received so far.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// The retries that each call might spend.
+    pub fn allowances(&self) -> Vec<u16> {
+        self.allowances.lock().unwrap().clone()
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Response<TestBody> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let context = request.headers()["wharfquay-context"].as_bytes();
+        let context = WireContext::decode(context).unwrap();
+        let returned = context.into_context(Timestamp::ZERO).unwrap().allowance;
+        self.allowances.lock().unwrap().push(returned.count());
+        let metadata = self.metadata(returned);
+        Response::builder()
+            .status(self.answer.status)
+            .header("wharfquay-result", self.answer.code.number())
+            .header("wharfquay-answer", metadata.encode())
+            .body(TestBody::whole("answer of the peer"))
+            .unwrap()
+    }
+
+    fn metadata(&self, returned: RetryAllowance) -> WireAnswer {
+        WireAnswer {
+            returned,
+            level: self.answer.level,
+            folded_level: self.answer.folded_level,
+            in_flight: 0,
+            limit: 8,
+            queued: 0,
+        }
+    }
+}
