--- a/crates/daemon/tests/levels.rs
+++ b/crates/daemon/tests/levels.rs
@@ -2,13 +2,11 @@
 
 mod support;
 
-use std::net::SocketAddr;
-
 use support::client::{self, Call};
 use support::deployment::{
-    Deployment, edge_settings, machine, request_kind, service, standard_resources,
+    Deployment, edge_settings, request_kind, service, standard_resources, wait_for_endpoints,
 };
-use support::peer::{PeerAnswer, PeerStub};
+use support::peer::{PeerAnswer, PeerStub, start_peers};
 use support::platform::PlatformStub;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::AdmissionLevel;
@@ -60,32 +58,6 @@
     }
 }
 
-async fn start_peers(
-    platform: &PlatformStub,
-    service: &str,
-    answers: &[PeerAnswer],
-) -> Vec<PeerStub> {
-    let mut peers = Vec::new();
-    for (number, answer) in answers.iter().enumerate() {
-        let peer = PeerStub::start(*answer).await;
-        let id = format!("{service}-peer-{number}");
-        platform.put_machine(machine(&id, service, peer.address, "live"));
-        peers.push(peer);
-    }
-    peers
-}
-
-async fn wait_for_endpoints(admin: SocketAddr, count: usize) {
-    support::eventually("every endpoint is known", async || {
-        let status = client::send(admin, Call::get("admin", "/status")).await;
-        let text = status.map(|status| status.text()).unwrap_or_default();
-        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-        let known = status["endpoints"].as_array().map_or(0, Vec::len);
-        status["ready"] == true && known == count
-    })
-    .await;
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_busy_back_end_does_not_close_the_service_while_a_sibling_admits() {
     let edge = Edge::start(&[BUSY, PeerAnswer::default()]).await;
--- a/crates/daemon/tests/retry_bound.rs
+++ b/crates/daemon/tests/retry_bound.rs
@@ -2,9 +2,15 @@
 
 mod support;
 
-use support::client::Call;
-use support::deployment::{Deployment, machine};
+use support::client::{self, Call};
+use support::deployment::{
+    Deployment, edge_settings, machine, standard_resources, wait_for_endpoints,
+};
+use support::peer::{PeerAnswer, start_peers};
+use support::platform::PlatformStub;
+use tokio::net::TcpListener;
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_daemon::Daemon;
 
 /// Allowance that the test deployment configures.
 const ALLOWANCE: u64 = 3;
@@ -92,3 +98,31 @@
     assert_eq!(deployment.members[0].backend.executions("/drop"), 1);
     assert_eq!(retries(&deployment), 0);
 }
+
+/// An attempt that never left costs its retry and nothing of what travelled with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_connection_hands_its_grant_back() {
+    let platform = PlatformStub::start().await;
+    for resource in standard_resources(&["booking"]) {
+        platform.put(&resource);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = listener.local_addr().unwrap();
+    drop(listener);
+    platform.put_machine(machine("booking-nobody", "booking", nobody, "live"));
+    let peers = start_peers(&platform, "booking", &[PeerAnswer::default()]).await;
+    let edge = Daemon::start(edge_settings(&platform, "")).await.unwrap();
+    wait_for_endpoints(edge.addresses().admin.unwrap(), 2).await;
+    let address = edge.addresses().edge.unwrap();
+    support::eventually("the failed connection was retried", async || {
+        let answer = client::send(address, Call::post("booking", "/work", "")).await;
+        assert_eq!(answer.unwrap().code(), Some(ResultCode::Answered));
+        edge.metrics().retries() > 0
+    })
+    .await;
+    let (first, retry) = (2, 1);
+    let allowances = peers[0].allowances();
+    assert_eq!(allowances.last(), Some(&retry), "{allowances:?}");
+    let direct = &allowances[..allowances.len() - 1];
+    assert!(direct.iter().all(|units| *units == first), "{direct:?}");
+}
--- a/crates/daemon/tests/support/deployment.rs
+++ b/crates/daemon/tests/support/deployment.rs
@@ -56,14 +56,7 @@
     /// Every daemon knows every endpoint.
     async fn wait_until_ready(&self, services: &[&str]) {
         for address in self.admin_addresses() {
-            eventually("every endpoint is known", async || {
-                let status = client::send(address, Call::get("admin", "/status")).await;
-                let text = status.map(|status| status.text()).unwrap_or_default();
-                let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-                let known = status["endpoints"].as_array().map_or(0, Vec::len);
-                status["ready"] == true && known == services.len()
-            })
-            .await;
+            wait_for_endpoints(address, services.len()).await;
         }
     }
 
@@ -85,6 +78,18 @@
     }
 }
 
+/// Waits until a daemon is ready and knows this many endpoints.
+pub async fn wait_for_endpoints(admin: SocketAddr, count: usize) {
+    eventually("every endpoint is known", async || {
+        let status = client::send(admin, Call::get("admin", "/status")).await;
+        let text = status.map(|status| status.text()).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        let known = status["endpoints"].as_array().map_or(0, Vec::len);
+        status["ready"] == true && known == count
+    })
+    .await;
+}
+
 /// Starts a back end with its daemon and lists it.
 pub async fn start_member(platform: &PlatformStub, id: &str, service: &str) -> Member {
     let backend = BackendStub::start().await;
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -18,6 +18,8 @@
 use wharfquay_protocol::context::WireContext;
 
 use super::body::TestBody;
+use super::deployment::machine;
+use super::platform::PlatformStub;
 
 /// What a peer answers.
 #[derive(Clone, Copy, Debug)]
@@ -113,3 +115,19 @@
         }
     }
 }
+
+/// Starts a peer of a service for each answer and lists it.
+pub async fn start_peers(
+    platform: &PlatformStub,
+    service: &str,
+    answers: &[PeerAnswer],
+) -> Vec<PeerStub> {
+    let mut peers = Vec::new();
+    for (number, answer) in answers.iter().enumerate() {
+        let peer = PeerStub::start(*answer).await;
+        let id = format!("{service}-peer-{number}");
+        platform.put_machine(machine(&id, service, peer.address, "live"));
+        peers.push(peer);
+    }
+    peers
+}
