Divide a retry allowance by the number of declared calls

Cause: the daemon told its ledgers that two children run at a time, whatever the service calls, so each hop passed on half: an allowance of 3 reached the third service of a chain as 1, and a deeper one as 0 or 1.

Ruled out: the number of calls that run at the moment.

Change: the hint of a grant is the number of services that the local back end's service declares to call, at least one, and one at an edge.

--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -27,6 +27,8 @@
 
 /// Retry-After of a refusal because this edge is being stopped.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Calls that an edge makes for a request.
+const CALLS_PER_REQUEST: usize = 1;
 /// Version of the UUIDs that idempotency keys are.
 const KEY_VERSION: usize = 7;
 
@@ -70,6 +72,7 @@
         let key_to_claim = claimed::key_to_claim(&snapshot, kind, context.idempotency_key);
         let account = RetryAccount {
             ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
+            children: CALLS_PER_REQUEST,
             backoff: backoff_for(&snapshot, &context.request_kind),
         };
         let (head, body) = RequestHead::split(request)?;
--- a/crates/daemon/src/outbound/call.rs
+++ b/crates/daemon/src/outbound/call.rs
@@ -55,6 +55,8 @@
 pub(crate) struct RetryAccount {
     /// The ledger that pays; shared by all calls of a scope.
     pub(crate) ledger: Arc<Mutex<Ledger>>,
+    /// Calls among which the ledger divides its allowance; see [`Ledger::grant`].
+    pub(crate) children: usize,
     /// Waits before retries.
     pub(crate) backoff: Backoff,
 }
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -24,9 +24,6 @@
 use crate::peers::PeerPool;
 use crate::sync::lock;
 
-/// Parts into which a hop divides an allowance: one for the call below and one that stays here.
-const ALLOWANCE_PARTS: usize = 2;
-
 /// Sends calls to services.
 #[derive(Debug)]
 pub(crate) struct Forwarder {
@@ -222,7 +219,7 @@
         let sent = body
             .for_attempt()
             .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
-        let grant = lock(&call.account.ledger).grant(ALLOWANCE_PARTS);
+        let grant = lock(&call.account.ledger).grant(call.account.children);
         let allowance = grant.allowance();
         let end = attempt::send(&self.peers, &self.clock, call, target, allowance, sent).await;
         settle(&call.account, grant, end.allowance);
--- a/crates/daemon/src/outbound/handler.rs
+++ b/crates/daemon/src/outbound/handler.rs
@@ -80,11 +80,22 @@
             service,
             context,
             head,
-            account: RetryAccount { ledger, backoff },
+            account: RetryAccount {
+                ledger,
+                children: self.declared_calls(snapshot),
+                backoff,
+            },
         };
         self.node.forwarder.forward(&call, body).await
     }
 
+    /// How many services the local back end's service declares to call, at least one.
+    fn declared_calls(&self, snapshot: &Snapshot) -> usize {
+        let backend = self.node.settings.backend.as_ref();
+        let service = backend.and_then(|backend| snapshot.services.get(&backend.service));
+        service.map_or(1, |service| service.calls.len().max(1))
+    }
+
     /// The scope that the call names; none when it names none.
     fn scope(&self, headers: &HeaderMap) -> Result<Option<Arc<Scope>>, Failure> {
         let Some(value) = headers.get(names::SCOPE) else {
