Tell a restarted daemon from the one before it

Cause: every endpoint had incarnation 0, so that callers kept the level, the load, the failures and the holds of a process that was gone, and sent a cold back end its full share.

Ruled out: ignoring answers of an earlier incarnation. After a wall clock that was set back, callers would never learn anything of the endpoint again.

Change: a daemon's incarnation is the Unix time of its start in milliseconds, as membership derives it, and rides on its answers (WireAnswer::incarnation, 0 from a daemon that doesn't tell). Router::heard_incarnation takes it in: the first one changes nothing, a later one starts cold and without a past, an earlier one is ignored. /status shows it.

--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -64,6 +64,9 @@
     Zone
 }
 
+/// Incarnation of an endpoint of which none was told yet.
+pub const UNKNOWN_INCARNATION: u64 = 0;
+
 /// Whether an endpoint may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EndpointState {
@@ -80,7 +83,7 @@
     pub id: EndpointId,
     /// Zone that it runs in.
     pub zone: Zone,
-    /// Number that grows with each restart.
+    /// Number that grows with each restart, or [`UNKNOWN_INCARNATION`].
     pub incarnation: u64,
     /// Whether it may get new work.
     pub state: EndpointState,
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -5,7 +5,7 @@
 use crate::priority::{AdmissionKey, AdmissionLevel};
 use crate::time::Timestamp;
 
-use super::endpoint::Endpoint;
+use super::endpoint::{Endpoint, UNKNOWN_INCARNATION};
 use super::heard_level::HeardLevel;
 use super::hold::{Hold, HoldReason};
 use super::observation::{Observation, ReportedLoad};
@@ -70,9 +70,11 @@
         }
     }
 
-    /// Takes over a changed description; a new incarnation starts without a past.
+    /// Takes over a changed description; a new incarnation starts without a past. The first one that
+    /// is known is not new.
     pub(super) fn update(&mut self, endpoint: Endpoint, local: bool) {
-        if endpoint.incarnation != self.endpoint.incarnation {
+        let known = self.endpoint.incarnation;
+        if known != UNKNOWN_INCARNATION && endpoint.incarnation != known {
             *self = Self::new(endpoint, local);
             return;
         }
@@ -80,6 +82,21 @@
         self.local = local;
     }
 
+    /// Takes over an incarnation that the endpoint told of itself.
+    pub(super) fn heard_incarnation(&mut self, now: Timestamp, incarnation: u64) {
+        let known = self.endpoint.incarnation;
+        if known == UNKNOWN_INCARNATION {
+            self.endpoint.incarnation = incarnation;
+        } else if incarnation > known {
+            let restarted = Endpoint {
+                incarnation,
+                started_at: Some(now),
+                ..self.endpoint.clone()
+            };
+            self.update(restarted, self.local);
+        }
+    }
+
     /// Whether the endpoint, which must be live, can take a call with this key.
     pub(super) fn check(
         &self,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -19,7 +19,7 @@
 mod suspicion;
 mod warm_up;
 
-pub use endpoint::{Endpoint, EndpointId, EndpointState, Zone};
+pub use endpoint::{Endpoint, EndpointId, EndpointState, UNKNOWN_INCARNATION, Zone};
 pub use hold::HoldReason;
 pub use observation::{Observation, ReportedLoad};
 pub use pick::{Pick, PickRequest};
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -100,6 +100,15 @@
         self.select_members();
     }
 
+    /// Notes the incarnation that an endpoint told. The first one that is told changes nothing else;
+    /// a later one starts cold and without a past; an earlier one, which comes with a late answer, is
+    /// ignored.
+    pub fn heard_incarnation(&mut self, now: Timestamp, endpoint: &EndpointId, incarnation: u64) {
+        if let Some(entry) = self.entry_mut(endpoint) {
+            entry.heard_incarnation(now, incarnation);
+        }
+    }
+
     /// Picks an endpoint for a call. The driver reports the use with [`Router::dispatched`].
     pub fn pick(&self, now: Timestamp, rng: &mut impl Rng, request: &PickRequest<'_>) -> Pick {
         let others = self.pool(now, request, EjectedUse::Avoid);
--- a/crates/core/tests/routing_learning.rs
+++ b/crates/core/tests/routing_learning.rs
@@ -6,10 +6,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use wharfquay_core::outcome::OutcomeClass;
-use wharfquay_core::priority::{AdmissionKey, Priority, Rank};
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use wharfquay_core::routing::{
     Endpoint, EndpointId, EndpointState, HoldReason, Observation, Pick, PickRequest, ReportedLoad,
-    Router, RouterSettings, Zone,
+    Router, RouterSettings, UNKNOWN_INCARNATION, Zone,
 };
 use wharfquay_core::time::Timestamp;
 
@@ -395,3 +395,42 @@
         "share of the failing zone {failing} (seed {SEED})"
     );
 }
+
+/// Incarnations of one endpoint in the order in which they are heard, and whether what was learned
+/// before the last one is kept.
+#[test]
+fn only_a_later_incarnation_forgets_the_past() {
+    let cases: [(&[u64], bool); 5] = [
+        (&[0], true),
+        (&[7], true),
+        (&[7, 7], true),
+        (&[7, 6], true),
+        (&[7, 8], false),
+    ];
+    for (incarnations, is_kept) in cases {
+        let name = Zone::from("ikeja");
+        let mut router = Router::new(RouterSettings::default(), name);
+        let listed = Endpoint {
+            incarnation: UNKNOWN_INCARNATION,
+            ..endpoint("slot-0", "ikeja")
+        };
+        let now = Timestamp::from_millis(1_000);
+        router.set_endpoints(now, vec![listed.clone()]);
+        router.dispatched(now, &listed.id);
+        let closed = Observation {
+            latency: Duration::from_millis(10),
+            outcome: OutcomeClass::Run,
+            overloaded: false,
+            load: None,
+            level: Some(AdmissionLevel::CLOSED),
+        };
+        router.observe(now, &listed.id, closed);
+        for incarnation in incarnations {
+            router.heard_incarnation(now, &listed.id, *incarnation);
+        }
+        let view = router.views(now).next().expect("one endpoint is listed");
+        let kept = view.level == AdmissionLevel::CLOSED;
+        assert_eq!(kept, is_kept, "{incarnations:?}");
+        assert_eq!(view.weight >= 1.0, is_kept, "{incarnations:?}");
+    }
+}
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -8,6 +8,7 @@
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use serde::Serialize;
+use wharfquay_core::routing::{EndpointId, UNKNOWN_INCARNATION};
 use wharfquay_resources::snapshot::Revision;
 
 use crate::admin::claims::ClaimStatus;
@@ -48,6 +49,8 @@
     zone: String,
     address: String,
     leaving: bool,
+    /// Unix time in milliseconds at which its daemon started; 0 before its first answer.
+    incarnation: u64,
 }
 
 #[derive(Debug, Serialize)]
@@ -119,10 +122,16 @@
                 zone: record.zone.to_string(),
                 address: record.call_address.to_string(),
                 leaving: record.state == wharfquay_core::routing::EndpointState::Leaving,
+                incarnation: self.incarnation(service, &record.id),
             })
             .collect()
     }
 
+    fn incarnation(&self, service: &str, endpoint: &EndpointId) -> u64 {
+        let route = self.node.forwarder.routes().get(service);
+        route.map_or(UNKNOWN_INCARNATION, |route| route.incarnation(endpoint))
+    }
+
     fn admission(&self) -> Option<AdmissionStatus> {
         let backend = self.backend.as_ref()?;
         let report = backend.gate.report();
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -9,6 +9,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    started_at: UnixMillis,
 }
 
 impl Clock {
@@ -17,9 +18,17 @@
     pub fn start() -> Self {
         Self {
             origin: Instant::now(),
+            started_at: wall_clock(),
         }
     }
 
+    /// Wall-clock time of the origin, which tells this process from an earlier one of the same id:
+    /// the daemon's incarnation.
+    #[must_use]
+    pub const fn started_at(&self) -> UnixMillis {
+        self.started_at
+    }
+
     /// The current time.
     #[must_use]
     pub fn now(&self) -> Timestamp {
--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -5,16 +5,13 @@
 use std::net::SocketAddr;
 
 use wharfquay_core::drain::{LeavingSet, LeavingSource};
-use wharfquay_core::routing::{EndpointId, EndpointState, Zone};
+use wharfquay_core::routing::{EndpointId, EndpointState, UNKNOWN_INCARNATION, Zone};
 use wharfquay_membership::member::{Member, MemberId, ZoneName};
 use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::wire::{Machine, MachineState};
 use wharfquay_resources::kinds::DrainTarget;
 use wharfquay_resources::snapshot::Snapshot;
 
-/// Incarnation of an endpoint that only the machine list tells of.
-const UNKNOWN_INCARNATION: u64 = 0;
-
 /// One back end, reached through its daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -17,7 +17,7 @@
 use wharfquay_platform::{Client, SourceEvent};
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
-use crate::clock::{Clock, wall_clock};
+use crate::clock::Clock;
 use crate::control::ControlAddresses;
 use crate::control::readers::{Reading, StoreReader};
 use crate::control::relay::{self, ConfigurationDelta};
@@ -99,7 +99,7 @@
         };
         let identity = Identity {
             profile,
-            started_at_ms: wall_clock().as_millis(),
+            started_at_ms: clock.started_at().as_millis(),
         };
         let seeds = settings
             .control
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -171,6 +171,7 @@
             returned,
             level: report.level,
             folded_level: report.level.fold(below),
+            incarnation: self.node.clock.started_at().as_millis(),
             in_flight: report.load.in_flight,
             limit: report.load.limit,
             queued: report.load.queued,
--- a/crates/daemon/src/outbound/attempt.rs
+++ b/crates/daemon/src/outbound/attempt.rs
@@ -200,7 +200,9 @@
             }),
             level: self.metadata.map(|metadata| metadata.level),
         };
-        self.route.observe(now, &self.target.id, seen);
+        let incarnation = self.metadata.map(|metadata| metadata.incarnation);
+        self.route
+            .observe(now, &self.target.id, incarnation.unwrap_or_default(), seen);
     }
 }
 
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -10,7 +10,8 @@
     BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
 };
 use wharfquay_core::routing::{
-    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings, Zone,
+    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings,
+    UNKNOWN_INCARNATION, Zone,
 };
 use wharfquay_core::time::Timestamp;
 use wharfquay_resources::kinds::Service;
@@ -140,15 +141,27 @@
         }
     }
 
-    /// Takes in the end of an attempt.
-    pub(crate) fn observe(&self, now: Timestamp, endpoint: &EndpointId, seen: Observation) {
+    /// Takes in the end of an attempt and the incarnation that answered it, as far as it is known.
+    pub(crate) fn observe(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: u64,
+        seen: Observation,
+    ) {
         let mut state = lock(&self.state);
+        state.heard_incarnation(now, endpoint, incarnation);
         if seen.outcome == wharfquay_core::outcome::OutcomeClass::Run {
             state.budget.record_success(now);
         }
         state.router.observe(now, endpoint, seen);
     }
 
+    /// The incarnation of an endpoint, as far as it is known.
+    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> u64 {
+        lock(&self.state).incarnation(endpoint)
+    }
+
     /// Takes in the end of an attempt that says nothing about the endpoint.
     pub(crate) fn abandoned(&self, endpoint: &EndpointId) {
         lock(&self.state).router.abandoned(endpoint);
@@ -193,6 +206,22 @@
 }
 
 impl RouteState {
+    fn incarnation(&self, endpoint: &EndpointId) -> u64 {
+        let known = self.known.get(endpoint);
+        known.map_or(UNKNOWN_INCARNATION, |known| known.incarnation)
+    }
+
+    fn heard_incarnation(&mut self, now: Timestamp, endpoint: &EndpointId, incarnation: u64) {
+        let Some(known) = self.known.get_mut(endpoint) else {
+            return;
+        };
+        if known.incarnation != UNKNOWN_INCARNATION && incarnation > known.incarnation {
+            known.started_at = Some(now);
+        }
+        known.incarnation = known.incarnation.max(incarnation);
+        self.router.heard_incarnation(now, endpoint, incarnation);
+    }
+
     fn apply(&mut self, now: Timestamp, plan: &RoutePlan) {
         self.router.reconfigure(RouterSettings {
             warm_up: Duration::from_millis(u64::from(plan.service.warm_up_ms)),
@@ -208,24 +237,25 @@
         let mut known = HashMap::with_capacity(plan.endpoints.len());
         let mut endpoints = Vec::with_capacity(plan.endpoints.len());
         for record in &plan.endpoints {
+            let incarnation = record.incarnation.max(self.incarnation(&record.id));
             let before = self
                 .known
                 .get(&record.id)
-                .filter(|known| known.incarnation == record.incarnation);
+                .filter(|known| [UNKNOWN_INCARNATION, incarnation].contains(&known.incarnation));
             let appeared = (!is_first_list).then_some(now);
             let started_at = before.map_or(appeared, |known| known.started_at);
             known.insert(
                 record.id.clone(),
                 KnownEndpoint {
                     address: record.call_address,
-                    incarnation: record.incarnation,
+                    incarnation,
                     started_at,
                 },
             );
             endpoints.push(Endpoint {
                 id: record.id.clone(),
                 zone: record.zone.clone(),
-                incarnation: record.incarnation,
+                incarnation,
                 state: record.state,
                 started_at,
                 slots: plan.service.slots,
--- a/crates/daemon/tests/levels.rs
+++ b/crates/daemon/tests/levels.rs
@@ -20,6 +20,7 @@
     status: 200,
     level: AdmissionLevel::CLOSED,
     folded_level: AdmissionLevel::CLOSED,
+    incarnation: 0,
 };
 
 const BUSY_BELOW: PeerAnswer = PeerAnswer {
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -29,6 +29,7 @@
     pub status: u16,
     pub level: AdmissionLevel,
     pub folded_level: AdmissionLevel,
+    pub incarnation: u64,
 }
 
 impl Default for PeerAnswer {
@@ -38,6 +39,7 @@
             status: 200,
             level: AdmissionLevel::OPEN,
             folded_level: AdmissionLevel::OPEN,
+            incarnation: 0,
         }
     }
 }
@@ -109,6 +111,7 @@
             returned,
             level: self.answer.level,
             folded_level: self.answer.folded_level,
+            incarnation: self.answer.incarnation,
             in_flight: 0,
             limit: 8,
             queued: 0,
--- a/crates/protocol/src/answer.rs
+++ b/crates/protocol/src/answer.rs
@@ -19,6 +19,9 @@
     /// included.
     #[serde(rename = "f")]
     pub folded_level: AdmissionLevel,
+    /// Incarnation of the answering daemon: Unix time of its start in milliseconds. 0 when not told.
+    #[serde(rename = "i", default)]
+    pub incarnation: u64,
     /// Requests in execution at the answering back end.
     #[serde(rename = "n")]
     pub in_flight: u32,
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -107,6 +107,7 @@
         returned: RetryAllowance::new(2),
         level: AdmissionLevel::OPEN,
         folded_level: AdmissionLevel::CLOSED,
+        incarnation: 1_764_662_400_000,
         in_flight: 1,
         limit: 2,
         queued: 3,
