Mark a daemon that was told to stop as leaving

Cause: a stop set a flag that calls look at, while the set of leaving endpoints, from which /status and the own table of endpoints follow, did not know of it: status said "leaving": false during the whole drain.

Ruled out: marking other daemons' endpoints as shut down from their refusals. A refusal as draining may come from a drain that is withdrawn later, and a mark by Shutdown can't be.

Change: the stop marks the own endpoint with LeavingSource::Shutdown and the process's incarnation.

Figures: drain::a_stopping_daemon_says_that_it_is_leaving was red without the mark (not reached in 10 s) and passes with it.

--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -118,11 +118,16 @@
     }
 }
 
+/// Marks a daemon that was told to stop, which can't be taken back.
+pub(super) fn mark_shutdown(leaving: &mut LeavingSet, id: &EndpointId, incarnation: u64) {
+    leaving.mark(id, incarnation, LeavingSource::Shutdown);
+}
+
 /// Brings the mark that a daemon has spread about itself up to date.
 fn mark_member(leaving: &mut LeavingSet, id: &EndpointId, member: &Member) {
     if member.leaving {
         let incarnation = member.incarnation.process();
-        leaving.mark(id, incarnation, LeavingSource::Shutdown);
+        mark_shutdown(leaving, id, incarnation);
     }
 }
 
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -35,6 +35,7 @@
     pub(super) id: EndpointId,
     pub(super) zone: String,
     pub(super) service: Option<String>,
+    pub(super) incarnation: u64,
 }
 
 /// What else tells of endpoints.
@@ -43,6 +44,8 @@
     pub(super) members: watch::Receiver<MemberTable>,
     /// Whether the back end's health endpoint says that it is leaving.
     pub(super) health: watch::Receiver<bool>,
+    /// Whether this daemon was told to stop.
+    pub(super) stopping: watch::Receiver<bool>,
 }
 
 /// Where the results go.
@@ -54,7 +57,7 @@
 
 impl Poller {
     /// Polls until the daemon ends. The last list that was read stays in use while the platform is
-    /// down; a new configuration and a change of health are applied to it at once.
+    /// down; a new configuration, a change of health and a stop are applied to it at once.
     pub(super) async fn run(mut self) {
         let mut leaving = LeavingSet::new();
         let mut machines: Vec<Machine> = Vec::new();
@@ -90,6 +93,9 @@
             machines,
             members: &members,
         };
+        if *self.sources.stopping.borrow() {
+            endpoints::mark_shutdown(leaving, &self.own.id, self.own.incarnation);
+        }
         let table = endpoints::build(leaving, sources);
         let own = self.is_leaving(leaving, &snapshot, &members);
         replace_if_changed(&self.outputs.endpoints, Arc::new(table));
@@ -128,6 +134,7 @@
             changed = self.snapshot.changed() => changed.is_ok(),
             () = changed_if_fed(&mut self.members) => true,
             () = changed_if_fed(&mut self.health) => true,
+            () = changed_if_fed(&mut self.stopping) => true,
         }
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -110,7 +110,7 @@
         snapshot: snapshot_sender,
         members: members_sender,
         machines: addresses,
-        stopping: stopping_receiver,
+        stopping: stopping_receiver.clone(),
     };
     let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
     let (health_sender, health) = watch::channel(false);
@@ -122,11 +122,13 @@
             id: EndpointId::from(settings.id.as_str()),
             zone: settings.zone.clone(),
             service: backend.map(|backend| backend.service.clone()),
+            incarnation: clock.started_at().as_millis(),
         },
         sources: machines::Sources {
             snapshot: snapshot.clone(),
             members,
             health,
+            stopping: stopping_receiver,
         },
         outputs: machines::Outputs {
             endpoints: endpoints_sender,
--- a/crates/daemon/tests/drain.rs
+++ b/crates/daemon/tests/drain.rs
@@ -38,6 +38,29 @@
     stop.await.unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_daemon_says_that_it_is_leaving() {
+    let mut deployment = Deployment::start(&["booking"]).await;
+    let edge = deployment.edge_address();
+    let in_flight = tokio::spawn(client::send(edge, Call::post("booking", "/slow/300", "")));
+    let member = deployment.members.remove(0);
+    support::eventually("the call runs", async || {
+        member.backend.executions("/slow/300") == 1
+    })
+    .await;
+    let admin = member.daemon.addresses().admin.unwrap();
+    let stop = tokio::spawn(member.daemon.shutdown());
+    support::eventually("the daemon is leaving", async || {
+        let status = client::send(admin, Call::get("admin", "/status")).await;
+        let text = status.map(|status| status.text()).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        status["leaving"] == true && status["endpoints"][0]["leaving"] == true
+    })
+    .await;
+    assert_eq!(in_flight.await.unwrap().unwrap().text(), "slow answer");
+    stop.await.unwrap();
+}
+
 /// A chain must be able to go on below a back end whose daemon is being stopped.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_lets_calls_in_flight_make_calls_of_their_own() {
