Never take over an older machine list

Cause: the daemon took over whatever list it read. A replica of the platform that lags brought back machines that were gone and called leaving ones live. Every poll also moved the whole list, changed or not.

Ruled out: polling less often. The list is the only source for new back ends as long as membership does not feed the table.

Change: a list with a lower version than the one in force is ignored and logged; polls ask for the list only if its version differs from the one in force.

Figures: machine_list::an_older_list_is_not_taken_over and a_list_that_has_not_changed_is_not_sent_again were red (the older list came into force; 12 whole lists for 12 polls) and pass (none but those under way).

--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -11,7 +11,7 @@
 use wharfquay_membership::member::{MemberId, ZoneName};
 use wharfquay_membership::table::MemberTable;
 use wharfquay_platform::Client;
-use wharfquay_platform::wire::Machine;
+use wharfquay_platform::wire::{Machine, MachineList};
 use wharfquay_resources::snapshot::Snapshot;
 
 use crate::control::ControlAddresses;
@@ -60,15 +60,16 @@
     /// down; a new configuration, a change of health and a stop are applied to it at once.
     pub(super) async fn run(mut self) {
         let mut leaving = LeavingSet::new();
-        let mut machines: Vec<Machine> = Vec::new();
-        let mut reading = Box::pin(read(Arc::clone(&self.client), Duration::ZERO));
+        let mut list = MachineList::default();
+        let mut reading = Box::pin(read(Arc::clone(&self.client), Duration::ZERO, list.version));
         loop {
             tokio::select! {
-                list = &mut reading => {
-                    if let Some(list) = list {
-                        machines = list;
+                found = &mut reading => {
+                    if let Some(found) = found {
+                        take_over(&mut list, found);
                     }
-                    reading = Box::pin(read(Arc::clone(&self.client), self.next_wait()));
+                    let client = Arc::clone(&self.client);
+                    reading = Box::pin(read(client, self.next_wait(), list.version));
                 }
                 is_open = self.sources.changed() => {
                     if !is_open {
@@ -76,7 +77,7 @@
                     }
                 }
             }
-            self.publish(&mut leaving, &machines);
+            self.publish(&mut leaving, &list.machines);
         }
     }
 
@@ -146,10 +147,21 @@
     }
 }
 
-async fn read(client: Arc<Client>, wait: Duration) -> Option<Vec<Machine>> {
+/// Takes over a list unless it is older than the one in force.
+fn take_over(list: &mut MachineList, found: MachineList) {
+    if found.version < list.version {
+        let (found, in_force) = (found.version, list.version);
+        log::warn!("event=machine_list_older_ignored found={found} in_force={in_force}");
+        return;
+    }
+    *list = found;
+}
+
+/// Reads the list after `wait`; `None` when its version is still `known` or it can't be read.
+async fn read(client: Arc<Client>, wait: Duration, known: u64) -> Option<MachineList> {
     tokio::time::sleep(wait).await;
-    match client.machines().await {
-        Ok(list) => Some(list.machines),
+    match client.machines_unless(known).await {
+        Ok(list) => list,
         Err(error) => {
             log::warn!("event=machine_list_read_failed error=\"{error}\"");
             None
--- a/crates/daemon/tests/support/platform.rs
+++ b/crates/daemon/tests/support/platform.rs
@@ -21,7 +21,14 @@
 struct State {
     version: u64,
     objects: Vec<Value>,
-    machines: Vec<Value>,
+    /// The lists of machines by version.
+    machines: Vec<Vec<Value>>,
+    /// The version of the list that is served; the newest one when `None`.
+    served_machines: Option<usize>,
+    /// Whole lists of machines sent.
+    machine_lists_sent: usize,
+    /// Reads of the machine list.
+    machine_reads: usize,
     watches: Vec<Feed>,
     most_watches: usize,
     down: bool,
@@ -49,7 +56,10 @@
         let state = Arc::new(Mutex::new(State {
             version: 0,
             objects: Vec::new(),
-            machines: Vec::new(),
+            machines: vec![Vec::new()],
+            served_machines: None,
+            machine_lists_sent: 0,
+            machine_reads: 0,
             watches: Vec::new(),
             most_watches: 0,
             down: false,
@@ -153,8 +163,26 @@
     /// Lists a machine, or changes its entry.
     pub fn put_machine(&self, machine: Value) {
         let mut state = self.state.lock().unwrap();
-        state.machines.retain(|known| known["id"] != machine["id"]);
-        state.machines.push(machine);
+        let mut list = state.machines.last().unwrap().clone();
+        list.retain(|known| known["id"] != machine["id"]);
+        list.push(machine);
+        state.machines.push(list);
+    }
+
+    /// Version of the newest list of machines.
+    pub fn machines_version(&self) -> usize {
+        self.state.lock().unwrap().machines.len() - 1
+    }
+
+    /// Serves the list of machines of an earlier version from now on, as a replica that lags does.
+    pub fn serve_machines_of(&self, version: usize) {
+        self.state.lock().unwrap().served_machines = Some(version);
+    }
+
+    /// How often the list of machines was asked for, and how often it was sent whole.
+    pub fn machine_reads(&self) -> (usize, usize) {
+        let state = self.state.lock().unwrap();
+        (state.machine_reads, state.machine_lists_sent)
     }
 }
 
@@ -165,13 +193,28 @@
     }
     match request.uri().path() {
         "/v1/objects" => whole(&json!({"version": state.version, "objects": state.objects})),
-        "/v1/machines" => whole(&json!({"version": state.version, "machines": state.machines})),
+        "/v1/machines" => machines(&mut state, request),
         "/v1/watch" if is_current(&state, request) => watch(&mut state),
         "/v1/watch" => failure(StatusCode::GONE, "the version is too old"),
         _ => failure(StatusCode::NOT_FOUND, "no such path"),
     }
 }
 
+/// The list of machines, unless the reader has its version.
+fn machines(state: &mut State, request: &Request<Incoming>) -> Response<TestBody> {
+    state.machine_reads += 1;
+    let newest = state.machines.len() - 1;
+    let version = state.served_machines.unwrap_or(newest);
+    let known = format!("unless_version={version}");
+    if request.uri().query() == Some(known.as_str()) {
+        let mut response = Response::new(TestBody::whole(""));
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+        return response;
+    }
+    state.machine_lists_sent += 1;
+    whole(&json!({"version": version, "machines": state.machines[version]}))
+}
+
 fn failure(status: StatusCode, reason: &str) -> Response<TestBody> {
     let mut response = whole(&json!({"error": reason}));
     *response.status_mut() = status;
