--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -111,7 +111,7 @@
         snapshot: snapshot_sender,
         members: members_sender,
         machines: addresses,
-        stopping: stopping_receiver,
+        stopping: stopping_receiver.clone(),
     };
     let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
     let backend = settings.backend.as_ref();
@@ -127,6 +127,7 @@
             snapshot: snapshot.clone(),
             members,
             health,
+            stopping: stopping_receiver,
         },
         outputs: machines::Outputs {
             endpoints: endpoints_sender,
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -5,12 +5,13 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use wharfquay_core::priority::AdmissionKey;
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
     BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
 };
 use wharfquay_core::routing::{
-    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings, Zone,
+    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings,
+    UNKNOWN_INCARNATION, Zone,
 };
 use wharfquay_core::time::Timestamp;
 use wharfquay_resources::kinds::Service;
@@ -116,15 +117,51 @@
         lock(&self.state).router.can_pick(now, &request)
     }
 
-    /// Takes in the end of an attempt.
-    pub(crate) fn observe(&self, now: Timestamp, endpoint: &EndpointId, seen: Observation) {
+    /// Level of the most open endpoint.
+    pub(crate) fn level(&self, now: Timestamp) -> AdmissionLevel {
+        lock(&self.state).router.level(now)
+    }
+
+    /// Refuses a call that the levels of all endpoints refuse.
+    ///
+    /// # Errors
+    /// The refusal, with the time until an endpoint may admit the call.
+    pub(crate) fn check_level(&self, now: Timestamp, key: AdmissionKey) -> Result<(), Failure> {
+        let state = lock(&self.state);
+        if state.router.level(now).admits(key) {
+            return Ok(());
+        }
+        let request = PickRequest { key, excluded: &[] };
+        match state.router.pick(now, &mut rand::rng(), &request) {
+            Pick::Endpoint(_) => Ok(()),
+            Pick::None {
+                reason,
+                retry_after,
+            } => Err(Failure::with_retry_after(reason, retry_after)),
+        }
+    }
+
+    /// Takes in the end of an attempt and the incarnation that answered it, as far as it is known.
+    pub(crate) fn observe(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        incarnation: u64,
+        seen: Observation,
+    ) {
         let mut state = lock(&self.state);
+        state.heard_incarnation(now, endpoint, incarnation);
         if seen.outcome == wharfquay_core::outcome::OutcomeClass::Run {
             state.budget.record_success(now);
         }
         state.router.observe(now, endpoint, seen);
     }
 
+    /// The incarnation of an endpoint, as far as it is known.
+    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> u64 {
+        lock(&self.state).incarnation(endpoint)
+    }
+
     /// Takes in the end of an attempt that says nothing about the endpoint.
     pub(crate) fn abandoned(&self, endpoint: &EndpointId) {
         lock(&self.state).router.abandoned(endpoint);
@@ -169,6 +206,22 @@
 }
 
 impl RouteState {
+    fn incarnation(&self, endpoint: &EndpointId) -> u64 {
+        let known = self.known.get(endpoint);
+        known.map_or(UNKNOWN_INCARNATION, |known| known.incarnation)
+    }
+
+    fn heard_incarnation(&mut self, now: Timestamp, endpoint: &EndpointId, incarnation: u64) {
+        let Some(known) = self.known.get_mut(endpoint) else {
+            return;
+        };
+        if known.incarnation != UNKNOWN_INCARNATION && incarnation > known.incarnation {
+            known.started_at = Some(now);
+        }
+        known.incarnation = known.incarnation.max(incarnation);
+        self.router.heard_incarnation(now, endpoint, incarnation);
+    }
+
     fn apply(&mut self, now: Timestamp, plan: &RoutePlan) {
         self.router.reconfigure(RouterSettings {
             warm_up: Duration::from_millis(u64::from(plan.service.warm_up_ms)),
@@ -184,24 +237,25 @@
         let mut known = HashMap::with_capacity(plan.endpoints.len());
         let mut endpoints = Vec::with_capacity(plan.endpoints.len());
         for record in &plan.endpoints {
+            let incarnation = record.incarnation.max(self.incarnation(&record.id));
             let before = self
                 .known
                 .get(&record.id)
-                .filter(|known| known.incarnation == record.incarnation);
+                .filter(|known| [UNKNOWN_INCARNATION, incarnation].contains(&known.incarnation));
             let appeared = (!is_first_list).then_some(now);
             let started_at = before.map_or(appeared, |known| known.started_at);
             known.insert(
                 record.id.clone(),
                 KnownEndpoint {
                     address: record.call_address,
-                    incarnation: record.incarnation,
+                    incarnation,
                     started_at,
                 },
             );
             endpoints.push(Endpoint {
                 id: record.id.clone(),
                 zone: record.zone.clone(),
-                incarnation: record.incarnation,
+                incarnation,
                 state: record.state,
                 started_at,
                 slots: plan.service.slots,
