Report as in force what calls are routed by, and keep a connection for health

Cause: status and readiness showed a configuration as soon as it was published, a moment before the routes followed, so that a caller who waited for readiness could still get NoBackend. Seen red once, on a busy machine: outcomes.rs, every_fault_has_its_code_and_its_number_of_executions, GET /flaky. And calls could take every connection that the back end accepts while the health reader needs one. Ruled out: a wrong retry; after a first attempt the answer would have been ConnectionLost. Change: admin reads the revision and the endpoints that were applied; the limit for calls is one below the back end's where its health is read.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -74,7 +74,7 @@
     }
 
     fn revision(&self) -> Revision {
-        self.node.control.snapshot.borrow().revision
+        self.node.applied().revision
     }
 
     /// Why this daemon can't serve now; none when it can.
@@ -110,8 +110,9 @@
     }
 
     fn endpoints(&self) -> Vec<EndpointStatus> {
-        let table = self.node.control.endpoints.borrow().clone();
-        table
+        self.node
+            .applied()
+            .endpoints
             .iter()
             .map(|(service, record)| EndpointStatus {
                 service: service.to_owned(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,8 +3,8 @@
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -29,7 +29,7 @@
 use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
 use crate::metrics::Metrics;
-use crate::node::Node;
+use crate::node::{Applied, Node};
 use crate::outbound::routes::RouteTable;
 use crate::outbound::{Forwarder, OutboundHandler};
 use crate::pause::PauseDetector;
@@ -37,6 +37,7 @@
 use crate::scopes::ScopeTable;
 use crate::server::{self, Protocols};
 use crate::settings::{BackendSettings, ListenSettings, Settings};
+use crate::sync::lock;
 
 /// How often a stop looks whether the last call has ended.
 const DRAIN_POLL: Duration = Duration::from_millis(5);
@@ -210,6 +211,7 @@
         scopes: Arc::new(ScopeTable::default()),
         metrics,
         pauses: PauseDetector::new(clock.now()),
+        applied: Mutex::default(),
         stopping: AtomicBool::new(false),
         in_flight: Arc::default(),
     })
@@ -222,6 +224,7 @@
         service: settings.service.clone(),
         gate: AdmissionGate::new(AdmissionSettings::default(), node.clock),
         pool: BackendPool::new(settings.address, limit, connect_timeout),
+        reads_health: !settings.health_path.is_empty(),
     })
 }
 
@@ -411,6 +414,10 @@
             backend.configure(service);
             configured = Some(service.clone());
         }
+        *lock(&node.applied) = Applied {
+            revision: current.revision,
+            endpoints: table,
+        };
         let changed = tokio::select! {
             changed = snapshot.changed() => changed,
             changed = endpoints.changed() => changed,
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -33,21 +33,31 @@
     pub(crate) service: String,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) pool: Arc<BackendPool>,
+    /// Whether one of the back end's connections is kept for reading its health.
+    pub(crate) reads_health: bool,
 }
 
 impl LocalBackend {
     /// Takes over what the configuration says of the service.
     pub(crate) fn configure(&self, service: &Service) {
-        self.gate.reconfigure(admission_settings(service));
-        self.pool.set_limit(service.connections as usize);
+        let connections = self.call_connections(service);
+        self.gate
+            .reconfigure(admission_settings(service, connections));
+        self.pool.set_limit(connections as usize);
+    }
+
+    /// Connections that calls may use at a time.
+    fn call_connections(&self, service: &Service) -> u32 {
+        let kept = u32::from(self.reads_health);
+        service.connections.saturating_sub(kept).max(1)
     }
 }
 
 /// Admission settings that follow from a service resource.
-pub(crate) fn admission_settings(service: &Service) -> AdmissionSettings {
+fn admission_settings(service: &Service, connections: u32) -> AdmissionSettings {
     AdmissionSettings {
-        initial_limit: service.slots,
-        maximum_limit: service.connections.max(1),
+        initial_limit: service.slots.min(connections),
+        maximum_limit: connections,
         maximum_queue_wait: Duration::from_millis(u64::from(service.queue_wait_ms)),
         ..AdmissionSettings::default()
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,7 +1,7 @@
 //! What the sides of one daemon share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 use http::{Method, Response};
 use wharfquay_core::outcome::ResultCode;
@@ -10,12 +10,21 @@
 use crate::answer::{Failure, result};
 use crate::body::{AnswerBody, BodyEnd, BodyObserver};
 use crate::clock::Clock;
-use crate::control::ControlView;
+use crate::control::{ControlView, EndpointTable};
 use crate::metrics::{Metrics, Side};
 use crate::outbound::Forwarder;
 use crate::pause::{BEAT_INTERVAL, PauseDetector};
 use crate::scopes::ScopeTable;
 use crate::settings::Settings;
+use crate::sync::lock;
+
+/// The configuration and the endpoints that calls are routed by; what was published last comes here a
+/// moment later.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Applied {
+    pub(crate) revision: Revision,
+    pub(crate) endpoints: Arc<EndpointTable>,
+}
 
 /// What the sides of one daemon share.
 #[derive(Debug)]
@@ -27,6 +36,7 @@
     pub(crate) scopes: Arc<ScopeTable>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) pauses: PauseDetector,
+    pub(crate) applied: Mutex<Applied>,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: Arc<AtomicUsize>,
 }
@@ -54,6 +64,11 @@
         }
     }
 
+    /// The configuration and the endpoints that calls are routed by.
+    pub(crate) fn applied(&self) -> Applied {
+        lock(&self.applied).clone()
+    }
+
     /// Whether a stop was asked for.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
