Count no waiting call against a back end's connections

Cause: the router took the calls that this daemon has in flight at a back end for connections there. A flood of unimportant calls that waited in the back end's queue so made important ones ConnectionLimit. Seen red: priority.rs, a_flood_of_unimportant_requests_refuses_no_important_one. Ruled out: a larger limit in the router. The daemon beside the back end keeps the limit, and a call in its queue holds no connection.

--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -23,6 +23,11 @@
 /// Name of the retry budget whose ratio bounds retries per destination.
 const DEFAULT_BUDGET: &str = "default";
 
+/// The daemon beside a back end keeps the back end's connection limit, and a call that waits in its
+/// queue holds no connection. Counting calls in flight against that limit here would refuse important
+/// calls because of less important ones that wait.
+const CONNECTIONS_NOT_COUNTED: u32 = u32::MAX;
+
 /// An endpoint that was picked for an attempt; the router counts the attempt until it is observed.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -205,7 +210,7 @@
                 state: record.state,
                 started_at,
                 slots: plan.service.slots,
-                connections: plan.service.connections,
+                connections: CONNECTIONS_NOT_COUNTED,
             });
         }
         self.known = known;
