--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,17 +1,14 @@
 //! Putting a daemon together: listeners, control, and the orderly stop.
 
 use std::collections::HashSet;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use displaydoc::Display;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use salvo::conn::tcp::TcpAcceptor;
-use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -28,6 +25,7 @@
 use crate::inbound::gate::AdmissionGate;
 use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
+use crate::listeners::{Addresses, Listeners, StartError};
 use crate::metrics::Metrics;
 use crate::node::{Applied, Node};
 use crate::outbound::routes::RouteTable;
@@ -36,7 +34,7 @@
 use crate::peers::PeerPool;
 use crate::scopes::ScopeTable;
 use crate::server::{self, Protocols};
-use crate::settings::{BackendSettings, ListenSettings, Settings};
+use crate::settings::{BackendSettings, Settings};
 use crate::sync::lock;
 
 /// How often a stop looks whether the last call has ended.
@@ -46,37 +44,6 @@
 /// Connections to the back end before the configuration says how many.
 const FIRST_CONNECTION_LIMIT: usize = 16;
 
-/// Why a daemon can't start.
-#[derive(Debug, Display)]
-pub enum StartError {
-    /// {field}: can't listen on {address}: {source}
-    Listen {
-        /// The settings field that names the address.
-        field: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// What the operating system reported.
-        source: io::Error,
-    },
-}
-
-impl std::error::Error for StartError {}
-
-/// Addresses that a daemon listens on, with the ports that the operating system chose.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Addresses {
-    /// For callers.
-    pub edge: Option<SocketAddr>,
-    /// For other daemons.
-    pub inbound: Option<SocketAddr>,
-    /// For the local back end's own calls.
-    pub outbound: Option<SocketAddr>,
-    /// For control messages of other daemons.
-    pub control: Option<SocketAddr>,
-    /// For operators.
-    pub admin: Option<SocketAddr>,
-}
-
 /// Starts daemons.
 #[derive(Debug)]
 pub struct Daemon;
@@ -109,81 +76,6 @@
     }
 }
 
-struct Listeners {
-    edge: Option<BoundListener>,
-    inbound: Option<BoundListener>,
-    outbound: Option<BoundListener>,
-    control: Option<BoundListener>,
-    admin: BoundListener,
-}
-
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
-        let control = settings.control.as_ref();
-        let control = control.map(|control| ListenSettings {
-            listen: control.listen,
-        });
-        Ok(Self {
-            edge: bind_optional("edge.listen", settings.edge).await?,
-            inbound: bind_optional("inbound.listen", settings.inbound).await?,
-            outbound: bind_optional("outbound.listen", settings.outbound).await?,
-            control: bind_optional("control.listen", control).await?,
-            admin: bind("admin.listen", settings.admin.listen).await?,
-        })
-    }
-
-    /// The socket for datagrams at the address of the control listener, where there is one.
-    async fn control_sockets(&self) -> Result<Option<ControlSockets>, StartError> {
-        let Some(address) = self.control.as_ref().map(|bound| bound.address) else {
-            return Ok(None);
-        };
-        let datagrams = UdpSocket::bind(address)
-            .await
-            .map_err(|source| StartError::Listen {
-                field: "control.listen",
-                address,
-                source,
-            })?;
-        let inbound = self.inbound.as_ref().map(|bound| bound.address);
-        Ok(Some(ControlSockets {
-            datagrams,
-            control_address: address,
-            call_address: inbound.unwrap_or(address),
-        }))
-    }
-
-    fn addresses(&self) -> Addresses {
-        let address = |bound: &Option<BoundListener>| bound.as_ref().map(|bound| bound.address);
-        Addresses {
-            edge: address(&self.edge),
-            inbound: address(&self.inbound),
-            outbound: address(&self.outbound),
-            control: address(&self.control),
-            admin: Some(self.admin.address),
-        }
-    }
-}
-
-async fn bind_optional(
-    field: &'static str,
-    settings: Option<ListenSettings>,
-) -> Result<Option<BoundListener>, StartError> {
-    match settings {
-        Some(settings) => bind(field, settings.listen).await.map(Some),
-        None => Ok(None),
-    }
-}
-
-async fn bind(field: &'static str, address: SocketAddr) -> Result<BoundListener, StartError> {
-    BoundListener::bind(address)
-        .await
-        .map_err(|source| StartError::Listen {
-            field,
-            address,
-            source,
-        })
-}
-
 fn build_node(
     settings: Settings,
     sockets: Option<ControlSockets>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod inbound;
 mod listener;
+mod listeners;
 pub mod logging;
 pub mod metrics;
 mod node;
@@ -27,4 +28,5 @@
 pub mod settings;
 mod sync;
 
-pub use daemon::{Addresses, Daemon, RunningDaemon, StartError};
+pub use daemon::{Daemon, RunningDaemon};
+pub use listeners::{Addresses, StartError};
