--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wharfquay_emulator::demo::time_scale::{slow_resources, slow_scenario, suitable_factor};
 use wharfquay_emulator::demo::{self, DemoReport, DemoSettings, DeploymentError, Moment};
 use wharfquay_emulator::scenario::Scenario;
 
@@ -30,6 +31,11 @@
         Flag::with_value("seconds", "N", "Length of the load, 3 to 40 (default 30)"),
         Flag::with_value("factor", "F", "Demand during the surge, 1 to 20 (default 4)"),
         Flag::with_value("rate-factor", "F", "Factor on all demand, 0.001 to 10 (default 1)"),
+        Flag::with_value(
+            "time-factor",
+            "N",
+            "Slow motion for few processors, 1 to 8 (default 1 with 8 processors and more)",
+        ),
         Flag::with_value("seed", "N", "Seed of arrivals and service times (default 1)"),
         JSON,
     ],
@@ -51,6 +57,7 @@
 const DEFAULT_FACTOR: f64 = 4.0;
 const DEFAULT_RATE_FACTOR: f64 = 1.0;
 const DEFAULT_SEED: u64 = 1;
+const LARGEST_TIME_FACTOR: u32 = 8;
 /// The demonstration ends by itself after this time, whatever happens.
 const LONGEST_RUN: Duration = Duration::from_secs(58);
 
@@ -85,10 +92,11 @@
     let name = arguments.text("scenario");
     let name = name.unwrap_or_else(|| DEFAULT_SCENARIO.to_owned());
     let seconds = number(arguments, "seconds", DEFAULT_SECONDS, 3.0, 40.0)?;
+    let time_factor = time_factor(arguments)?;
     let seed = arguments.value("seed", "0 to 18446744073709551615")?;
     Ok(DemoSettings {
-        resources: demo::resources::builtin(&name),
-        scenario: Arc::new(Scenario::builtin(&name)?),
+        resources: slow_resources(demo::resources::builtin(&name), time_factor),
+        scenario: Arc::new(slow_scenario(Scenario::builtin(&name)?, time_factor)),
         length: Duration::from_secs_f64(seconds),
         surge_factor: number(arguments, "factor", DEFAULT_FACTOR, 1.0, 20.0)?,
         rate_factor: number(arguments, "rate-factor", DEFAULT_RATE_FACTOR, 0.001, 10.0)?,
@@ -96,6 +104,19 @@
     })
 }
 
+/// How much slower everything runs: as given, or as this machine's processors need it.
+fn time_factor(arguments: &Arguments) -> Result<u32, CliError> {
+    let suitable = f64::from(suitable_factor().min(LARGEST_TIME_FACTOR));
+    let largest = f64::from(LARGEST_TIME_FACTOR);
+    let factor = number(arguments, "time-factor", suitable, 1.0, largest)? as u32;
+    if factor > 1 {
+        progress(&format!(
+            "slow motion: work and deadlines x {factor}, rates / {factor}"
+        ));
+    }
+    Ok(factor)
+}
+
 /// The value of a flag, which must lie in a range.
 fn number(
     arguments: &Arguments,
--- a/crates/emulator/src/demo/mod.rs
+++ b/crates/emulator/src/demo/mod.rs
@@ -5,6 +5,7 @@
 mod report;
 pub mod resources;
 mod run;
+pub mod time_scale;
 
 pub use deployment::{Deployment, DeploymentError};
 pub use report::DemoReport;
