--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -235,7 +235,7 @@
             Effect::Ready(revision) => log::info!("event=ready revision={revision}"),
             Effect::Read(read) => self.read_store(read),
             Effect::ReadSnapshot => {
-                if let Some(reader) = &self.reader {
+                if let Some(reader) = &mut self.reader {
                     reader.request_snapshot();
                 }
             }
--- a/crates/daemon/src/control/readers.rs
+++ b/crates/daemon/src/control/readers.rs
@@ -37,6 +37,8 @@
 pub(super) struct StoreReader {
     source: RunningSource,
     objects: BTreeMap<ResourceId, StoredObject>,
+    /// The relay has asked for a whole configuration.
+    whole_wanted: bool,
 }
 
 impl StoreReader {
@@ -45,6 +47,7 @@
         Self {
             source: source::spawn(client, source_settings()),
             objects: BTreeMap::new(),
+            whole_wanted: false,
         }
     }
 
@@ -54,7 +57,8 @@
     }
 
     /// Asks for a whole snapshot.
-    pub(super) fn request_snapshot(&self) {
+    pub(super) fn request_snapshot(&mut self) {
+        self.whole_wanted = true;
         self.source.request_snapshot();
     }
 
@@ -64,15 +68,13 @@
             SourceEvent::Snapshot(snapshot) => {
                 let revision = snapshot.revision;
                 self.replace(snapshot);
-                self.report(revision, in_force, None)
+                self.report(revision, in_force)
             }
             SourceEvent::Change {
-                previous,
-                revision,
-                change,
+                revision, change, ..
             } => {
                 self.change(revision, change);
-                self.report(revision, in_force, Some(previous))
+                self.report(revision, in_force)
             }
             SourceEvent::Current { revision } => {
                 Reading::Report(StoreReport::Revision(revision.number()))
@@ -142,13 +144,9 @@
         self.objects.insert(id, object);
     }
 
-    /// The report of a revision: a delta where the configuration in force is the one before it.
-    fn report(
-        &self,
-        revision: Revision,
-        in_force: &Snapshot,
-        previous: Option<Revision>,
-    ) -> Reading {
+    /// The report of a revision: what differs from the configuration in force, so that the peers need
+    /// no whole configuration either; the whole one where the relay wants it or nothing is in force.
+    fn report(&mut self, revision: Revision, in_force: &Snapshot) -> Reading {
         if revision <= in_force.revision {
             return Reading::Report(StoreReport::Revision(revision.number()));
         }
@@ -156,11 +154,11 @@
         let acceptance = accept(in_force, revision, &objects);
         log_rejections(&acceptance);
         let accepted = acceptance.snapshot;
-        let follows = previous.is_some_and(|previous| previous <= in_force.revision);
-        let encoded = if follows && in_force.revision > Revision::ZERO {
-            delta_report(in_force, &accepted)
-        } else {
+        let whole = std::mem::take(&mut self.whole_wanted) || in_force.revision == Revision::ZERO;
+        let encoded = if whole {
             snapshot_report(&accepted)
+        } else {
+            delta_report(in_force, &accepted)
         };
         match encoded {
             Ok(report) => Reading::Report(report),
--- a/crates/emulator/src/simulator/control/daemon.rs
+++ b/crates/emulator/src/simulator/control/daemon.rs
@@ -52,6 +52,8 @@
     pub(super) highest_in_force: u64,
     /// Revision up to which this reader's watch has told it of changes.
     pub(super) watched_revision: u64,
+    /// The relay has asked this reader for a whole configuration.
+    pub(super) whole_wanted: bool,
     /// Randomness of the process.
     pub(super) random: Pcg64Mcg,
     waiting: VecDeque<(usize, Vec<u8>)>,
@@ -72,6 +74,7 @@
             in_force: 0,
             highest_in_force: 0,
             watched_revision: 0,
+            whole_wanted: false,
             random: Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(STEP)),
             waiting: VecDeque::new(),
             earlier_processes: Traffic::default(),
@@ -86,6 +89,7 @@
         self.frozen_until = None;
         self.in_force = 0;
         self.watched_revision = 0;
+        self.whole_wanted = false;
         self.waiting.clear();
     }
 
--- a/crates/emulator/src/simulator/control/faults.rs
+++ b/crates/emulator/src/simulator/control/faults.rs
@@ -189,8 +189,17 @@
         self.store.count_list();
         self.store.watch(reader);
         let snapshot = self.store.snapshot();
-        self.daemons[reader].watched_revision = snapshot.revision;
-        self.report_store(reader, &StoreReport::Snapshot(snapshot));
+        let daemon = &mut self.daemons[reader];
+        daemon.watched_revision = snapshot.revision;
+        let whole = std::mem::take(&mut daemon.whole_wanted) || daemon.in_force == 0;
+        let report = if whole || snapshot.revision <= daemon.in_force {
+            StoreReport::Snapshot(snapshot)
+        } else {
+            // As the daemon's reader does: what differs from the configuration in force.
+            let held = daemon.in_force;
+            StoreReport::Delta(self.store.delta(held, snapshot.revision))
+        };
+        self.report_store(reader, &report);
     }
 
     pub(super) fn store_watch(&mut self, reader: usize, process: u32) {
--- a/crates/emulator/src/simulator/control/mod.rs
+++ b/crates/emulator/src/simulator/control/mod.rs
@@ -300,7 +300,11 @@
             Effect::AdoptSnapshot(snapshot) => self.put_in_force(index, snapshot.revision),
             Effect::AdoptDelta(delta) => self.put_in_force(index, delta.revision),
             Effect::Ready(revision) => self.note_ready(index, revision),
-            Effect::Read(true) | Effect::ReadSnapshot => self.list_store(index),
+            Effect::Read(true) => self.list_store(index),
+            Effect::ReadSnapshot => {
+                self.daemons[index].whole_wanted = true;
+                self.list_store(index);
+            }
             Effect::Read(false) => self.store.unwatch(index),
             Effect::StoreOlder { .. } => self.observations.older_store_reports += 1,
             Effect::Compact(revision) => self.compact(index, revision),
--- a/crates/membership/src/node/upkeep.rs
+++ b/crates/membership/src/node/upkeep.rs
@@ -45,6 +45,8 @@
                 self.gossip.contact_seed(out);
             }
             self.ask_peers(rng, out);
+            let relayed = self.relay.pull_first(now, rng);
+            self.apply_relay(relayed, rng, out, effects);
         }
         let should_read = self.should_read(now);
         if should_read != self.reading {
--- a/crates/membership/src/relay/mod.rs
+++ b/crates/membership/src/relay/mod.rs
@@ -11,6 +11,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use wharfquay_core::time::Timestamp;
 
 use crate::member::MemberId;
@@ -187,13 +189,17 @@
         changes: &Changes,
     ) -> Vec<RelayEffect> {
         let mut effects = Vec::new();
-        self.pull = None;
+        let before = self.revision();
         let mut gap = self.adopt_deltas(now, &changes.deltas, &mut effects);
         if let Some(snapshot) = &changes.snapshot {
             self.adopt_snapshot(now, snapshot, &mut effects);
             gap = self.adopt_deltas(now, &changes.deltas, &mut effects);
         }
-        if gap {
+        if self.revision() > before {
+            self.pull = None;
+        }
+        // A daemon that holds nothing chooses its source in `pull_first`.
+        if gap && before > 0 {
             self.start_pull(now, from, &mut effects);
         }
         self.after_adoption(now, &mut effects);
@@ -213,12 +219,26 @@
         if revision >= self.revision() && revision > 0 {
             self.holders.insert(from.clone());
         }
-        if revision > self.revision() {
+        if revision > self.revision() && self.revision() > 0 {
             self.start_pull(now, from, &mut effects);
         }
         effects
     }
 
+    /// Asks for the first configuration: from one of the peers that named the highest revision by
+    /// chance, since a snapshot is large and daemons that start together have the same seeds.
+    pub fn pull_first(&mut self, now: Timestamp, rng: &mut impl Rng) -> Vec<RelayEffect> {
+        let mut effects = Vec::new();
+        if self.revision() > 0 {
+            return effects;
+        }
+        let source = self.readiness.best_sources().choose(rng).copied().cloned();
+        if let Some(source) = source {
+            self.start_pull(now, &source, &mut effects);
+        }
+        effects
+    }
+
     /// Answers a peer that asks for what follows `held`.
     #[must_use]
     pub fn on_pull(&self, from: &MemberId, held: u64) -> Vec<RelayEffect> {
--- a/crates/membership/src/relay/readiness.rs
+++ b/crates/membership/src/relay/readiness.rs
@@ -115,6 +115,19 @@
         late || (asked_enough && !peers_hold)
     }
 
+    /// The peers that named the highest revision, if any named one.
+    #[must_use]
+    pub fn best_sources(&self) -> Vec<&MemberId> {
+        let highest = self.answers.values().map(|answer| answer.revision).max();
+        let best = highest.filter(|&revision| revision > 0);
+        let holds_best = |answer: &Answer| Some(answer.revision) == best;
+        let answers = self.answers.iter();
+        answers
+            .filter(|(_, answer)| holds_best(answer))
+            .map(|(peer, _)| peer)
+            .collect()
+    }
+
     /// Becomes ready when the rule allows it; returns whether this call did it.
     pub fn decide(&mut self, now: Timestamp, held: u64) -> bool {
         if self.ready || held == 0 || held < self.highest() {
--- a/crates/membership/tests/relay_adoption.rs
+++ b/crates/membership/tests/relay_adoption.rs
@@ -373,3 +373,35 @@
     relay.on_store(now, &delta(10, 11));
     assert_eq!(relay.revision(), 11);
 }
+
+#[test]
+fn changes_that_leave_a_gap_start_one_pull() {
+    let now = Timestamp::ZERO;
+    let pushed = Changes {
+        snapshot: None,
+        deltas: vec![Delta {
+            previous: 8,
+            revision: 9,
+            payload: payload(9),
+        }],
+    };
+    for held in [0, 3] {
+        let mut relay = Relay::new(&Settings::default(), now);
+        if held > 0 {
+            let snapshot = Snapshot {
+                revision: held,
+                payload: payload(held),
+            };
+            relay.on_store(now, &StoreReport::Snapshot(snapshot));
+        }
+        let mut pulls = 0;
+        for peer in 0..5 {
+            let peer = MemberId::from(format!("peer-{peer}").as_str());
+            let effects = relay.on_changes(now, &peer, &pushed);
+            let is_pull = |effect: &&RelayEffect| matches!(effect, RelayEffect::Pull(_));
+            pulls += effects.iter().filter(is_pull).count();
+        }
+        // Without a configuration the source is chosen among the peers that answer.
+        assert_eq!(pulls, usize::from(held > 0), "held {held}");
+    }
+}
