Show in the status which endpoints calls are routed to

Cause: /status lists the endpoints that the control side knows, which routing takes over a moment later.

Change: the incarnation of an endpoint is absent until calls are routed to it, and the tests wait for that. A daemon is still reported ready before its first routes are in place; that window is not closed here.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -8,7 +8,7 @@
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use serde::Serialize;
-use wharfquay_core::routing::{EndpointId, UNKNOWN_INCARNATION};
+use wharfquay_core::routing::EndpointId;
 use wharfquay_resources::snapshot::Revision;
 
 use crate::admin::claims::ClaimStatus;
@@ -49,8 +49,9 @@
     zone: String,
     address: String,
     leaving: bool,
-    /// Unix time in milliseconds at which its daemon started; 0 before its first answer.
-    incarnation: u64,
+    /// Unix time in milliseconds at which its daemon started; 0 where that is not known yet, absent
+    /// before calls are routed to it.
+    incarnation: Option<u64>,
 }
 
 #[derive(Debug, Serialize)]
@@ -128,9 +129,9 @@
             .collect()
     }
 
-    fn incarnation(&self, service: &str, endpoint: &EndpointId) -> u64 {
-        let route = self.node.forwarder.routes().get(service);
-        route.map_or(UNKNOWN_INCARNATION, |route| route.incarnation(endpoint))
+    fn incarnation(&self, service: &str, endpoint: &EndpointId) -> Option<u64> {
+        let route = self.node.forwarder.routes().get(service)?;
+        route.incarnation(endpoint)
     }
 
     fn admission(&self) -> Option<AdmissionStatus> {
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -162,9 +162,10 @@
         state.router.observe(now, endpoint, seen);
     }
 
-    /// The incarnation of an endpoint, as far as it is known.
-    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> u64 {
-        lock(&self.state).incarnation(endpoint)
+    /// The incarnation of an endpoint, as far as it is known; `None` for one that is not listed.
+    pub(crate) fn incarnation(&self, endpoint: &EndpointId) -> Option<u64> {
+        let state = lock(&self.state);
+        state.known.get(endpoint).map(|known| known.incarnation)
     }
 
     /// Takes in the end of an attempt that says nothing about the endpoint.
--- a/crates/daemon/tests/support/deployment.rs
+++ b/crates/daemon/tests/support/deployment.rs
@@ -78,14 +78,17 @@
     }
 }
 
-/// Waits until a daemon is ready and knows this many endpoints.
+/// Waits until a daemon is ready and routes calls to this many endpoints.
 pub async fn wait_for_endpoints(admin: SocketAddr, count: usize) {
     eventually("every endpoint is known", async || {
         let status = client::send(admin, Call::get("admin", "/status")).await;
         let text = status.map(|status| status.text()).unwrap_or_default();
         let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-        let known = status["endpoints"].as_array().map_or(0, Vec::len);
-        status["ready"] == true && known == count
+        let endpoints = status["endpoints"]
+            .as_array()
+            .map_or(&[][..], Vec::as_slice);
+        let is_routed = |endpoint: &serde_json::Value| endpoint["incarnation"].is_u64();
+        status["ready"] == true && endpoints.len() == count && endpoints.iter().all(is_routed)
     })
     .await;
 }
