Send few calls to a back end that answers with errors

Cause: a whole answer counted as a success whatever its status. A back end that fails at once has the shortest latency and the smallest load of its service, so the router sent nearly everything there.

Ruled out: counting an error answer as a failure of the endpoint. When a deeper service is the cause, every sibling answers with errors, and healthy endpoints would be ejected.

Change: Observation::error_answer tells of a 5xx status. It raises the cost up to five times, contradicts a report of room, and never lowers the mean latency. It does not eject.

--- a/crates/core/src/routing/observation.rs
+++ b/crates/core/src/routing/observation.rs
@@ -32,6 +32,8 @@
     pub latency: Duration,
     /// Class of the attempt's result.
     pub outcome: OutcomeClass,
+    /// Whether the back end's whole answer says that it failed, such as one with a 5xx status.
+    pub error_answer: bool,
     /// Whether the endpoint refused or answered as overloaded.
     pub overloaded: bool,
     /// Load that came with the answer.
--- a/crates/core/src/routing/suspicion.rs
+++ b/crates/core/src/routing/suspicion.rs
@@ -20,6 +20,9 @@
 const OVERLOAD_PENALTY: f64 = 4.0;
 /// Cost of an endpoint that always fails, as a multiple above a working one's.
 const FAILURE_PENALTY: f64 = 16.0;
+/// Cost of an endpoint that always answers with an error, as a multiple above a working one's. Such
+/// an answer may be due to a deeper service, which is why it never ejects.
+const ERROR_PENALTY: f64 = 4.0;
 /// Time after which an endpoint that gets no calls is judged anew.
 const FORGET_AFTER: Duration = Duration::from_secs(5);
 /// Observations before an endpoint can be ejected.
@@ -37,6 +40,7 @@
     latency_micros: Option<f64>,
     contradicted: f64,
     overloaded: f64,
+    errors: f64,
     failed: f64,
     observations: u32,
     observed_at: Timestamp,
@@ -57,6 +61,7 @@
             && contradicts_room(observation, reference);
         blend(&mut self.contradicted, contradicted);
         blend(&mut self.overloaded, observation.overloaded);
+        blend(&mut self.errors, observation.error_answer);
         if !observation.overloaded {
             self.blend_failure(observation.is_failure());
         }
@@ -78,14 +83,15 @@
         (share / threshold.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
     }
 
-    /// Factor by which observed slowness, refusals and failures raise the endpoint's cost.
+    /// Factor by which observed slowness, refusals, errors and failures raise the endpoint's cost.
     pub(super) fn cost_factor(&self, now: Timestamp, reference: &Reference) -> f64 {
         let influence = self.influence(now);
         let ratio = self.latency_ratio(reference);
         let slowness = 1.0 + (ratio - 1.0) * influence;
         let refusals = 1.0 + OVERLOAD_PENALTY * self.overloaded * influence;
+        let errors = 1.0 + ERROR_PENALTY * self.errors * influence;
         let failures = 1.0 + FAILURE_PENALTY * self.failed * influence;
-        slowness * refusals * failures
+        slowness * refusals * errors * failures
     }
 
     /// Whether callers saw so many failures that the endpoint should be left alone.
@@ -127,9 +133,12 @@
         let weight = OBSERVATION_WEIGHT.max(1.0 - influence);
         let seen = match observation.outcome {
             OutcomeClass::NotRun => return,
-            OutcomeClass::Run => latency,
-            // The attempt was cut short, so its latency is a lower bound.
-            OutcomeClass::Unknown => latency.max(mean),
+            OutcomeClass::Run if observation.error_answer && self.latency_micros.is_none() => {
+                return;
+            }
+            OutcomeClass::Run if !observation.error_answer => latency,
+            // The attempt was cut short, or gave up early, so its latency is a lower bound.
+            OutcomeClass::Run | OutcomeClass::Unknown => latency.max(mean),
         };
         self.latency_micros = Some(lerp(mean, seen, weight));
     }
@@ -138,6 +147,7 @@
         let influence = self.influence(now);
         self.contradicted *= influence;
         self.overloaded *= influence;
+        self.errors *= influence;
         self.failed *= influence;
         self.observed_at = now;
     }
@@ -150,7 +160,8 @@
 }
 
 fn contradicts_room(observation: &Observation, reference: &Reference) -> bool {
-    if observation.overloaded || observation.outcome == OutcomeClass::Unknown {
+    let is_lost = observation.outcome == OutcomeClass::Unknown;
+    if observation.overloaded || observation.error_answer || is_lost {
         return true;
     }
     let latency = observation.latency.as_micros() as f64;
--- a/crates/core/tests/routing_learning.rs
+++ b/crates/core/tests/routing_learning.rs
@@ -23,6 +23,7 @@
 const HEALTHY: Behaviour = Behaviour {
     latency_ms: 10,
     outcome: OutcomeClass::Run,
+    error_answer: false,
     overloaded: false,
     reported: Reported::Honest(2),
 };
@@ -32,6 +33,7 @@
 struct Behaviour {
     latency_ms: u64,
     outcome: OutcomeClass,
+    error_answer: bool,
     overloaded: bool,
     reported: Reported,
 }
@@ -131,6 +133,7 @@
                 Reported::Fixed(fixed) => fixed,
             };
             let observation = Observation {
+                error_answer: call.behaviour.error_answer,
                 latency: Duration::from_millis(call.behaviour.latency_ms),
                 outcome: call.behaviour.outcome,
                 overloaded: call.behaviour.overloaded,
@@ -156,6 +159,7 @@
     fn fail(&mut self, name: &str, calls: u32) {
         let endpoint = EndpointId::from(name);
         let lost = Observation {
+            error_answer: false,
             latency: Duration::from_millis(10),
             outcome: OutcomeClass::Unknown,
             overloaded: false,
@@ -208,9 +212,16 @@
     let refusing_liar = Behaviour {
         latency_ms: 1,
         outcome: OutcomeClass::NotRun,
+        error_answer: false,
         overloaded: true,
         reported: Reported::Fixed(0),
     };
+    let fast_failure = Behaviour {
+        latency_ms: 1,
+        error_answer: true,
+        reported: Reported::Fixed(0),
+        ..HEALTHY
+    };
     let broken = Behaviour {
         outcome: OutcomeClass::Unknown,
         reported: Reported::Fixed(0),
@@ -223,6 +234,7 @@
     };
     // Name, behaviour, largest share of 2,000 calls after the first 400; a fair share is 0.25.
     let cases = [
+        ("fast failure", fast_failure, 0.05),
         ("healthy", HEALTHY, 0.30),
         ("slow, reports no load", slow_liar, 0.06),
         ("refuses, reports no load", refusing_liar, 0.06),
@@ -418,6 +430,7 @@
         router.set_endpoints(now, vec![listed.clone()]);
         router.dispatched(now, &listed.id);
         let closed = Observation {
+            error_answer: false,
             latency: Duration::from_millis(10),
             outcome: OutcomeClass::Run,
             overloaded: false,
--- a/crates/daemon/src/outbound/attempt.rs
+++ b/crates/daemon/src/outbound/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::uri::{Authority, Scheme};
-use http::{HeaderValue, Request, Response, Uri};
+use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use wharfquay_core::call::{AttemptId, CallContext, RetryAllowance};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
@@ -156,6 +156,8 @@
     clock: Clock,
     started: Timestamp,
     metadata: Option<WireAnswer>,
+    /// Whether the back end's answer has a 5xx status.
+    error_answer: bool,
     ended: bool,
 }
 
@@ -167,6 +169,7 @@
             clock,
             started: clock.now(),
             metadata: None,
+            error_answer: false,
             ended: false,
         }
     }
@@ -175,6 +178,11 @@
         self.metadata = metadata;
     }
 
+    /// The head of the back end's answer arrived.
+    pub(crate) fn answered(&mut self, status: StatusCode) {
+        self.error_answer = status.is_server_error();
+    }
+
     /// The attempt ended with a failure in place of an answer.
     pub(crate) fn failed(mut self, code: ResultCode) {
         let now = self.clock.now();
@@ -192,6 +200,7 @@
         let seen = Observation {
             latency: now.saturating_since(self.started),
             outcome,
+            error_answer: self.error_answer,
             overloaded,
             load: self.metadata.map(|metadata| ReportedLoad {
                 in_flight: metadata.in_flight,
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -231,7 +231,10 @@
         }
         flight.heard(end.metadata);
         match end.result {
-            Ok(response) => Ok(self.relay(call, response, flight)),
+            Ok(response) => {
+                flight.answered(response.status());
+                Ok(self.relay(call, response, flight))
+            }
             Err(failure) => {
                 flight.failed(failure.code);
                 Err(failure)
--- a/crates/daemon/tests/levels.rs
+++ b/crates/daemon/tests/levels.rs
@@ -1,4 +1,4 @@
-//! What the admission levels that answers carry do to later calls.
+//! What answers tell of their back ends, and what it does to later calls.
 
 mod support;
 
@@ -107,3 +107,23 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_that_fails_fast_does_not_attract_calls() {
+    let failing = PeerAnswer {
+        status: 500,
+        ..PeerAnswer::default()
+    };
+    let edge = Edge::start(&[failing, PeerAnswer::default()]).await;
+    support::eventually("the failing back end was heard", async || {
+        edge.send().await;
+        edge.peers[0].calls() > 0
+    })
+    .await;
+    let before = edge.peers[0].calls();
+    for _ in 0..CALLS * 10 {
+        assert_eq!(edge.send().await, Some(ResultCode::Answered));
+    }
+    let failed = edge.peers[0].calls() - before;
+    assert!(failed <= CALLS, "{failed} of {} calls failed", CALLS * 10);
+}
--- a/crates/emulator/src/simulator/call_path/engine/outgoing.rs
+++ b/crates/emulator/src/simulator/call_path/engine/outgoing.rs
@@ -431,6 +431,7 @@
     Observation {
         latency: now.saturating_since(attempt.sent),
         outcome,
+        error_answer: false,
         overloaded,
         load: metadata.map(|metadata| ReportedLoad {
             in_flight: metadata.load.in_flight,
