Keep the port of an address that must refuse connections

Cause: five tests took a free port, gave it up and called it; another test could get the same port in between. Ruled out: a fault of the grant, since the attempt did reach a listener. Change: such an address is a socket that is bound and does not listen, held until the test ends.

--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -6,6 +6,7 @@
 
 use http::Request;
 use http_body_util::BodyExt;
+use support::NobodyListens;
 use support::backend::BackendStub;
 use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
@@ -83,9 +84,8 @@
 
 #[tokio::test]
 async fn a_back_end_that_is_down_counts_no_connection() {
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = gone.local_addr().unwrap();
-    drop(gone);
+    let nobody = NobodyListens::bind();
+    let address = nobody.address();
     let pool = BackendPool::new(address, 1, CONNECT_TIMEOUT);
     for _ in 0..3 {
         assert_eq!(
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -6,6 +6,7 @@
 
 use http::StatusCode;
 use http_body_util::BodyExt;
+use support::NobodyListens;
 use support::client::{self, Answer, Call};
 use support::deployment::{Deployment, request_kind, standard_resources};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -210,9 +211,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_back_end_that_is_down_is_not_run() {
     let deployment = Deployment::start(&["booking"]).await;
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = gone.local_addr().unwrap();
-    drop(gone);
+    let nobody = NobodyListens::bind();
+    let address = nobody.address();
     let machine = support::deployment::machine("booking-0", "booking", address, "live");
     deployment.platform.put_machine(machine);
     support::eventually("the daemon that is gone is called", async || {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -1,9 +1,12 @@
 //! What the end of a stream says about a request: only proof makes it unprocessed.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Request;
+use support::NobodyListens;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use wharfquay_daemon::body::RequestBody;
@@ -131,8 +134,6 @@
 
 #[tokio::test]
 async fn a_peer_that_is_down_saw_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    assert_eq!(outcome(address).await, Expected::NotSent);
+    let nobody = NobodyListens::bind();
+    assert_eq!(outcome(nobody.address()).await, Expected::NotSent);
 }
--- a/crates/daemon/tests/retry_bound.rs
+++ b/crates/daemon/tests/retry_bound.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use support::NobodyListens;
 use support::client::{self, Call};
 use support::deployment::{
     Deployment, edge_settings, machine, request_kind, service, standard_resources,
@@ -9,7 +10,6 @@
 };
 use support::peer::{PeerAnswer, start_peers};
 use support::platform::PlatformStub;
-use tokio::net::TcpListener;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_daemon::Daemon;
 
@@ -65,14 +65,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_streamed_body_goes_to_a_sibling_if_the_first_daemon_is_down() {
     let deployment = Deployment::start(&["booking"]).await;
-    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let entry = machine(
-        "booking-gone",
-        "booking",
-        gone.local_addr().unwrap(),
-        "live",
-    );
-    drop(gone);
+    let nobody = NobodyListens::bind();
+    let entry = machine("booking-gone", "booking", nobody.address(), "live");
     deployment.platform.put_machine(entry);
     let body = "x".repeat(100_000);
     let mut retried = 0;
@@ -107,10 +101,13 @@
     for resource in standard_resources(&["booking"]) {
         platform.put(&resource);
     }
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let nobody = listener.local_addr().unwrap();
-    drop(listener);
-    platform.put_machine(machine("booking-nobody", "booking", nobody, "live"));
+    let nobody = NobodyListens::bind();
+    platform.put_machine(machine(
+        "booking-nobody",
+        "booking",
+        nobody.address(),
+        "live",
+    ));
     let peers = start_peers(&platform, "booking", &[PeerAnswer::default()]).await;
     let edge = Daemon::start(edge_settings(&platform, "")).await.unwrap();
     wait_for_endpoints(edge.addresses().admin.unwrap(), 2).await;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -11,8 +11,11 @@
 pub mod process;
 pub mod raw;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::net::TcpSocket;
+
 /// Longest time that a test waits for something to become true.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -26,3 +29,18 @@
     let reached = tokio::time::timeout(PATIENCE, poll).await;
     assert!(reached.is_ok(), "not reached: {what}");
 }
+
+/// An address that refuses connections. It stays bound, so that no other test gets its port.
+pub struct NobodyListens(TcpSocket);
+
+impl NobodyListens {
+    pub fn bind() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        Self(socket)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+}
