--- a/crates/emulator/tests/control_faults.rs
+++ b/crates/emulator/tests/control_faults.rs
@@ -406,3 +406,34 @@
         assert_eq!(after.messages_received, before.messages_received, "{name}");
     }
 }
+
+#[test]
+fn loss_and_short_pauses_kill_nobody() {
+    let mut simulation = started(28);
+    simulation.network.loss = 0.1;
+    for index in [3, 8, 17] {
+        simulation.freeze(index, Duration::from_millis(2_500));
+        simulation.run_for(Duration::from_secs(20));
+    }
+    simulation.network.loss = 0.0;
+    simulation.run_for(Duration::from_secs(20));
+    let observations = &simulation.observations;
+    assert_eq!(observations.false_deaths + observations.true_deaths, 0);
+    let knows = |index| simulation.node(index).map(|node| node.table().live_count());
+    assert!(simulation.running().all(|index| knows(index) == Some(28)));
+}
+
+#[test]
+fn a_zone_without_the_store_pulls_what_others_name() {
+    // No push crosses between these zones in time: the link loses most packets.
+    let mut simulation = started(28);
+    simulation.set_store_reachable(0, false);
+    simulation.network.loss = 0.6;
+    let revision = simulation.accept_change();
+    let arrived = simulation.run_until_holds(Duration::from_secs(20), |simulation| {
+        lacking(simulation, revision, EVERYWHERE).is_empty()
+    });
+    let missing = lacking(&simulation, revision, EVERYWHERE);
+    assert!(arrived, "revision {revision} is not at {missing:?}");
+    assert_eq!(simulation.observations.reverted, 0);
+}
