Name the deployment in the control settings

Cause: control messages carry a deployment number, but every daemon used 0, so two deployments that reach each other's addresses would mix.

--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -104,22 +104,18 @@
             profile,
             started_at_ms: clock.started_at().as_millis(),
         };
-        let seeds = settings
-            .control
-            .as_ref()
-            .map_or_else(Vec::new, |control| control.seeds.clone());
+        let control = settings.control.as_ref();
+        let seeds = control.map_or_else(Vec::new, |control| control.seeds.clone());
+        let membership_settings = MembershipSettings {
+            deployment: control.map_or(0, |control| control.deployment),
+            ..MembershipSettings::default()
+        };
         let known = seeds
             .iter()
             .map(|&control_address| Seed { control_address });
         let now = clock.now();
         let random = &mut rand::rng();
-        let node = Node::new(
-            MembershipSettings::default(),
-            identity,
-            known.collect(),
-            now,
-            random,
-        );
+        let node = Node::new(membership_settings, identity, known.collect(), now, random);
         let limits = &settings.limits;
         let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
         let (sender, inbox) = transport::inbox();
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -84,6 +84,10 @@
     /// ip:port. Default none.
     #[serde(default, deserialize_with = "load::socket_addresses")]
     pub seeds: Vec<SocketAddr>,
+    /// Number of the deployment; control messages of another one are dropped. 0 to 4294967295,
+    /// default 0.
+    #[serde(default)]
+    pub deployment: u32,
 }
 
 /// The platform's object API.
