Let the deployments of the emulator read their back ends' health

Cause: the daemon polls a health endpoint only where the settings name its path, and the generated settings did not. Change: health_path in the settings of each back end's daemon.

--- a/crates/emulator/src/demo/layout.rs
+++ b/crates/emulator/src/demo/layout.rs
@@ -54,6 +54,9 @@
     pub edges: Vec<EdgePlace>,
 }
 
+/// Where the back end stand-in tells whether it is leaving.
+const HEALTH_PATH: &str = "/wharfquay/health";
+
 /// Ports of one machine, in the order in which they are given out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ports {
@@ -133,6 +136,7 @@
         table(&mut text, "backend", "address", self.backend);
         // Writing to a String can't fail.
         let _ = writeln!(text, "service = \"{}\"", self.service);
+        let _ = writeln!(text, "health_path = \"{HEALTH_PATH}\"");
         table(&mut text, "inbound", "listen", self.inbound);
         table(&mut text, "outbound", "listen", self.outbound);
         text
