Call no more back ends than their connections allow

Cause: RouterSettings::subset was never set, so that every daemon opened a connection to the daemon of every back end of a service it calls: with 13,000 callers each got 13,000.

Ruled out: Endpoint::connections as the limit, which the daemon sets to "not counted" for the calls in flight.

Change: the subset follows from the service's connections and the number of calling daemons: those beside a back end whose service declares to call it, and every edge that gossip or the machine list names. One connection from each caller, 60% of the limit planned for, three back ends at least. SubsetSettings::connection_limit is new and optional.

No run at the target size.

--- a/crates/core/src/routing/subset.rs
+++ b/crates/core/src/routing/subset.rs
@@ -14,6 +14,9 @@
     pub caller: String,
     /// Number of daemons that call the service.
     pub callers: u32,
+    /// Connections of callers that an endpoint accepts; `None` takes the smallest
+    /// [`Endpoint::connections`].
+    pub connection_limit: Option<u32>,
     /// Connections that each caller holds to an endpoint of its subset.
     pub connections_per_caller: u32,
     /// Share of an endpoint's connection limit that may be planned for, 0.0 to 1.0. The rest absorbs
@@ -32,6 +35,7 @@
         Self {
             caller: caller.to_owned(),
             callers,
+            connection_limit: None,
             connections_per_caller: 1,
             connection_share: 0.6,
             minimum: 3,
@@ -58,7 +62,8 @@
     endpoints: &[&Endpoint],
     local: impl Fn(&Endpoint) -> bool,
 ) -> Vec<EndpointId> {
-    let limit = endpoints.iter().map(|endpoint| endpoint.connections).min();
+    let smallest = || endpoints.iter().map(|endpoint| endpoint.connections).min();
+    let limit = settings.connection_limit.or_else(smallest);
     let size = subset_size(settings, endpoints.len(), limit.unwrap_or(0));
     let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = endpoints
         .iter()
--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoints of each service, from gossip membership, the machine list and the leaving marks of
 //! every source.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use wharfquay_core::drain::{LeavingSet, LeavingSource};
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EndpointTable {
     services: BTreeMap<String, Vec<EndpointRecord>>,
+    /// Daemons that stand beside no back end.
+    edges: BTreeSet<EndpointId>,
 }
 
 impl EndpointTable {
@@ -48,6 +50,18 @@
         })
     }
 
+    /// Number of daemons that call a service: those beside a back end whose service declares to call
+    /// it, and every edge.
+    #[must_use]
+    pub fn callers_of(&self, service: &str, snapshot: &Snapshot) -> usize {
+        let calling = snapshot.services.values().filter(|caller| {
+            let mut calls = caller.calls.iter();
+            calls.any(|called| called == service)
+        });
+        let beside_back_ends = calling.map(|caller| self.of_service(&caller.name).len());
+        self.edges.len() + beside_back_ends.sum::<usize>()
+    }
+
     /// Adds an endpoint.
     pub fn insert(&mut self, service: &str, record: EndpointRecord) {
         let records = self.services.entry(service.to_owned()).or_default();
@@ -157,6 +171,8 @@
     let mut doubtful = Vec::new();
     for machine in sources.machines {
         let Some(service) = &machine.service else {
+            let id = EndpointId::from(machine.id.as_str());
+            table.edges.insert(id);
             continue;
         };
         let zone = ZoneName::from(machine.zone.as_str());
@@ -194,6 +210,8 @@
     for member in sources.members.members().filter(|member| member.is_live()) {
         let profile = &member.profile;
         let Some(service) = &profile.service else {
+            let id = EndpointId::from(profile.id.as_str());
+            table.edges.insert(id);
             continue;
         };
         let id = EndpointId::from(profile.id.as_str());
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -91,7 +91,7 @@
     };
     let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
     let control = control::start(&settings, clock, client, sockets, tasks, stop);
-    let routes = RouteTable::new(Zone::from(settings.zone.as_str()));
+    let routes = RouteTable::new(Zone::from(settings.zone.as_str()), &settings.id);
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
     let forwarder = Forwarder::new(clock, routes, peers, Arc::clone(&metrics));
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -10,7 +10,7 @@
     BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
 };
 use wharfquay_core::routing::{
-    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings,
+    Endpoint, EndpointId, Observation, Pick, PickRequest, Router, RouterSettings, SubsetSettings,
     UNKNOWN_INCARNATION, Zone,
 };
 use wharfquay_core::time::Timestamp;
@@ -55,13 +55,23 @@
 struct RoutePlan {
     service: Service,
     budget: BudgetSettings,
+    subset: SubsetSettings,
     endpoints: Vec<EndpointRecord>,
 }
 
 impl RoutePlan {
     /// As `self == other`, without copying what is compared.
-    fn is(&self, service: &Service, budget: BudgetSettings, endpoints: &[EndpointRecord]) -> bool {
-        self.service == *service && self.budget == budget && self.endpoints == endpoints
+    fn is(
+        &self,
+        service: &Service,
+        budget: BudgetSettings,
+        subset: &SubsetSettings,
+        endpoints: &[EndpointRecord],
+    ) -> bool {
+        self.service == *service
+            && self.budget == budget
+            && self.subset == *subset
+            && self.endpoints == endpoints
     }
 }
 
@@ -194,16 +204,18 @@
         now: Timestamp,
         service: &Service,
         budget: BudgetSettings,
+        subset: SubsetSettings,
         endpoints: &[EndpointRecord],
     ) {
         let mut state = lock(&self.state);
         let applied = state.applied.as_ref();
-        if applied.is_some_and(|applied| applied.is(service, budget, endpoints)) {
+        if applied.is_some_and(|applied| applied.is(service, budget, &subset, endpoints)) {
             return;
         }
         let plan = RoutePlan {
             service: service.clone(),
             budget,
+            subset,
             endpoints: endpoints.to_vec(),
         };
         state.apply(now, &plan);
@@ -231,6 +243,7 @@
     fn apply(&mut self, now: Timestamp, plan: &RoutePlan) {
         self.router.reconfigure(RouterSettings {
             warm_up: Duration::from_millis(u64::from(plan.service.warm_up_ms)),
+            subset: Some(plan.subset.clone()),
             ..RouterSettings::default()
         });
         self.budget.reconfigure(plan.budget, now);
@@ -277,13 +290,16 @@
 #[derive(Debug)]
 pub(crate) struct RouteTable {
     zone: Zone,
+    /// Id of this daemon, by which its subsets are chosen.
+    caller: String,
     routes: RwLock<HashMap<String, Arc<Route>>>,
 }
 
 impl RouteTable {
-    pub(crate) fn new(zone: Zone) -> Self {
+    pub(crate) fn new(zone: Zone, caller: &str) -> Self {
         Self {
             zone,
+            caller: caller.to_owned(),
             routes: RwLock::default(),
         }
     }
@@ -300,11 +316,22 @@
         let budget = budget_settings(snapshot);
         for (name, service) in &snapshot.services {
             if let Some(route) = self.get(name) {
-                route.update(now, service, budget, endpoints.of_service(name));
+                let subset = self.subset(service, endpoints.callers_of(name, snapshot));
+                route.update(now, service, budget, subset, endpoints.of_service(name));
             }
         }
     }
 
+    /// The subset with which the connections that a back end's daemon gets from its callers, one
+    /// from each, stay under the connection limit of its service.
+    fn subset(&self, service: &Service, callers: usize) -> SubsetSettings {
+        let callers = u32::try_from(callers.max(1)).unwrap_or(u32::MAX);
+        SubsetSettings {
+            connection_limit: Some(service.connections),
+            ..SubsetSettings::for_caller(&self.caller, callers)
+        }
+    }
+
     /// Makes the table have a route for each service and no other.
     fn set_services(&self, now: Timestamp, snapshot: &Snapshot) {
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
