--- /dev/null
+++ b/crates/membership/src/gossip/choose.rs
@@ -0,0 +1,62 @@
+//! Choice of members and zones by chance.
+
+use rand::{Rng, RngExt};
+
+use crate::member::{Member, ZoneName};
+
+use super::Gossip;
+
+/// Tries to find an eligible member by chance before a round goes without one.
+const PICK_TRIES: usize = 16;
+
+impl Gossip {
+    /// A live member of the own zone by chance, other than this one.
+    pub(crate) fn random_peer(&self, rng: &mut impl Rng) -> Option<&Member> {
+        self.random_member(&self.me.profile.zone, rng, Member::is_live)
+    }
+
+    /// A member of a zone by chance that meets a condition.
+    pub(super) fn random_member(
+        &self,
+        zone: &ZoneName,
+        rng: &mut impl Rng,
+        eligible: impl Fn(&Member) -> bool,
+    ) -> Option<&Member> {
+        let members = self.table.zone(zone)?.members();
+        if members.is_empty() {
+            return None;
+        }
+        (0..PICK_TRIES)
+            .map(|_| &members[rng.random_range(0..members.len())])
+            .find(|member| member.profile.id != self.me.profile.id && eligible(member))
+    }
+
+    /// Another zone by chance.
+    pub(crate) fn random_zone(&self, rng: &mut impl Rng) -> Option<&ZoneName> {
+        let others = self.other_zones();
+        if others.is_empty() {
+            return None;
+        }
+        Some(others[rng.random_range(0..others.len())])
+    }
+
+    /// The other zones, in order of name.
+    pub(crate) fn other_zones(&self) -> Vec<&ZoneName> {
+        self.table
+            .zones()
+            .filter(|(zone, table)| **zone != self.me.profile.zone && table.live_count() > 0)
+            .map(|(zone, _)| zone)
+            .collect()
+    }
+
+    /// A delegate of a zone by chance; now and then any member, in case every delegate is gone.
+    pub(crate) fn contact_in(&self, zone: &ZoneName, rng: &mut impl Rng) -> Option<&Member> {
+        const ANY_MEMBER_CHANCE: f64 = 0.1;
+        let table = self.table.zone(zone)?;
+        let delegates = table.delegates();
+        if delegates.is_empty() || rng.random_bool(ANY_MEMBER_CHANCE) {
+            return self.random_member(zone, rng, Member::is_live);
+        }
+        table.get(&delegates[rng.random_range(0..delegates.len())])
+    }
+}
--- a/crates/membership/src/gossip/mod.rs
+++ b/crates/membership/src/gossip/mod.rs
@@ -1,5 +1,6 @@
 //! SWIM-style membership inside a zone, with delegates that exchange with other zones.
 
+mod choose;
 mod probe;
 mod spread;
 mod sync;
@@ -22,8 +23,6 @@
 
 /// Lateness of a wake-up from which a daemon concludes that it was itself paused.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
-/// Tries to find an eligible member by chance before a round goes without one.
-const PICK_TRIES: usize = 16;
 /// Transmissions of a report beyond the logarithm of the zone's size.
 const EXTRA_TRANSMISSIONS: u32 = 4;
 /// Cycles through all zones after which one that was not heard of counts as unreachable.
@@ -376,56 +375,6 @@
         zone.map_or(1, crate::table::ZoneTable::live_count)
     }
 
-    /// A live member of the own zone by chance, other than this one.
-    pub(crate) fn random_peer(&self, rng: &mut impl Rng) -> Option<&Member> {
-        self.random_member(&self.me.profile.zone, rng, Member::is_live)
-    }
-
-    /// A member of a zone by chance that meets a condition.
-    fn random_member(
-        &self,
-        zone: &ZoneName,
-        rng: &mut impl Rng,
-        eligible: impl Fn(&Member) -> bool,
-    ) -> Option<&Member> {
-        let members = self.table.zone(zone)?.members();
-        if members.is_empty() {
-            return None;
-        }
-        (0..PICK_TRIES)
-            .map(|_| &members[rng.random_range(0..members.len())])
-            .find(|member| member.profile.id != self.me.profile.id && eligible(member))
-    }
-
-    /// Another zone by chance.
-    pub(crate) fn random_zone(&self, rng: &mut impl Rng) -> Option<&ZoneName> {
-        let others = self.other_zones();
-        if others.is_empty() {
-            return None;
-        }
-        Some(others[rng.random_range(0..others.len())])
-    }
-
-    /// The other zones, in order of name.
-    pub(crate) fn other_zones(&self) -> Vec<&ZoneName> {
-        self.table
-            .zones()
-            .filter(|(zone, table)| **zone != self.me.profile.zone && table.live_count() > 0)
-            .map(|(zone, _)| zone)
-            .collect()
-    }
-
-    /// A delegate of a zone by chance; now and then any member, in case every delegate is gone.
-    pub(crate) fn contact_in(&self, zone: &ZoneName, rng: &mut impl Rng) -> Option<&Member> {
-        const ANY_MEMBER_CHANCE: f64 = 0.1;
-        let table = self.table.zone(zone)?;
-        let delegates = table.delegates();
-        if delegates.is_empty() || rng.random_bool(ANY_MEMBER_CHANCE) {
-            return self.random_member(zone, rng, Member::is_live);
-        }
-        table.get(&delegates[rng.random_range(0..delegates.len())])
-    }
-
     /// Runs everything that is due.
     pub fn advance(
         &mut self,
