Record the decisions of an edge and serve them at /decisions

Change: with `[admin] decision_records` above 0 an edge keeps its newest records in a bounded ring; `/decisions` gives them as JSON lines, `?limit=N` the newest N. A record holds what the edge really decided: the treatment from the call's context, the refusal from the level check or the router, the endpoint that was picked first. Requests that fail before a configuration is asked are not recorded. Ruled out: recording `decide`'s own result, which a replay could never contradict. Seen red: a call that the router refused by the level of every endpoint was recorded as admitted (`the_newest_records_are_kept_and_served`, `/c` in `every_decision_is_recorded_...`); the level that the router assumes is recorded now. Figures: none yet for the cost; off costs one comparison per request.

--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The admin side: health, readiness, metrics and status.
 
 mod claims;
+mod decisions;
 
 use std::sync::Arc;
 
@@ -75,6 +76,7 @@
             .push(Router::with_path("readyz").get(page(Page::Readiness)))
             .push(Router::with_path("metrics").get(page(Page::Metrics)))
             .push(Router::with_path("status").get(page(Page::Status)))
+            .push(Router::with_path("decisions").get(page(Page::Decisions)))
     }
 
     fn revision(&self) -> Revision {
@@ -215,6 +217,7 @@
     Readiness,
     Metrics,
     Status,
+    Decisions,
 }
 
 struct AdminPage {
@@ -226,7 +229,7 @@
 impl Handler for AdminPage {
     async fn handle(
         &self,
-        _request: &mut Request,
+        request: &mut Request,
         _depot: &mut Depot,
         response: &mut Response,
         _control: &mut FlowCtrl,
@@ -246,6 +249,7 @@
                 headers.insert(CONTENT_TYPE, PROMETHEUS_TEXT);
             }
             Page::Status => response.render(salvo::writing::Json(self.state.status())),
+            Page::Decisions => decisions::render(&self.state.node.decisions, request, response),
         }
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::body::AnswerBody;
 use crate::clock::Clock;
 use crate::control::{self, gossip::ControlSockets};
+use crate::decisions::DecisionLog;
 use crate::edge::EdgeHandler;
 use crate::inbound::gate::AdmissionGate;
 use crate::inbound::{InboundHandler, LocalBackend};
@@ -95,6 +96,8 @@
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
     let forwarder = Forwarder::new(clock, routes, peers, Arc::clone(&metrics));
+    let capacity = settings.admin.decision_records as usize;
+    let decisions = DecisionLog::new(&settings.id, capacity, control.endpoints.clone());
     Arc::new(Node {
         settings,
         clock,
@@ -104,6 +107,7 @@
         metrics,
         pauses: PauseDetector::new(clock.now()),
         applied: Mutex::default(),
+        decisions,
         stopping: AtomicBool::new(false),
         in_flight: Arc::default(),
     })
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -12,14 +12,16 @@
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
 use wharfquay_core::outcome::ResultCode;
-use wharfquay_core::priority::Priority;
+use wharfquay_core::priority::{Priority, Rank};
 use wharfquay_core::retry::Ledger;
 use wharfquay_protocol::headers as names;
+use wharfquay_resources::decision::{RequestFacts, Treatment};
 use wharfquay_resources::kinds::RequestKind;
 use wharfquay_resources::snapshot::Snapshot;
 
 use crate::answer::Failure;
 use crate::body::AnswerBody;
+use crate::decisions::DecisionTrace;
 use crate::metrics::Side;
 use crate::node::Node;
 use crate::outbound::call::{OutgoingCall, RequestHead, RetryAccount, backoff_for};
@@ -65,10 +67,14 @@
             }
         })?;
         let service = service_name(&request)?;
+        let origin = OriginId::from_u128(Uuid::now_v7().as_u128());
+        let decisions = &self.node.decisions;
+        let facts = || request_facts(&service, &request, origin);
+        let trace = decisions.trace(origin, snapshot.revision, facts);
         let kind = snapshot
             .match_request(&service, request.method().as_str(), request.uri().path())
-            .ok_or_else(|| Failure::new(ResultCode::UnknownService))?;
-        let context = self.context(&snapshot, kind, request.headers())?;
+            .ok_or_else(|| refuse(&trace, ResultCode::UnknownService))?;
+        let context = self.context(&snapshot, kind, request.headers(), origin, &trace)?;
         let key_to_claim = claimed::key_to_claim(&snapshot, kind, context.idempotency_key);
         let account = RetryAccount {
             ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
@@ -81,6 +87,7 @@
             context,
             head,
             account,
+            trace,
         };
         match key_to_claim {
             Some(key) => claimed::run(Arc::clone(&self.node), call, key, body).await,
@@ -102,19 +109,29 @@
         snapshot: &Snapshot,
         kind: &RequestKind,
         headers: &HeaderMap,
+        origin: OriginId,
+        trace: &DecisionTrace,
     ) -> Result<CallContext, Failure> {
         let idempotency_key = idempotency_key(headers)?;
-        if idempotency_key.is_none() && kind.idempotency_key_required && !kind.repeatable {
-            return Err(Failure::new(ResultCode::MissingIdempotencyKey));
-        }
+        let lifetime_ms = lifetime_ms(kind, headers)?;
         let budget = snapshot.retry_budget_for(kind);
         let retries = budget.map_or(0, |budget| budget.retries_per_request);
+        trace.treated(|| Treatment {
+            request_kind: kind.name.clone(),
+            priority: kind.priority,
+            deadline_ms: lifetime_ms,
+            retries,
+            repeatable: kind.repeatable,
+        });
+        if idempotency_key.is_none() && kind.idempotency_key_required && !kind.repeatable {
+            return Err(refuse(trace, ResultCode::MissingIdempotencyKey));
+        }
         Ok(CallContext {
-            origin: OriginId::from_u128(Uuid::now_v7().as_u128()),
+            origin,
             attempt: AttemptId::new(0),
             request_kind: kind.name.clone(),
             priority: Priority::new(kind.priority).unwrap_or(Priority::LOWEST),
-            deadline: self.node.clock.now() + lifetime(kind, headers)?,
+            deadline: self.node.clock.now() + Duration::from_millis(lifetime_ms),
             allowance: RetryAllowance::new(retries),
             repeatability: if kind.repeatable {
                 Repeatability::Repeatable
@@ -127,18 +144,41 @@
     }
 }
 
-/// Time in which the answer is worth something: what the caller says, bounded by the request kind.
-fn lifetime(kind: &RequestKind, headers: &HeaderMap) -> Result<Duration, Failure> {
+/// A refusal that follows from the configuration, noted in the decision's record.
+fn refuse(trace: &DecisionTrace, code: ResultCode) -> Failure {
+    trace.refused(code);
+    Failure::new(code)
+}
+
+/// What a request asks for, as its decision's record has it.
+fn request_facts<B>(service: &str, request: &Request<B>, origin: OriginId) -> RequestFacts {
+    let headers = request.headers();
+    RequestFacts {
+        service: service.to_owned(),
+        method: request.method().as_str().to_owned(),
+        path: request.uri().path().to_owned(),
+        deadline_ms: given_deadline_ms(headers).unwrap_or_default(),
+        has_idempotency_key: headers.contains_key(names::IDEMPOTENCY_KEY),
+        rank: Rank::of(origin),
+    }
+}
+
+/// Time in which the answer is worth something, in milliseconds: what the caller says, bounded by the
+/// request kind.
+fn lifetime_ms(kind: &RequestKind, headers: &HeaderMap) -> Result<u64, Failure> {
     let longest = u64::from(kind.deadline_ms);
-    let millis = match headers.get(names::DEADLINE) {
-        None => longest,
-        Some(value) => {
-            let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-            let given: u64 = millis.ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
-            given.min(longest)
-        }
+    let given = given_deadline_ms(headers)?;
+    Ok(given.map_or(longest, |given| given.min(longest)))
+}
+
+/// The deadline that the caller set, in milliseconds from the arrival.
+fn given_deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, Failure> {
+    let Some(value) = headers.get(names::DEADLINE) else {
+        return Ok(None);
     };
-    Ok(Duration::from_millis(millis))
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis = millis.ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
+    Ok(Some(millis))
 }
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Failure> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod connect;
 pub mod control;
 pub mod daemon;
+mod decisions;
 mod edge;
 mod headers;
 mod inbound;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,6 +11,7 @@
 use crate::body::{AnswerBody, BodyEnd, BodyObserver};
 use crate::clock::Clock;
 use crate::control::{ControlView, EndpointTable};
+use crate::decisions::DecisionLog;
 use crate::metrics::{Metrics, Side};
 use crate::outbound::Forwarder;
 use crate::pause::{BEAT_INTERVAL, PauseDetector};
@@ -37,6 +38,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) pauses: PauseDetector,
     pub(crate) applied: Mutex<Applied>,
+    pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: Arc<AtomicUsize>,
 }
--- a/crates/daemon/src/outbound/call.rs
+++ b/crates/daemon/src/outbound/call.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::Failure;
 use crate::body::{MAX_HELD_BODY, RequestBody};
+use crate::decisions::DecisionTrace;
 use crate::headers::{remove_hop_by_hop, remove_internal_request};
 
 /// The head of a request, without what ends at this hop.
@@ -68,6 +69,7 @@
     pub(crate) context: CallContext,
     pub(crate) head: RequestHead,
     pub(crate) account: RetryAccount,
+    pub(crate) trace: DecisionTrace,
 }
 
 /// The backoff of the retry budget that applies to the request kind of a call.
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -181,12 +181,21 @@
         let now = self.clock.now();
         let key = call.context.admission_key();
         let kind = &call.context.request_kind;
-        let admitted = lock(&self.levels).admits(now, &call.service, kind, key);
+        let levels = lock(&self.levels);
+        let admitted = levels.admits(now, &call.service, kind, key);
+        if call.trace.is_on() {
+            let level = levels.level(now, &call.service, kind);
+            call.trace.level_checked(level, admitted.is_ok());
+        }
+        drop(levels);
         admitted.map_err(|refusal| {
             Failure::with_retry_after(ResultCode::RefusedByLevel, refusal.retry_after)
         })?;
-        let route = self.routes.get(&call.service);
-        route.map_or(Ok(()), |route| route.check_level(now, key))
+        let Some(route) = self.routes.get(&call.service) else {
+            return Ok(());
+        };
+        let checked = route.check_level(now, key);
+        checked.inspect_err(|failure| note_refusal(call, &route, now, *failure))
     }
 
     /// Picks an endpoint that was not tried; after an uncertain attempt also one that was.
@@ -202,6 +211,9 @@
         }
         let key = call.context.admission_key();
         let picked = route.pick(now, key, &attempts.tried);
+        if attempts.tried.is_empty() {
+            note_first_pick(call, route, now, &picked);
+        }
         if picked.is_err() && attempts.uncertain.is_some() {
             return route.pick(now, key, &[]);
         }
@@ -305,6 +317,30 @@
     };
 }
 
+/// Notes in the record of the decision where a call goes first, or the level that keeps it from every
+/// endpoint.
+fn note_first_pick(
+    call: &OutgoingCall,
+    route: &Route,
+    now: Timestamp,
+    picked: &Result<Target, Failure>,
+) {
+    match picked {
+        Ok(target) => call.trace.endpoint_chosen(&target.id),
+        Err(failure) => note_refusal(call, route, now, *failure),
+    }
+}
+
+/// Notes in the record of the decision the level at which no endpoint takes a call.
+fn note_refusal(call: &OutgoingCall, route: &Route, now: Timestamp, failure: Failure) {
+    if !call.trace.is_on() || failure.code != ResultCode::RefusedByLevel {
+        return;
+    }
+    // No endpoint in use admits the key; the most open level may be that of one not in use.
+    let key = AdmissionLevel::new(call.context.admission_key().number());
+    call.trace.level_checked(route.level(now).fold(key), false);
+}
+
 /// A body that can't be sent again makes a call unrepeatable.
 const fn effective_repeatability(call: &OutgoingCall, body: &CallBody) -> Repeatability {
     if body.can_repeat() {
--- a/crates/daemon/src/outbound/handler.rs
+++ b/crates/daemon/src/outbound/handler.rs
@@ -16,6 +16,7 @@
 
 use crate::answer::Failure;
 use crate::body::{AnswerBody, BodyEnd, BodyObserver};
+use crate::decisions::DecisionTrace;
 use crate::inbound::gate::AdmissionGate;
 use crate::metrics::Side;
 use crate::node::Node;
@@ -85,6 +86,7 @@
                 children: self.declared_calls(snapshot),
                 backoff,
             },
+            trace: DecisionTrace::OFF,
         };
         self.node.forwarder.forward(&call, body).await
     }
--- a/crates/daemon/src/settings/load.rs
+++ b/crates/daemon/src/settings/load.rs
@@ -190,6 +190,8 @@
         self.sides(settings)?;
         self.platform(settings)?;
         self.log_level(&settings.log.level)?;
+        let records = u64::from(settings.admin.decision_records);
+        self.range("admin.decision_records", records, 0..=100_000)?;
         self.limits(settings)
     }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -26,8 +26,8 @@
     pub inbound: Option<ListenSettings>,
     /// Listener for the local back end's own calls.
     pub outbound: Option<ListenSettings>,
-    /// Listener for health, readiness, metrics and status.
-    pub admin: ListenSettings,
+    /// What is served to operators.
+    pub admin: AdminSettings,
     /// Gossip and configuration relay with other daemons; without it the daemon reads the store by
     /// itself.
     pub control: Option<ControlSettings>,
@@ -90,6 +90,19 @@
     pub deployment: u32,
 }
 
+/// What is served to operators.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminSettings {
+    /// Listener for health, readiness, metrics, status and decisions, as ip:port.
+    #[serde(deserialize_with = "load::socket_address")]
+    pub listen: SocketAddr,
+    /// Latest decisions of the edge that are kept for `/decisions`, in records. 0 to 100000, default
+    /// 0: none.
+    #[serde(default)]
+    pub decision_records: u32,
+}
+
 /// The platform's object API.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -97,6 +97,10 @@
         "limits.worker_threads=0",
         &["limits.worker_threads", "given 0", "1 to 256"],
     ),
+    (
+        "admin.decision_records=100001",
+        &["admin.decision_records", "given 100001", "0 to 100000"],
+    ),
     ("nonsense", &["--set nonsense", "key=value"]),
     ("id.part=1", &["--set id.part=1", "key=value"]),
 ];
