Write log events from one typed catalogue

Change: `events::catalogue` has each event with name, level, fields and meaning; `log_event!` writes it. A line now begins with `event=`, and quoted values are escaped, so that an error text can't break a line in two. An observer task watches configuration, endpoint table, leaving mark and level and writes one event per change. Events about calls (malformed, oversized, invalid context, unknown outcome of a request that must take effect at most once) and failed connections to the back end are written at most once a second with the number held back. The machine list's poller tells platform_unavailable and platform_available once per change instead of a line per poll. Ruled out: an event per level change, which would be a line per adjustment; the level is looked at once a second, so a closing shorter than that may not be seen. Tests: form of a line, rate limit, every `event=` in the sources of daemon, membership and platform is in the catalogue, and a daemon in a process of its own whose every line has exactly the fields of the catalogue.

--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -16,6 +16,7 @@
 
 use crate::body::{BodyEnd, BodyObserver, RequestBody};
 use crate::connect::connect;
+use crate::events::{Event, Quoted, RateLimit, log_event};
 use crate::sync::lock;
 
 /// Longest wait at the connection limit. Admission keeps executions within that limit, so this is
@@ -47,6 +48,8 @@
     open: Arc<AtomicUsize>,
     idle: Mutex<Vec<Connection>>,
     freed: Notify,
+    /// Bounds the log lines about connections that can't be opened.
+    connect_failures: RateLimit,
 }
 
 impl BackendPool {
@@ -60,6 +63,7 @@
             open: Arc::default(),
             idle: Mutex::default(),
             freed: Notify::new(),
+            connect_failures: RateLimit::default(),
         })
     }
 
@@ -146,7 +150,7 @@
             .map_err(|error| self.connect_failed(&error))?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
-                log::debug!("event=backend_connection_closed error=\"{error}\"");
+                log_event!(Event::BackendConnectionClosed, "error={}", Quoted(error));
             }
         });
         Ok(Connection {
@@ -179,8 +183,13 @@
     }
 
     fn connect_failed(&self, error: &dyn std::error::Error) -> BackendError {
-        let address = self.address;
-        log::warn!("event=backend_connect_failed address={address} error=\"{error}\"");
+        if let Some(suppressed) = self.connect_failures.allow(Instant::now()) {
+            let (address, error) = (self.address, Quoted(error));
+            log_event!(
+                Event::BackendConnectFailed,
+                "address={address} error={error} suppressed={suppressed}"
+            );
+        }
         BackendError::ConnectFailed
     }
 }
--- a/crates/daemon/src/control/claims/mod.rs
+++ b/crates/daemon/src/control/claims/mod.rs
@@ -26,6 +26,7 @@
 use crate::body::AnswerBody;
 use crate::clock::{Clock, wall_clock};
 use crate::control::ControlAddresses;
+use crate::events::{Event, Quoted, log_event};
 use crate::peers::PeerPool;
 use crate::sync::lock;
 
@@ -109,7 +110,7 @@
         let message: ReplicaRequest = match message {
             Ok(message) => message,
             Err(error) => {
-                log::warn!("event=claim_message_rejected error=\"{error}\"");
+                log_event!(Event::ClaimMessageRejected, "error={}", Quoted(error));
                 return plain(StatusCode::BAD_REQUEST, Bytes::new());
             }
         };
--- a/crates/daemon/src/control/claims/replica.rs
+++ b/crates/daemon/src/control/claims/replica.rs
@@ -8,6 +8,7 @@
 
 use crate::control::claims::transport::{Delivery, Inbox};
 use crate::control::claims::{Claims, group};
+use crate::events::{Event, log_event};
 use crate::sync::lock;
 
 /// Runs until the configuration side ends.
@@ -57,7 +58,10 @@
         if (before.epoch, before.voting) != (after.epoch, after.voting) {
             let (epoch, voting) = (after.epoch.number(), after.voting);
             let records = after.records;
-            log::info!("event=claim_replica epoch={epoch} voting={voting} records={records}");
+            log_event!(
+                Event::ClaimReplica,
+                "epoch={epoch} voting={voting} records={records}"
+            );
         }
         for PeerRequest { to, fetch } in requests {
             self.post(to, ReplicaRequest::Fetch(fetch), inbox.clone());
--- a/crates/daemon/src/control/claims/transport.rs
+++ b/crates/daemon/src/control/claims/transport.rs
@@ -11,6 +11,7 @@
 
 use crate::body::RequestBody;
 use crate::control::claims::{Claims, MAXIMUM_MESSAGE, PATH};
+use crate::events::{Event, Quoted, log_event};
 
 /// Longest time to wait for one answer; the sender's own timers send again long before.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -61,7 +62,7 @@
         let body = Limited::new(response.into_body(), MAXIMUM_MESSAGE);
         let body = body.collect().await.ok()?.to_bytes();
         envelope::decode(&body, MAXIMUM_MESSAGE)
-            .inspect_err(|error| log::warn!("event=claim_reply_rejected error=\"{error}\""))
+            .inspect_err(|error| log_event!(Event::ClaimReplyRejected, "error={}", Quoted(error)))
             .ok()
     }
 }
--- a/crates/daemon/src/control/configuration.rs
+++ b/crates/daemon/src/control/configuration.rs
@@ -15,6 +15,8 @@
 use wharfquay_resources::kinds::ResourceId;
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
+use crate::events::{Event, Quoted, log_event};
+
 /// Reads the configuration and publishes each revision.
 pub(super) struct Reader {
     client: Arc<Client>,
@@ -50,10 +52,12 @@
         let mut failures = 0;
         loop {
             match self.list_and_watch(&mut failures).await {
-                Ok(WatchEnd::Ended) => log::debug!("event=configuration_watch_ended"),
-                Ok(WatchEnd::Gap) => log::warn!("event=configuration_watch_gap"),
+                Ok(WatchEnd::Ended) => log_event!(Event::ConfigurationWatchEnded),
+                Ok(WatchEnd::Gap) => log_event!(Event::ConfigurationWatchGap),
                 Ok(WatchEnd::Older) => {}
-                Err(error) => log::warn!("event=configuration_read_failed error=\"{error}\""),
+                Err(error) => {
+                    log_event!(Event::ConfigurationReadFailed, "error={}", Quoted(error));
+                }
             }
             failures += 1;
             let delay = self.backoff.delay(failures, &mut rand::rng());
@@ -83,7 +87,10 @@
         if !self.acceptor.replace(list.version, objects) {
             let found = list.version.number();
             let in_force = self.revision().number();
-            log::warn!("event=configuration_older_ignored found={found} in_force={in_force}");
+            log_event!(
+                Event::ConfigurationOlderIgnored,
+                "found={found} in_force={in_force}"
+            );
             return false;
         }
         self.publish();
@@ -132,8 +139,6 @@
             return;
         }
         self.log_rejections();
-        let revision = self.revision().number();
-        log::info!("event=configuration_in_force revision={revision}");
         let snapshot = Arc::new(self.acceptor.snapshot().clone());
         self.published.send_replace(snapshot);
     }
@@ -153,10 +158,12 @@
 fn log_rejection(rejection: &Rejection) {
     let version = rejection.version.map_or(0, Revision::number);
     for finding in &rejection.findings {
-        log::warn!(
-            "event=resource_rejected resource={} version={version} last_good_in_force={} reason=\"{finding}\"",
+        log_event!(
+            Event::ResourceRejected,
+            "resource={} version={version} last_good_in_force={} reason={}",
             rejection.id,
             rejection.is_last_good_in_force,
+            Quoted(finding)
         );
     }
 }
@@ -173,7 +180,7 @@
 fn known_id(object: &Object) -> Option<ResourceId> {
     let id = resource_id(&object.key);
     if id.is_none() {
-        log::warn!("event=object_of_unknown_kind_ignored object={}", object.key);
+        log_event!(Event::ObjectOfUnknownKindIgnored, "object={}", object.key);
     }
     id
 }
--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -2,8 +2,10 @@
 
 mod transport;
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -21,6 +23,7 @@
 use crate::control::ControlAddresses;
 use crate::control::readers::{Reading, StoreReader};
 use crate::control::relay::{self, ConfigurationDelta};
+use crate::events::{Event, Quoted, RateLimit, log_event};
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
@@ -65,6 +68,8 @@
     client: Arc<Client>,
     reader: Option<StoreReader>,
     held: Arc<Snapshot>,
+    /// Bounds the log lines about messages that are dropped.
+    dropped: RateLimit,
     channels: Channels,
 }
 
@@ -130,6 +135,7 @@
             client,
             reader: None,
             held: Arc::new(Snapshot::default()),
+            dropped: RateLimit::default(),
             channels,
         };
         (task, sender)
@@ -225,10 +231,11 @@
                 let members = self.node.table().clone();
                 self.channels.members.send_replace(members);
             }
-            Effect::DeclaredDead(id) => log::warn!("event=member_dead id={id}"),
+            Effect::DeclaredDead(id) => log_event!(Event::MemberDead, "id={id}"),
             Effect::AdoptSnapshot(snapshot) => self.adopt_snapshot(&snapshot),
             Effect::AdoptDelta(delta) => self.adopt_delta(&delta),
-            Effect::Ready(revision) => log::info!("event=ready revision={revision}"),
+            // The configuration that is published now tells of it.
+            Effect::Ready(_) => {}
             Effect::Read(read) => self.read_store(read),
             Effect::ReadSnapshot => {
                 if let Some(reader) = &mut self.reader {
@@ -236,17 +243,30 @@
                 }
             }
             Effect::StoreOlder { store, held } => {
-                log::warn!("event=store_older_ignored found={store} in_force={held}");
+                log_event!(
+                    Event::ConfigurationOlderIgnored,
+                    "found={store} in_force={held}"
+                );
             }
             Effect::Compact(revision) => self.compact(revision),
             Effect::Dropped { source, reason } => {
-                log::warn!("event=control_message_dropped source={source} reason=\"{reason}\"");
+                self.log_dropped(source, &reason);
             }
         }
     }
 
+    fn log_dropped(&self, source: SocketAddr, reason: &dyn Display) {
+        if let Some(suppressed) = self.dropped.allow(Instant::now()) {
+            let reason = Quoted(reason);
+            log_event!(
+                Event::ControlMessageDropped,
+                "source={source} reason={reason} suppressed={suppressed}"
+            );
+        }
+    }
+
     fn read_store(&mut self, read: bool) {
-        log::info!("event=store_reader reading={read}");
+        log_event!(Event::StoreReader, "reading={read}");
         self.reader = read.then(|| StoreReader::start(Arc::clone(&self.client)));
     }
 
@@ -274,7 +294,7 @@
     fn compact(&mut self, revision: u64) {
         match relay::encode(&*self.held) {
             Ok(payload) => self.node.compacted(revision, payload),
-            Err(error) => log::error!("event=configuration_not_encoded error=\"{error}\""),
+            Err(error) => log_event!(Event::ConfigurationNotEncoded, "error={}", Quoted(error)),
         }
     }
 
@@ -288,8 +308,6 @@
         self.channels.snapshot.send_if_modified(|current| {
             let adopt = newer(current);
             if adopt {
-                let revision = held.revision.number();
-                log::info!("event=configuration_in_force revision={revision}");
                 *current = Arc::clone(held);
             }
             adopt
@@ -298,7 +316,11 @@
 }
 
 fn log_undecodable(revision: u64, error: &str) {
-    log::error!("event=configuration_undecodable revision={revision} error=\"{error}\"");
+    log_event!(
+        Event::ConfigurationUndecodable,
+        "revision={revision} error={}",
+        Quoted(error)
+    );
 }
 
 /// The next event of the reader; never when this daemon does not read.
--- a/crates/daemon/src/control/gossip/transport.rs
+++ b/crates/daemon/src/control/gossip/transport.rs
@@ -14,6 +14,7 @@
 use wharfquay_protocol::envelope::MAX_STREAM_MESSAGE;
 
 use crate::body::{AnswerBody, RequestBody};
+use crate::events::{Event, Quoted, log_event};
 use crate::peers::PeerPool;
 
 /// Path on the control listener that takes gossip and configuration messages.
@@ -102,7 +103,7 @@
             match self.socket.recv_from(&mut self.buffer).await {
                 Ok((length, source)) => return (source, self.buffer[..length].to_vec()),
                 Err(error) => {
-                    log::debug!("event=control_receive_failed error=\"{error}\"");
+                    log_event!(Event::ControlReceiveFailed, "error={}", Quoted(error));
                     tokio::time::sleep(SOCKET_ERROR_PAUSE).await;
                 }
             }
@@ -112,7 +113,7 @@
     /// Sends a datagram; one that can't be sent counts as lost.
     pub(super) async fn send(&self, to: SocketAddr, bytes: &[u8]) {
         if let Err(error) = self.socket.send_to(bytes, to).await {
-            log::debug!("event=control_send_failed to={to} error=\"{error}\"");
+            log_event!(Event::ControlSendFailed, "to={to} error={}", Quoted(error));
         }
     }
 }
@@ -146,7 +147,7 @@
         self.tasks.spawn(async move {
             let sent = tokio::time::timeout(STREAM_TIMEOUT, peers.send(to, request)).await;
             if !matches!(sent, Ok(Ok(_))) {
-                log::debug!("event=control_stream_failed to={to}");
+                log_event!(Event::ControlStreamFailed, "to={to}");
             }
         });
     }
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::connect::connect;
+use crate::events::{Event, Quoted, log_event};
 
 /// Longest answer of a health endpoint that is read, in bytes.
 const MAXIMUM_ANSWER: usize = 16 * 1024;
@@ -59,7 +60,7 @@
             let read = tokio::time::timeout(self.interval, self.read());
             match read.await.unwrap_or(Err(HealthError::Timeout)) {
                 Ok(state) => self.publish(state == HealthState::Leaving),
-                Err(error) => log::debug!("event=health_read_failed error=\"{error}\""),
+                Err(error) => log_event!(Event::HealthReadFailed, "error={}", Quoted(error)),
             }
             tokio::time::sleep(self.interval).await;
         }
@@ -94,7 +95,7 @@
             changed
         });
         if changed {
-            log::info!("event=backend_health_changed leaving={leaving}");
+            log_event!(Event::BackendHealthChanged, "leaving={leaving}");
         }
     }
 }
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -16,6 +16,7 @@
 
 use crate::control::ControlAddresses;
 use crate::control::endpoints::{self, EndpointTable, Placement};
+use crate::events::{Event, PlatformHealth, log_event};
 
 /// Polls are spread by up to this share of the interval, so that daemons don't poll together.
 const JITTER: f64 = 0.2;
@@ -28,6 +29,7 @@
     pub(super) own: OwnPlace,
     pub(super) sources: Sources,
     pub(super) outputs: Outputs,
+    pub(super) platform: Arc<PlatformHealth>,
 }
 
 /// Where this daemon stands.
@@ -61,15 +63,14 @@
     pub(super) async fn run(mut self) {
         let mut leaving = LeavingSet::new();
         let mut list = MachineList::default();
-        let mut reading = Box::pin(read(Arc::clone(&self.client), Duration::ZERO, list.version));
+        let mut reading = Box::pin(self.read_after(Duration::ZERO, list.version));
         loop {
             tokio::select! {
                 found = &mut reading => {
                     if let Some(found) = found {
                         take_over(&mut list, found);
                     }
-                    let client = Arc::clone(&self.client);
-                    reading = Box::pin(read(client, self.next_wait(), list.version));
+                    reading = Box::pin(self.read_after(self.next_wait(), list.version));
                 }
                 changed = self.sources.changed() => {
                     if changed.is_err() {
@@ -81,6 +82,20 @@
         }
     }
 
+    /// Reads the list after a wait; `None` when its version is still `known` or that fails.
+    fn read_after(
+        &self,
+        wait: Duration,
+        known: u64,
+    ) -> impl Future<Output = Option<MachineList>> + use<> {
+        read(
+            Arc::clone(&self.client),
+            Arc::clone(&self.platform),
+            wait,
+            known,
+        )
+    }
+
     fn next_wait(&self) -> Duration {
         let spread = 1.0 + JITTER * (rand::rng().random::<f64>() - 0.5);
         self.interval.mul_f64(spread)
@@ -162,19 +177,30 @@
 fn take_over(list: &mut MachineList, found: MachineList) {
     if found.version < list.version {
         let (found, in_force) = (found.version, list.version);
-        log::warn!("event=machine_list_older_ignored found={found} in_force={in_force}");
+        log_event!(
+            Event::MachineListOlderIgnored,
+            "found={found} in_force={in_force}"
+        );
         return;
     }
     *list = found;
 }
 
 /// Reads the list after `wait`; `None` when its version is still `known` or it can't be read.
-async fn read(client: Arc<Client>, wait: Duration, known: u64) -> Option<MachineList> {
+async fn read(
+    client: Arc<Client>,
+    platform: Arc<PlatformHealth>,
+    wait: Duration,
+    known: u64,
+) -> Option<MachineList> {
     tokio::time::sleep(wait).await;
     match client.machines_unless(known).await {
-        Ok(list) => list,
+        Ok(list) => {
+            platform.answered();
+            list
+        }
         Err(error) => {
-            log::warn!("event=machine_list_read_failed error=\"{error}\"");
+            platform.failed(&error);
             None
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::control::claims::Claims;
 use crate::control::gossip::{ControlSockets, GossipTask, StreamInbox};
+use crate::events::PlatformHealth;
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
@@ -54,6 +55,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Claims on idempotency keys.
     pub claims: Arc<Claims>,
+    /// Whether the platform answers.
+    pub platform: Arc<PlatformHealth>,
     /// Takes control messages that arrive over streams; absent without a control listener.
     pub(crate) inbox: Option<StreamInbox>,
     /// Tells the other daemons that this one leaves.
@@ -97,6 +100,7 @@
     let (addresses_sender, addresses) = watch::channel(Arc::new(ControlAddresses::default()));
     let (members_sender, members) = watch::channel(MemberTable::default());
     let (stopping, stopping_receiver) = watch::channel(false);
+    let platform = Arc::new(PlatformHealth::default());
     let limits = &settings.limits;
     let claims = Arc::new(Claims::new(
         &settings.id,
@@ -134,6 +138,7 @@
             leaving: leaving_sender,
             addresses: addresses_sender,
         },
+        platform: Arc::clone(&platform),
     };
     spawn_until(tasks, stop, poller.run());
     if let Some(poller) = health_poller(settings, health_sender) {
@@ -147,6 +152,7 @@
         claims,
         inbox,
         stopping,
+        platform,
     }
 }
 
--- a/crates/daemon/src/control/readers.rs
+++ b/crates/daemon/src/control/readers.rs
@@ -17,6 +17,7 @@
 use wharfquay_resources::spec::to_spec;
 
 use super::relay::{self, ConfigurationDelta};
+use crate::events::{Event, Quoted, log_event};
 
 /// Longest wait of a reader before it tries the store again.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(1);
@@ -80,16 +81,19 @@
                 Reading::Report(StoreReport::Revision(revision.number()))
             }
             SourceEvent::Unavailable { error, .. } => {
-                log::warn!("event=store_unavailable error=\"{error}\"");
+                log_event!(Event::ConfigurationReadFailed, "error={}", Quoted(error));
                 Reading::NoContact
             }
             SourceEvent::OlderStore { seen, answered } => {
                 let (seen, answered) = (seen.number(), answered.number());
-                log::warn!("event=store_older seen={seen} answered={answered}");
+                log_event!(
+                    Event::ConfigurationOlderIgnored,
+                    "found={answered} in_force={seen}"
+                );
                 Reading::Report(StoreReport::Revision(answered))
             }
             SourceEvent::DivergedStore { revision } => {
-                log::warn!("event=store_diverged revision={}", revision.number());
+                log_event!(Event::StoreDiverged, "revision={}", revision.number());
                 Reading::Nothing
             }
         }
@@ -163,7 +167,7 @@
         match encoded {
             Ok(report) => Reading::Report(report),
             Err(error) => {
-                log::error!("event=configuration_not_encoded error=\"{error}\"");
+                log_event!(Event::ConfigurationNotEncoded, "error={}", Quoted(error));
                 Reading::Nothing
             }
         }
@@ -196,9 +200,13 @@
 fn log_rejections(acceptance: &Acceptance) {
     for rejection in &acceptance.rejections {
         for finding in &rejection.findings {
-            log::warn!(
-                "event=resource_rejected object={} error=\"{finding}\"",
-                rejection.id
+            log_event!(
+                Event::ResourceRejected,
+                "resource={} version={} last_good_in_force={} reason={}",
+                rejection.id,
+                rejection.version.map_or(0, Revision::number),
+                rejection.is_last_good_in_force,
+                Quoted(finding)
             );
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -23,12 +23,13 @@
 use crate::control::{self, gossip::ControlSockets};
 use crate::decisions::DecisionLog;
 use crate::edge::EdgeHandler;
+use crate::events::{self, Event, Quoted, log_event};
 use crate::inbound::gate::AdmissionGate;
 use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
 use crate::listeners::{Addresses, Listeners, StartError};
 use crate::metrics::Metrics;
-use crate::node::{Applied, Node};
+use crate::node::{Applied, EventLimits, Node};
 use crate::outbound::routes::RouteTable;
 use crate::outbound::{Forwarder, OutboundHandler};
 use crate::pause::PauseDetector;
@@ -108,6 +109,7 @@
         pauses: PauseDetector::new(clock.now()),
         applied: Mutex::default(),
         decisions,
+        event_limits: EventLimits::default(),
         stopping: AtomicBool::new(false),
         in_flight: Arc::default(),
     })
@@ -155,13 +157,13 @@
             backend.gate.begin_drain();
         }
         let in_flight = self.node.calls_in_flight();
-        log::info!("event=stopping calls_in_flight={in_flight}");
+        log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         let left = self.drain().await;
         tokio::time::sleep_until(announced).await;
         self.stop.cancel();
         self.tasks.close();
         let _ = tokio::time::timeout(CLOSE_GRACE, self.tasks.wait()).await;
-        log::info!("event=stopped calls_cut={left}");
+        log_event!(Event::Stopped, "calls_cut={left}");
     }
 
     /// Waits for the calls in flight; gives how many were left at the limit.
@@ -178,8 +180,9 @@
         let show = |address: Option<SocketAddr>| {
             address.map_or_else(|| "none".to_owned(), |address| address.to_string())
         };
-        log::info!(
-            "event=started id={} zone={} edge={} inbound={} outbound={} control={} admin={}",
+        log_event!(
+            Event::Started,
+            "id={} zone={} edge={} inbound={} outbound={} control={} admin={}",
             settings.id,
             settings.zone,
             show(self.addresses.edge),
@@ -197,6 +200,8 @@
         self.spawn_until_stop(async move { apply_updates(&node, backend.as_deref()).await });
         let node = Arc::clone(&self.node);
         self.spawn_until_stop(async move { node.run_beats().await });
+        let observed = events::observe(Arc::clone(&self.node), self.backend.clone());
+        self.spawn_until_stop(observed);
         if let Some(backend) = self.backend.clone() {
             self.spawn_until_stop(async move { backend.gate.run_timer().await });
         }
@@ -271,7 +276,7 @@
             let acceptor = match TcpAcceptor::try_from(bound.listener) {
                 Ok(acceptor) => acceptor,
                 Err(error) => {
-                    log::error!("event=admin_failed error=\"{error}\"");
+                    log_event!(Event::AdminFailed, "error={}", Quoted(error));
                     return;
                 }
             };
@@ -279,7 +284,7 @@
             tokio::select! {
                 ended = server.try_serve(state.router()) => {
                     if let Err(error) = ended {
-                        log::error!("event=admin_failed error=\"{error}\"");
+                        log_event!(Event::AdminFailed, "error={}", Quoted(error));
                     }
                 }
                 () = stop.cancelled() => {}
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -3,7 +3,7 @@
 mod claimed;
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
@@ -11,7 +11,7 @@
 use wharfquay_core::call::{
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
-use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::{Priority, Rank};
 use wharfquay_core::retry::Ledger;
 use wharfquay_protocol::headers as names;
@@ -22,6 +22,7 @@
 use crate::answer::Failure;
 use crate::body::AnswerBody;
 use crate::decisions::DecisionTrace;
+use crate::events::{Event, log_event};
 use crate::metrics::Side;
 use crate::node::Node;
 use crate::outbound::call::{OutgoingCall, RequestHead, RetryAccount, backoff_for};
@@ -89,9 +90,32 @@
             account,
             trace,
         };
-        match key_to_claim {
+        let result = match key_to_claim {
             Some(key) => claimed::run(Arc::clone(&self.node), call, key, body).await,
             None => self.node.forwarder.forward(&call, body).await,
+        };
+        if let Err(failure) = &result
+            && !kind.repeatable
+        {
+            self.log_unknown_outcome(origin, kind, failure.code);
+        }
+        result
+    }
+
+    /// Writes the event of a request that must take effect at most once and may have run.
+    fn log_unknown_outcome(&self, origin: OriginId, kind: &RequestKind, code: ResultCode) {
+        if code.outcome() != OutcomeClass::Unknown {
+            return;
+        }
+        let limit = &self.node.event_limits.unknown_outcome;
+        if let Some(suppressed) = limit.allow(Instant::now()) {
+            log_event!(
+                Event::OutcomeUnknown,
+                "origin={:032x} request_kind={} result={} suppressed={suppressed}",
+                origin.as_u128(),
+                kind.name,
+                code.number()
+            );
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 mod decisions;
 mod edge;
+pub mod events;
 mod headers;
 mod inbound;
 mod listener;
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::events::{Event, Quoted, log_event};
 use crate::metrics::Metrics;
 
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
@@ -47,7 +48,11 @@
                 Err(error) => {
                     metrics.accept_failed();
                     let address = self.address;
-                    log::warn!("event=accept_failed listener={address} error=\"{error}\"");
+                    log_event!(
+                        Event::AcceptFailed,
+                        "listener={address} error={}",
+                        Quoted(error)
+                    );
                     tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
                 }
             }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -3,7 +3,11 @@
 use std::io::Write;
 
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
-use log::Record;
+use log::{Level, Record};
+
+use crate::events::{Event, Quoted};
+
+const EVENT_KEY: &str = "event=";
 
 /// Starts logging to standard error. The handle must be kept while logging is wanted.
 ///
@@ -21,11 +25,30 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> Result<(), std::io::Error> {
-    write!(
-        writer,
-        "time={} level={} {}",
-        now.format_rfc3339(),
+    let time = now.format_rfc3339();
+    let line = line(
+        &time,
         record.level(),
-        record.args()
-    )
+        record.target(),
+        &record.args().to_string(),
+    );
+    writer.write_all(line.as_bytes())
+}
+
+/// One log line: the event, the time, the level, and the event's fields. A message that is no event,
+/// such as a library's, becomes a `library_message`.
+#[must_use]
+pub fn line(time: &str, level: Level, target: &str, message: &str) -> String {
+    let event = message.strip_prefix(EVENT_KEY);
+    let Some(event) = event else {
+        let name = Event::LibraryMessage.name();
+        let message = Quoted(message);
+        return format!(
+            "{EVENT_KEY}{name} time={time} level={level} target={target} message={message}"
+        );
+    };
+    match event.split_once(' ') {
+        Some((name, fields)) => format!("{EVENT_KEY}{name} time={time} level={level} {fields}"),
+        None => format!("{EVENT_KEY}{event} time={time} level={level}"),
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 use http::{Method, Response};
 use wharfquay_core::outcome::ResultCode;
@@ -12,6 +13,7 @@
 use crate::clock::Clock;
 use crate::control::{ControlView, EndpointTable};
 use crate::decisions::DecisionLog;
+use crate::events::{Event, RateLimit, log_event};
 use crate::metrics::{Metrics, Side};
 use crate::outbound::Forwarder;
 use crate::pause::{BEAT_INTERVAL, PauseDetector};
@@ -39,10 +41,36 @@
     pub(crate) pauses: PauseDetector,
     pub(crate) applied: Mutex<Applied>,
     pub(crate) decisions: Arc<DecisionLog>,
+    pub(crate) event_limits: EventLimits,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: Arc<AtomicUsize>,
 }
 
+/// Bounds on the log lines about calls.
+#[derive(Debug, Default)]
+pub(crate) struct EventLimits {
+    malformed: RateLimit,
+    oversized: RateLimit,
+    invalid_context: RateLimit,
+    pub(crate) unknown_outcome: RateLimit,
+}
+
+impl EventLimits {
+    /// Writes the event of a request that can't be served as it is; most codes have none.
+    fn log_bad_request(&self, side: Side, code: ResultCode) {
+        let (event, limit) = match code {
+            ResultCode::MalformedRequest => (Event::RequestMalformed, &self.malformed),
+            ResultCode::RequestTooLarge => (Event::RequestOversized, &self.oversized),
+            ResultCode::InvalidContext => (Event::ContextInvalid, &self.invalid_context),
+            _ => return,
+        };
+        if let Some(suppressed) = limit.allow(Instant::now()) {
+            let (side, result) = (side.name(), code.number());
+            log_event!(event, "side={side} result={result} suppressed={suppressed}");
+        }
+    }
+}
+
 impl Node {
     /// The configuration in force.
     ///
@@ -61,7 +89,8 @@
         loop {
             tokio::time::sleep(BEAT_INTERVAL).await;
             if let Some(length) = self.pauses.beat(self.clock.now()) {
-                log::warn!("event=process_paused length_ms={}", length.as_millis());
+                let length_ms = length.as_millis();
+                log_event!(Event::ProcessPaused, "length_ms={length_ms}");
             }
         }
     }
@@ -106,8 +135,10 @@
         let mut response = ended.unwrap_or_else(Failure::into_response);
         let code = result(response.headers()).unwrap_or(ResultCode::MalformedAnswer);
         self.metrics.call_ended(side, code);
-        log::debug!(
-            "event=call_ended side={} result={} name={} outcome={}",
+        self.event_limits.log_bad_request(side, code);
+        log_event!(
+            Event::CallEnded,
+            "side={} result={} name={} outcome={}",
             side.name(),
             code.number(),
             code.name(),
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::body::RequestBody;
 use crate::connect::connect;
+use crate::events::{Event, Quoted, log_event};
 use crate::sync::lock;
 
 const STREAM_WINDOW: u32 = 1024 * 1024;
@@ -161,10 +162,8 @@
             }
             Err(error) => {
                 backoff.failed(Instant::now());
-                log::warn!(
-                    "event=peer_connect_failed peer={} error=\"{error}\"",
-                    self.address
-                );
+                let (peer, error) = (self.address, Quoted(error));
+                log_event!(Event::PeerConnectFailed, "peer={peer} error={error}");
                 None
             }
         }
@@ -189,9 +188,9 @@
             let ended = connection.await;
             let error = ended.err().map(|error| error.to_string());
             let error = error.unwrap_or_default();
-            log::debug!("event=peer_connection_closed peer={address} error=\"{error}\"");
+            log_event!(Event::PeerLost, "peer={address} error={}", Quoted(error));
         });
-        log::debug!("event=peer_connected peer={address}");
+        log_event!(Event::PeerConnected, "peer={address}");
         Ok(sender)
     }
 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::AnswerBody;
+use crate::events::{Event, Quoted, log_event};
 use crate::settings::LimitSettings;
 
 const STREAM_WINDOW: u32 = 1024 * 1024;
@@ -81,6 +82,6 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!("event=connection_ended error=\"{error}\"");
+        log_event!(Event::ConnectionEnded, "error={}", Quoted(error));
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/events.rs
@@ -0,0 +1,233 @@
+//! Log events: their form, and which of them a daemon in a process of its own writes.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use support::client::{self, Call};
+use support::deployment::{machine, standard_resources};
+use support::platform::PlatformStub;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_daemon::events::{Event, PlatformHealth, Quoted, RateLimit};
+use wharfquay_daemon::logging::line;
+
+#[test]
+fn a_line_begins_with_its_event_and_stays_one_line() {
+    let time = "2026-01-02T03:04:05Z";
+    let head = format!("time={time} level=INFO");
+    for (message, expected) in [
+        ("event=ready", format!("event=ready {head}")),
+        (
+            "event=ready revision=3",
+            format!("event=ready {head} revision=3"),
+        ),
+        (
+            "two\nlines \"quoted\"",
+            format!(r#"event=library_message {head} target=lib message="two\nlines \"quoted\"""#),
+        ),
+    ] {
+        assert_eq!(line(time, log::Level::Info, "lib", message), expected);
+    }
+    assert_eq!(Quoted("a\r\n\"b").to_string(), r#""a\r\n\"b""#);
+}
+
+#[test]
+fn a_rate_limited_event_tells_how_many_were_held_back() {
+    let limit = RateLimit::default();
+    let start = Instant::now();
+    let at = |millis| limit.allow(start + Duration::from_millis(millis));
+    let allowed: Vec<Option<u64>> = [0, 1, 500, 999, 1_000, 1_999, 5_000].map(at).to_vec();
+    let expected = [Some(0), None, None, None, Some(3), None, Some(1)];
+    assert_eq!(allowed, expected);
+}
+
+#[test]
+fn the_platform_is_available_until_an_attempt_fails() {
+    let health = PlatformHealth::default();
+    assert!(health.is_available());
+    for _ in 0..2 {
+        health.failed(&"no answer");
+        assert!(!health.is_available());
+    }
+    for _ in 0..2 {
+        health.answered();
+        assert!(health.is_available());
+    }
+}
+
+/// The names after `event=` in the sources of a crate.
+fn names_in_sources(directory: &Path, names: &mut BTreeSet<String>) {
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            names_in_sources(&path, names);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).unwrap();
+        for rest in text.split("\"event=").skip(1) {
+            let name: String = rest
+                .chars()
+                .take_while(|character| character.is_ascii_lowercase() || *character == '_')
+                .collect();
+            names.insert(name);
+        }
+    }
+}
+
+/// Crates without access to the catalogue, and modules that don't use it, keep to its names.
+#[test]
+fn every_event_in_the_sources_is_in_the_catalogue() {
+    let mut names = BTreeSet::new();
+    for name in ["daemon", "membership", "platform"] {
+        let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+        names_in_sources(&crates.join(name).join("src"), &mut names);
+    }
+    names.remove("");
+    let known: BTreeSet<String> = Event::ALL
+        .iter()
+        .map(|event| event.name().to_owned())
+        .collect();
+    assert_eq!(known.len(), Event::ALL.len(), "a name stands twice");
+    let unknown: Vec<&String> = names.difference(&known).collect();
+    assert!(
+        unknown.is_empty(),
+        "add to events/catalogue.rs: {unknown:?}"
+    );
+}
+
+/// A daemon in a process of its own, and the lines that it has written.
+struct LoggedDaemon {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl LoggedDaemon {
+    fn start(text: &str) -> Self {
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = file.join(format!("events-{}.toml", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wharfquayd"))
+            .arg("--config")
+            .arg(file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap());
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let written = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                written.lock().unwrap().push(line);
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// The lines of one event.
+    fn of(&self, event: Event) -> Vec<String> {
+        let prefix = format!("event={} ", event.name());
+        let lines = self.lines.lock().unwrap();
+        let found = lines.iter().filter(|line| line.starts_with(&prefix));
+        found.cloned().collect()
+    }
+
+    async fn wait_for(&self, event: Event) -> String {
+        support::eventually(event.name(), async || !self.of(event).is_empty()).await;
+        self.of(event).remove(0)
+    }
+}
+
+impl Drop for LoggedDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn field<'a>(line: &'a str, key: &str) -> &'a str {
+    let mut pairs = line
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    pairs.find(|(name, _)| *name == key).unwrap().1
+}
+
+/// The keys of a line; values in quotes may contain anything.
+fn keys(line: &str) -> Vec<String> {
+    let mut keys = Vec::new();
+    let mut rest = line;
+    while let Some((key, value)) = rest.split_once('=') {
+        keys.push(key.to_owned());
+        let end = if let Some(quoted) = value.strip_prefix('"') {
+            let closing = quoted.match_indices('"');
+            let mut closing = closing.filter(|(index, _)| !quoted[..*index].ends_with('\\'));
+            closing.next().unwrap().0 + 2
+        } else {
+            value.find(' ').unwrap_or(value.len())
+        };
+        rest = value[end..].trim_start();
+    }
+    keys
+}
+
+fn check_line(line: &str) {
+    let name = field(line, "event");
+    let event = Event::ALL.iter().find(|event| event.name() == name);
+    let event = event.unwrap_or_else(|| panic!("not in the catalogue: {line}"));
+    let mut expected = vec!["event", "time", "level"];
+    expected.extend(event.fields());
+    assert_eq!(keys(line), expected, "{line}");
+    assert_eq!(field(line, "level"), event.level().as_str(), "{line}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edge_writes_the_events_of_its_life() {
+    let platform = PlatformStub::start().await;
+    for resource in standard_resources(&["booking"]) {
+        platform.put(&resource);
+    }
+    let mut daemon = LoggedDaemon::start(&format!(
+        "id = \"edge\"\nzone = \"north\"\n\
+         [edge]\nlisten = \"127.0.0.1:0\"\n\
+         [admin]\nlisten = \"127.0.0.1:0\"\n\
+         [platform]\naddresses = [\"{}\"]\npoll_interval_ms = 50\n",
+        platform.address
+    ));
+    let started = daemon.wait_for(Event::Started).await;
+    daemon.wait_for(Event::Ready).await;
+    daemon.wait_for(Event::ConfigurationAdopted).await;
+    let call_address = "127.0.0.1:9".parse().unwrap();
+    for (state, event) in [
+        ("live", Event::EndpointAdded),
+        ("leaving", Event::EndpointLeaving),
+        ("live", Event::EndpointReturned),
+    ] {
+        platform.put_machine(machine("booking-1", "booking", call_address, state));
+        let line = daemon.wait_for(event).await;
+        assert_eq!(field(&line, "id"), "booking-1");
+    }
+    let edge = field(&started, "edge").parse().unwrap();
+    let begun = Instant::now();
+    for _ in 0..20 {
+        let call = Call::get("booking", "/").header("wharfquay-deadline-ms", "soon");
+        let answer = client::send(edge, call).await.unwrap();
+        assert_eq!(answer.code(), Some(ResultCode::MalformedRequest));
+    }
+    daemon.wait_for(Event::RequestMalformed).await;
+    let written = daemon.of(Event::RequestMalformed).len();
+    let seconds = usize::try_from(begun.elapsed().as_secs()).unwrap();
+    assert!(written <= 1 + seconds, "{written} lines in {seconds} s");
+    let process = daemon.child.id().to_string();
+    let killed = Command::new("kill").args(["-TERM", &process]).status();
+    assert!(killed.unwrap().success());
+    daemon.wait_for(Event::Stopping).await;
+    daemon.wait_for(Event::Stopped).await;
+    assert!(daemon.child.wait().unwrap().success());
+    for line in daemon.lines.lock().unwrap().iter() {
+        check_line(line);
+    }
+}
