Describe the operation of daemons, and take its tables from the code

Change: docs/OPERATIONS.md with running, admin pages, status fields, events, metrics, what to watch, and one section for each kind of failure; where something is not built the page says so. `metrics::catalogue` has each metric with kind, unit, labels, presence and help. New metrics: admitted and refused by priority, claims by verdict, requests and bytes on the control listener, ready, leaving, platform available, endpoints by state. `status::DaemonStatus` is the typed page; new in it are `unready_reason`, `drain` with its names, limit and calls left, `platform_available`, and incarnation and drains of each endpoint. The names that were served before are kept. The thresholds under "What to watch" follow from the mechanisms, not from measurements.

--- a/crates/cli/tests/with_daemon.rs
+++ b/crates/cli/tests/with_daemon.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use support::{TestPlatform, closed_address, repository_file, run};
 use wharfquay_daemon::settings::parse;
 use wharfquay_daemon::{Daemon, RunningDaemon};
@@ -57,6 +60,37 @@
     }
 }
 
+/// What the command reads of the daemon's status page is on it, under the same names.
+fn check_fit(admin: &str) {
+    let shown = run(&["status", "--daemon", admin, "--json"]);
+    let report: Value = serde_json::from_str(&shown.stdout).expect("JSON");
+    let read = &report["daemons"][0]["status"];
+    let read = read.as_object().expect("a status");
+    let page: Value = serde_json::from_str(&page(admin)).expect("JSON");
+    for (key, value) in read {
+        let Some(fields) = value.as_object() else {
+            assert_eq!(&page[key], value, "{key}");
+            continue;
+        };
+        for (field, value) in fields {
+            assert_eq!(&page[key][field], value, "{key}.{field}");
+        }
+    }
+}
+
+/// The status page as the daemon serves it.
+fn page(admin: &str) -> String {
+    let mut stream = TcpStream::connect(admin).expect("a connection");
+    let request = "GET /status HTTP/1.1\r\nhost: admin\r\nconnection: close\r\n\r\n";
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    let (_, body) = answer.split_once("\r\n\r\n").expect("a head");
+    body.to_owned()
+}
+
 #[test]
 fn a_running_daemon_is_shown_drained_and_taken_back() {
     let platform = TestPlatform::start();
@@ -74,6 +108,7 @@
         "{row}"
     );
     assert_eq!(cells[8], "open", "{row}");
+    check_fit(&admin);
 
     let drained = platform.run(&["drain", "zone", "ikeja", "--daemon", &admin]);
     assert_eq!(drained.code, 0, "{}", drained.stderr);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use salvo::conn::tcp::TcpAcceptor;
 use tokio::time::Instant;
@@ -239,9 +240,16 @@
         }
         if let Some(listener) = listeners.control {
             let control = self.node.control.clone();
+            let metrics = Arc::clone(&self.node.metrics);
             self.spawn_listener(listener, Protocols::Http2, move |request| {
                 let control = control.clone();
-                async move { control.serve(request).await }
+                let metrics = Arc::clone(&metrics);
+                async move {
+                    let received = request.body().size_hint().lower();
+                    let response = control.serve(request).await;
+                    metrics.control_request(received, response.body().size_hint().lower());
+                    response
+                }
             });
         }
         self.spawn_admin(listeners.admin);
--- a/crates/daemon/src/edge/claimed.rs
+++ b/crates/daemon/src/edge/claimed.rs
@@ -24,6 +24,7 @@
 use crate::answer::{Failure, set_result};
 use crate::body::AnswerBody;
 use crate::control::claims::{ClaimVerdict, ClaimedCall, DispatchPermit};
+use crate::metrics::ClaimResult;
 use crate::node::Node;
 use crate::outbound::call::{CallBody, OutgoingCall};
 
@@ -84,7 +85,13 @@
         fingerprint: fingerprint(call, &body),
         give_up_at: give_up_at(&call.context, node.clock.now()),
     };
-    match node.control.claims.claim(claimed).await {
+    let verdict = node.control.claims.claim(claimed).await;
+    node.metrics.claimed(match &verdict {
+        ClaimVerdict::Dispatch(_) => ClaimResult::Dispatch,
+        ClaimVerdict::Replay(_) => ClaimResult::Replay,
+        ClaimVerdict::Refuse(_) => ClaimResult::Refuse,
+    });
+    match verdict {
         ClaimVerdict::Dispatch(permit) => dispatch(node, call, body, permit).await,
         ClaimVerdict::Replay(answer) => replay(&answer),
         ClaimVerdict::Refuse(failure) => Err(failure),
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -23,7 +23,7 @@
 use crate::body::AnswerBody;
 use crate::decisions::DecisionTrace;
 use crate::events::{Event, log_event};
-use crate::metrics::Side;
+use crate::metrics::{Admission, Side};
 use crate::node::Node;
 use crate::outbound::call::{OutgoingCall, RequestHead, RetryAccount, backoff_for};
 use crate::request::{check_head_size, service_name};
@@ -76,6 +76,7 @@
             .match_request(&service, request.method().as_str(), request.uri().path())
             .ok_or_else(|| refuse(&trace, ResultCode::UnknownService))?;
         let context = self.context(&snapshot, kind, request.headers(), origin, &trace)?;
+        let priority = context.priority;
         let key_to_claim = claimed::key_to_claim(&snapshot, kind, context.idempotency_key);
         let account = RetryAccount {
             ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
@@ -94,6 +95,7 @@
             Some(key) => claimed::run(Arc::clone(&self.node), call, key, body).await,
             None => self.node.forwarder.forward(&call, body).await,
         };
+        self.count_admission(priority, &result);
         if let Err(failure) = &result
             && !kind.repeatable
         {
@@ -102,6 +104,18 @@
         result
     }
 
+    fn count_admission(&self, priority: Priority, result: &Result<Response<AnswerBody>, Failure>) {
+        let is_refused = result
+            .as_ref()
+            .is_err_and(|failure| failure.code.outcome() == OutcomeClass::NotRun);
+        let admission = if is_refused {
+            Admission::Refused
+        } else {
+            Admission::Admitted
+        };
+        self.node.metrics.decided(Side::Edge, priority, admission);
+    }
+
     /// Writes the event of a request that must take effect at most once and may have run.
     fn log_unknown_outcome(&self, origin: OriginId, kind: &RequestKind, code: ResultCode) {
         if code.outcome() != OutcomeClass::Unknown {
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -20,7 +20,7 @@
 use crate::headers::{remove_hop_by_hop, remove_internal_answer};
 use crate::inbound::dispatch::{self, Answered};
 use crate::inbound::gate::{AdmissionGate, Permit};
-use crate::metrics::Side;
+use crate::metrics::{Admission, Side};
 use crate::node::Node;
 use crate::scopes::OpenScope;
 
@@ -127,7 +127,14 @@
         self.check_open()?;
         let key = context.admission_key();
         let deadline = context.deadline;
-        let permit = self.backend.gate.enter(key, deadline).await?;
+        let admitted = self.backend.gate.enter(key, deadline).await;
+        let admission = match admitted {
+            Ok(_) => Admission::Admitted,
+            Err(_) => Admission::Refused,
+        };
+        let metrics = &self.node.metrics;
+        metrics.decided(Side::Inbound, context.priority, admission);
+        let permit = admitted?;
         let scope = self.node.scopes.open(context, permit.ticket());
         let deadline = self.node.clock.instant(deadline);
         let dispatched = dispatch::execute(&self.backend, &scope, request, deadline).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod scopes;
 mod server;
 pub mod settings;
+pub mod status;
 mod sync;
 
 pub use daemon::{Daemon, RunningDaemon};
--- /dev/null
+++ b/crates/daemon/src/metrics/catalogue.rs
@@ -0,0 +1,134 @@
+//! The names of all metrics, in one table; `docs/OPERATIONS.md` lists the same.
+
+/// How a metric's value moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It only grows.
+    Counter,
+    /// It goes up and down.
+    Gauge,
+}
+
+impl Kind {
+    /// The name in the text form of Prometheus.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+        }
+    }
+}
+
+/// Which daemons have a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Every daemon.
+    Always,
+    /// Daemons beside a back end.
+    BesideBackend,
+}
+
+macro_rules! metrics {
+    ($( $variant:ident = $name:literal, $kind:ident, $unit:literal, $labels:literal, $presence:ident, $help:literal; )+) => {
+        /// A metric of the daemon.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Metric {
+            $( #[doc = $help] $variant, )+
+        }
+
+        impl Metric {
+            /// Every metric, in the order of the page.
+            pub const ALL: &'static [Self] = &[$( Self::$variant, )+];
+
+            /// Its name.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $( Self::$variant => $name, )+ }
+            }
+
+            /// How its value moves.
+            #[must_use]
+            pub const fn kind(self) -> Kind {
+                match self { $( Self::$variant => Kind::$kind, )+ }
+            }
+
+            /// What it counts.
+            #[must_use]
+            pub const fn unit(self) -> &'static str {
+                match self { $( Self::$variant => $unit, )+ }
+            }
+
+            /// Names of its labels, separated by spaces.
+            #[must_use]
+            pub const fn labels(self) -> &'static str {
+                match self { $( Self::$variant => $labels, )+ }
+            }
+
+            /// Which daemons have it.
+            #[must_use]
+            pub const fn presence(self) -> Presence {
+                match self { $( Self::$variant => Presence::$presence, )+ }
+            }
+
+            /// What it means.
+            #[must_use]
+            pub const fn help(self) -> &'static str {
+                match self { $( Self::$variant => $help, )+ }
+            }
+        }
+    };
+}
+
+metrics! {
+    Calls = "wharfquay_calls_total", Counter, "calls", "side result name outcome", Always,
+        "Calls that ended, by side, result code and outcome class.";
+    CallsCancelled = "wharfquay_calls_cancelled_total", Counter, "calls", "side", Always,
+        "Calls whose caller went away before the answer.";
+    Admissions = "wharfquay_admissions_total", Counter, "calls", "side priority decision", Always,
+        "Calls by priority: at the edge refused means not run; at the inbound side, refused by admission.";
+    Retries = "wharfquay_retries_total", Counter, "retries", "", Always,
+        "Retries sent.";
+    Claims = "wharfquay_claims_total", Counter, "claims", "verdict", Always,
+        "Claims on idempotency keys that this edge asked for, by verdict.";
+    BodiesCut = "wharfquay_answer_bodies_cut_total", Counter, "answers", "", Always,
+        "Answers whose body broke off.";
+    AcceptErrors = "wharfquay_accept_errors_total", Counter, "connections", "", Always,
+        "Connections that could not be accepted.";
+    ControlRequests = "wharfquay_control_requests_total", Counter, "requests", "", Always,
+        "Requests on the control listener.";
+    ControlBytes = "wharfquay_control_bytes_total", Counter, "bytes", "direction", Always,
+        "Bodies on the control listener whose length was stated.";
+    Ready = "wharfquay_ready", Gauge, "0 or 1", "", Always,
+        "Whether the daemon can serve.";
+    Leaving = "wharfquay_leaving", Gauge, "0 or 1", "", Always,
+        "Whether the own back end is marked as leaving.";
+    ConfigurationRevision = "wharfquay_configuration_revision", Gauge, "revision", "", Always,
+        "Revision in force; 0 before the first one.";
+    PlatformAvailable = "wharfquay_platform_available", Gauge, "0 or 1", "", Always,
+        "Whether the platform answered the last read of the machine list.";
+    Endpoints = "wharfquay_endpoints", Gauge, "back ends", "state", Always,
+        "Back ends in the endpoint table, by state.";
+    CallsInFlight = "wharfquay_calls_in_flight", Gauge, "calls", "", Always,
+        "Calls that have not ended.";
+    PeersConnected = "wharfquay_peers_connected", Gauge, "daemons", "", Always,
+        "Daemons with an open connection for calls.";
+    ClaimEpoch = "wharfquay_claim_epoch", Gauge, "epoch", "", Always,
+        "Epoch of the claim group in force; 0 without one.";
+    ClaimVoting = "wharfquay_claim_voting", Gauge, "0 or 1", "", Always,
+        "Whether this daemon's replica votes.";
+    ClaimRecords = "wharfquay_claim_records", Gauge, "keys", "", Always,
+        "Idempotency keys that the replica remembers.";
+    ClaimContentBytes = "wharfquay_claim_content_bytes", Gauge, "bytes", "", Always,
+        "Bytes of answers that the replica keeps for repeats.";
+    AdmissionLevel = "wharfquay_admission_level", Gauge, "keys", "", BesideBackend,
+        "Admission level, 0 (closed) to 32768 (open).";
+    AdmissionInFlight = "wharfquay_admission_in_flight", Gauge, "calls", "", BesideBackend,
+        "Calls in execution at the back end.";
+    AdmissionLimit = "wharfquay_admission_limit", Gauge, "calls", "", BesideBackend,
+        "Concurrency limit in force.";
+    AdmissionQueued = "wharfquay_admission_queued", Gauge, "calls", "", BesideBackend,
+        "Calls that wait.";
+    BackendConnections = "wharfquay_backend_connections", Gauge, "connections", "", BesideBackend,
+        "Open connections to the back end.";
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/mod.rs
@@ -0,0 +1,269 @@
+//! Counters of one daemon.
+
+mod catalogue;
+mod render;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
+
+pub use catalogue::{Kind, Metric, Presence};
+pub use render::{Sample, render};
+
+/// The side of the daemon at which a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Requests of callers.
+    Edge,
+    /// Calls of other daemons for the local back end.
+    Inbound,
+    /// Calls of the local back end.
+    Outbound,
+}
+
+impl Side {
+    const ALL: [Self; 3] = [Self::Edge, Self::Inbound, Self::Outbound];
+
+    /// The name in metrics and log events.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Edge => "edge",
+            Self::Inbound => "inbound",
+            Self::Outbound => "outbound",
+        }
+    }
+}
+
+/// What was decided about a call of some priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It went on.
+    Admitted,
+    /// It was refused.
+    Refused,
+}
+
+impl Admission {
+    const ALL: [Self; 2] = [Self::Admitted, Self::Refused];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Admitted => "admitted",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+/// What came of a claim on an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimResult {
+    /// The call may be dispatched.
+    Dispatch,
+    /// The answer of an earlier attempt is on record.
+    Replay,
+    /// The call is refused.
+    Refuse,
+}
+
+impl ClaimResult {
+    const ALL: [Self; 3] = [Self::Dispatch, Self::Replay, Self::Refuse];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Dispatch => "dispatch",
+            Self::Replay => "replay",
+            Self::Refuse => "refuse",
+        }
+    }
+}
+
+const CODES: usize = ResultCode::ALL.len();
+const SIDES: usize = Side::ALL.len();
+const ADMISSIONS: usize = Admission::ALL.len();
+
+/// Counters of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    results: [[AtomicU64; CODES]; SIDES],
+    admissions: [[[AtomicU64; ADMISSIONS]; Priority::COUNT]; SIDES],
+    claims: [AtomicU64; ClaimResult::ALL.len()],
+    cancelled: [AtomicU64; SIDES],
+    retries: AtomicU64,
+    bodies_cut: AtomicU64,
+    accept_errors: AtomicU64,
+    control_requests: AtomicU64,
+    control_bytes_received: AtomicU64,
+    control_bytes_sent: AtomicU64,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let codes = || std::array::from_fn(|_| AtomicU64::new(0));
+        let admissions = || std::array::from_fn(|_| std::array::from_fn(|_| AtomicU64::new(0)));
+        Self {
+            results: std::array::from_fn(|_| codes()),
+            admissions: std::array::from_fn(|_| admissions()),
+            claims: std::array::from_fn(|_| AtomicU64::new(0)),
+            cancelled: std::array::from_fn(|_| AtomicU64::new(0)),
+            retries: AtomicU64::new(0),
+            bodies_cut: AtomicU64::new(0),
+            accept_errors: AtomicU64::new(0),
+            control_requests: AtomicU64::new(0),
+            control_bytes_received: AtomicU64::new(0),
+            control_bytes_sent: AtomicU64::new(0),
+        }
+    }
+}
+
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+fn read(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
+
+impl Metrics {
+    /// Counts the end of a call.
+    pub fn call_ended(&self, side: Side, code: ResultCode) {
+        let position = ResultCode::ALL.iter().position(|known| *known == code);
+        if let Some(position) = position {
+            count(&self.results[side as usize][position]);
+        }
+    }
+
+    /// Counts a call of a priority that was admitted or refused.
+    pub fn decided(&self, side: Side, priority: Priority, admission: Admission) {
+        count(&self.admissions[side as usize][priority.index()][admission as usize]);
+    }
+
+    /// Counts a claim on an idempotency key.
+    pub fn claimed(&self, result: ClaimResult) {
+        count(&self.claims[result as usize]);
+    }
+
+    /// Counts a call whose caller went away before its answer.
+    pub fn call_cancelled(&self, side: Side) {
+        count(&self.cancelled[side as usize]);
+    }
+
+    /// Calls at this side whose caller went away before their answer.
+    #[must_use]
+    pub fn cancelled(&self, side: Side) -> u64 {
+        read(&self.cancelled[side as usize])
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self) {
+        count(&self.retries);
+    }
+
+    /// Counts an answer whose body broke off.
+    pub fn body_cut(&self) {
+        count(&self.bodies_cut);
+    }
+
+    /// Counts a connection that could not be accepted.
+    pub fn accept_failed(&self) {
+        count(&self.accept_errors);
+    }
+
+    /// Counts a request on the control listener and the stated lengths of its bodies, in bytes.
+    pub fn control_request(&self, received: u64, sent: u64) {
+        count(&self.control_requests);
+        let received_counter = &self.control_bytes_received;
+        received_counter.fetch_add(received, Ordering::Relaxed);
+        self.control_bytes_sent.fetch_add(sent, Ordering::Relaxed);
+    }
+
+    /// Calls that ended with this code at this side.
+    #[must_use]
+    pub fn results(&self, side: Side, code: ResultCode) -> u64 {
+        let position = ResultCode::ALL.iter().position(|known| *known == code);
+        position.map_or(0, |position| read(&self.results[side as usize][position]))
+    }
+
+    /// Retries sent so far.
+    #[must_use]
+    pub fn retries(&self) -> u64 {
+        read(&self.retries)
+    }
+
+    /// The value of every counter; counters with labels have a sample once they are above zero.
+    #[must_use]
+    pub fn samples(&self) -> Vec<Sample> {
+        let mut samples = vec![
+            Sample::plain(Metric::Retries, read(&self.retries)),
+            Sample::plain(Metric::BodiesCut, read(&self.bodies_cut)),
+            Sample::plain(Metric::AcceptErrors, read(&self.accept_errors)),
+            Sample::plain(Metric::ControlRequests, read(&self.control_requests)),
+        ];
+        let mut labelled = self.results_samples();
+        labelled.extend(self.cancelled_samples());
+        labelled.extend(self.admission_samples());
+        labelled.extend(self.claim_samples());
+        labelled.extend(self.control_byte_samples());
+        samples.extend(labelled.into_iter().filter(|sample| sample.value > 0));
+        samples
+    }
+
+    fn results_samples(&self) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        for side in Side::ALL {
+            for (code, counter) in ResultCode::ALL.iter().zip(&self.results[side as usize]) {
+                let labels = format!(
+                    "side=\"{}\",result=\"{}\",name=\"{}\",outcome=\"{}\"",
+                    side.name(),
+                    code.number(),
+                    code.name(),
+                    code.outcome().as_str(),
+                );
+                samples.push(Sample::labelled(Metric::Calls, labels, read(counter)));
+            }
+        }
+        samples
+    }
+
+    fn cancelled_samples(&self) -> [Sample; SIDES] {
+        Side::ALL.map(|side| {
+            let labels = format!("side=\"{}\"", side.name());
+            Sample::labelled(Metric::CallsCancelled, labels, self.cancelled(side))
+        })
+    }
+
+    fn admission_samples(&self) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        for side in Side::ALL {
+            for (priority, counters) in self.admissions[side as usize].iter().enumerate() {
+                for admission in Admission::ALL {
+                    let (side, decision) = (side.name(), admission.name());
+                    let labels =
+                        format!("side=\"{side}\",priority=\"{priority}\",decision=\"{decision}\"");
+                    let value = read(&counters[admission as usize]);
+                    samples.push(Sample::labelled(Metric::Admissions, labels, value));
+                }
+            }
+        }
+        samples
+    }
+
+    fn claim_samples(&self) -> [Sample; ClaimResult::ALL.len()] {
+        ClaimResult::ALL.map(|result| {
+            let labels = format!("verdict=\"{}\"", result.name());
+            Sample::labelled(Metric::Claims, labels, read(&self.claims[result as usize]))
+        })
+    }
+
+    fn control_byte_samples(&self) -> [Sample; 2] {
+        [
+            ("received", &self.control_bytes_received),
+            ("sent", &self.control_bytes_sent),
+        ]
+        .map(|(direction, counter)| {
+            let labels = format!("direction=\"{direction}\"");
+            Sample::labelled(Metric::ControlBytes, labels, read(counter))
+        })
+    }
+}
