Test the events of a drain and of a platform that stays down

Change: two processes of wharfquayd; one whose back end the machine list marks as leaving and takes back, one whose platform never answers and whose log must tell that once while its attempts go on.

--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -4,13 +4,14 @@
 
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use support::client::{self, Call};
-use support::deployment::{machine, standard_resources};
+use support::deployment::{machine, member_text, standard_resources};
 use support::platform::PlatformStub;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_daemon::events::{Event, PlatformHealth, Quoted, RateLimit};
@@ -107,9 +108,9 @@
 }
 
 impl LoggedDaemon {
-    fn start(text: &str) -> Self {
+    fn start(name: &str, text: &str) -> Self {
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = file.join(format!("events-{}.toml", std::process::id()));
+        let file = file.join(format!("events-{name}-{}.toml", std::process::id()));
         std::fs::write(&file, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_wharfquayd"))
             .arg("--config")
@@ -137,8 +138,19 @@
     }
 
     async fn wait_for(&self, event: Event) -> String {
-        support::eventually(event.name(), async || !self.of(event).is_empty()).await;
-        self.of(event).remove(0)
+        self.wait_for_lines(event, 1).await.remove(0)
+    }
+
+    async fn wait_for_lines(&self, event: Event, count: usize) -> Vec<String> {
+        support::eventually(event.name(), async || self.of(event).len() >= count).await;
+        self.of(event)
+    }
+
+    /// Every line has the name, the level and the fields of an event of the catalogue.
+    fn check_lines(&self) {
+        for line in self.lines.lock().unwrap().iter() {
+            check_line(line);
+        }
     }
 }
 
@@ -190,13 +202,16 @@
     for resource in standard_resources(&["booking"]) {
         platform.put(&resource);
     }
-    let mut daemon = LoggedDaemon::start(&format!(
-        "id = \"edge\"\nzone = \"north\"\n\
+    let mut daemon = LoggedDaemon::start(
+        "edge",
+        &format!(
+            "id = \"edge\"\nzone = \"north\"\n\
          [edge]\nlisten = \"127.0.0.1:0\"\n\
          [admin]\nlisten = \"127.0.0.1:0\"\n\
          [platform]\naddresses = [\"{}\"]\npoll_interval_ms = 50\n",
-        platform.address
-    ));
+            platform.address
+        ),
+    );
     let started = daemon.wait_for(Event::Started).await;
     daemon.wait_for(Event::Ready).await;
     daemon.wait_for(Event::ConfigurationAdopted).await;
@@ -227,7 +242,52 @@
     daemon.wait_for(Event::Stopping).await;
     daemon.wait_for(Event::Stopped).await;
     assert!(daemon.child.wait().unwrap().success());
-    for line in daemon.lines.lock().unwrap().iter() {
-        check_line(line);
+    daemon.check_lines();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_is_followed_and_a_repeated_failure_is_not_repeated() {
+    let platform = PlatformStub::start().await;
+    for resource in standard_resources(&["booking"]) {
+        platform.put(&resource);
     }
+    let nobody: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let text = member_text(
+        platform.address,
+        "booking-1",
+        "booking",
+        nobody,
+        "127.0.0.1:0",
+    );
+    let daemon = LoggedDaemon::start("member", &text);
+    let started = daemon.wait_for(Event::Started).await;
+    let inbound = field(&started, "inbound").parse().unwrap();
+    for (state, event) in [
+        ("leaving", Event::DrainStarted),
+        ("leaving", Event::DrainFinished),
+        ("live", Event::DrainWithdrawn),
+    ] {
+        platform.put_machine(machine("booking-1", "booking", inbound, state));
+        daemon.wait_for(event).await;
+    }
+    daemon.check_lines();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_that_stays_down_is_told_once() {
+    let text = member_text(
+        "127.0.0.1:9".parse().unwrap(),
+        "booking-1",
+        "booking",
+        "127.0.0.1:9".parse().unwrap(),
+        "127.0.0.1:0",
+    );
+    let daemon = LoggedDaemon::start("alone", &text);
+    // Attempts go on, as the reader's lines show.
+    daemon
+        .wait_for_lines(Event::ConfigurationReadFailed, 3)
+        .await;
+    assert_eq!(daemon.of(Event::PlatformUnavailable).len(), 1);
+    assert!(daemon.of(Event::Ready).is_empty());
+    daemon.check_lines();
 }
