Write many endpoint changes as one event

Change: up to 32 changes of one table are written one by one, more as `endpoints_changed` with their numbers. Ruled out: leaving the first table out, which would hide what a small deployment starts with.

--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -90,6 +90,8 @@
     EndpointRemoved = "endpoint_removed", Info, ["service", "id", "zone"], "A back end is no longer in the endpoint table.";
     EndpointLeaving = "endpoint_leaving", Info, ["service", "id", "zone"], "A back end gets no new work from here.";
     EndpointReturned = "endpoint_returned", Info, ["service", "id", "zone"], "A back end that was leaving gets new work again.";
+    EndpointsChanged = "endpoints_changed", Info, ["added", "removed", "leaving", "returned"],
+        "More than 32 such changes at a time, as numbers instead of the four events above.";
     LevelClosed = "level_closed", Warn, ["level", "limit", "in_flight", "queued"],
         "The admission level of the own back end fell below open; looked at once a second.";
     LevelOpened = "level_opened", Info, ["after_ms"], "The admission level is fully open again.";
--- a/crates/daemon/src/events/endpoints.rs
+++ b/crates/daemon/src/events/endpoints.rs
@@ -9,28 +9,62 @@
 
 type ByName<'a> = BTreeMap<(&'a str, &'a str), &'a EndpointRecord>;
 
-/// Writes one event for each endpoint that came, left, is leaving or returned.
+/// Most changes of one table that are written one by one.
+const MAXIMUM_LINES: usize = 32;
+
+/// The changes between two tables, as the events that tell them.
+type Changes<'a> = Vec<(Event, &'a str, &'a EndpointRecord)>;
+
+/// Writes one event for each endpoint that came, left, is leaving or returned; one for all of them
+/// when they are many.
 pub(super) fn log_changes(before: &EndpointTable, after: &EndpointTable) {
+    let changes = changes(before, after);
+    if changes.len() > MAXIMUM_LINES {
+        log_counts(&changes);
+        return;
+    }
+    for (event, service, record) in changes {
+        let (id, zone) = (&record.id, &record.zone);
+        log_event!(event, "service={service} id={id} zone={zone}");
+    }
+}
+
+fn changes<'a>(before: &'a EndpointTable, after: &'a EndpointTable) -> Changes<'a> {
     let before = by_name(before);
     let after = by_name(after);
+    let mut changes = Changes::new();
     for (name, record) in &after {
-        match before.get(name) {
-            None => {
-                log_endpoint(Event::EndpointAdded, name.0, record);
-                if is_leaving(record) {
-                    log_endpoint(Event::EndpointLeaving, name.0, record);
-                }
-            }
-            Some(known) if is_leaving(known) == is_leaving(record) => {}
-            Some(_) if is_leaving(record) => log_endpoint(Event::EndpointLeaving, name.0, record),
-            Some(_) => log_endpoint(Event::EndpointReturned, name.0, record),
+        let known = before.get(name);
+        if known.is_none() {
+            changes.push((Event::EndpointAdded, name.0, record));
+        }
+        match (
+            known.is_some_and(|known| is_leaving(known)),
+            is_leaving(record),
+        ) {
+            (false, true) => changes.push((Event::EndpointLeaving, name.0, record)),
+            (true, false) => changes.push((Event::EndpointReturned, name.0, record)),
+            (false, false) | (true, true) => {}
         }
     }
     for (name, record) in before {
         if !after.contains_key(&name) {
-            log_endpoint(Event::EndpointRemoved, name.0, record);
+            changes.push((Event::EndpointRemoved, name.0, record));
         }
     }
+    changes
+}
+
+fn log_counts(changes: &Changes<'_>) {
+    let count = |event| changes.iter().filter(|change| change.0 == event).count();
+    log_event!(
+        Event::EndpointsChanged,
+        "added={} removed={} leaving={} returned={}",
+        count(Event::EndpointAdded),
+        count(Event::EndpointRemoved),
+        count(Event::EndpointLeaving),
+        count(Event::EndpointReturned)
+    );
 }
 
 fn by_name(table: &EndpointTable) -> ByName<'_> {
@@ -43,12 +77,3 @@
 fn is_leaving(record: &EndpointRecord) -> bool {
     record.state == EndpointState::Leaving
 }
-
-fn log_endpoint(event: Event, service: &str, record: &EndpointRecord) {
-    log_event!(
-        event,
-        "service={service} id={} zone={}",
-        record.id,
-        record.zone
-    );
-}
--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -225,6 +225,16 @@
         let line = daemon.wait_for(event).await;
         assert_eq!(field(&line, "id"), "booking-1");
     }
+    // However a poll divides them, one part is large.
+    for number in 0..80 {
+        platform.put_machine(machine(
+            &format!("more-{number}"),
+            "booking",
+            call_address,
+            "live",
+        ));
+    }
+    daemon.wait_for(Event::EndpointsChanged).await;
     let edge = field(&started, "edge").parse().unwrap();
     let begun = Instant::now();
     for _ in 0..20 {
