--- a/crates/cli/tests/with_daemon.rs
+++ b/crates/cli/tests/with_daemon.rs
@@ -67,6 +67,7 @@
     let read = &report["daemons"][0]["status"];
     let read = read.as_object().expect("a status");
     let page: Value = serde_json::from_str(&page(admin)).expect("JSON");
+    assert_eq!(page["members_live"], 1, "gossip knows the daemon itself");
     for (key, value) in read {
         let Some(fields) = value.as_object() else {
             assert_eq!(&page[key], value, "{key}");
--- a/crates/daemon/src/admin/gauges.rs
+++ b/crates/daemon/src/admin/gauges.rs
@@ -22,6 +22,7 @@
         Sample::plain(Metric::ConfigurationRevision, status.revision),
         Sample::plain(Metric::CallsInFlight, status.calls_in_flight as u64),
         Sample::plain(Metric::PeersConnected, status.peers_connected as u64),
+        Sample::plain(Metric::MembersLive, status.members_live as u64),
     ];
     samples.extend(endpoint_gauges(&status.endpoints));
     samples.extend(claim_gauges(&status.claims));
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -30,6 +30,7 @@
             platform_available: control.platform.is_available(),
             calls_in_flight: self.node.calls_in_flight(),
             peers_connected: self.node.forwarder.peers().connected(),
+            members_live: control.members.borrow().live_count(),
             endpoints: self.endpoints(&snapshot, &applied.endpoints),
             admission: self.admission(),
             claims: self.claims(),
--- a/crates/daemon/src/control/gossip/mod.rs
+++ b/crates/daemon/src/control/gossip/mod.rs
@@ -24,6 +24,7 @@
 use crate::control::readers::{Reading, StoreReader};
 use crate::control::relay::{self, ConfigurationDelta};
 use crate::events::{Event, Quoted, RateLimit, log_event};
+use crate::metrics::Metrics;
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
@@ -54,6 +55,8 @@
     pub(super) machines: watch::Receiver<Arc<ControlAddresses>>,
     /// Whether this daemon was told to stop.
     pub(super) stopping: watch::Receiver<bool>,
+    /// Counts the datagrams.
+    pub(super) metrics: Arc<Metrics>,
 }
 
 /// The control plane's task.
@@ -129,7 +132,7 @@
             own_id: settings.id.clone(),
             seeds,
             node,
-            datagrams: Datagrams::new(sockets.datagrams),
+            datagrams: Datagrams::new(sockets.datagrams, Arc::clone(&channels.metrics)),
             streams: StreamSender::new(peers, tasks.clone(), sockets.control_address),
             inbox,
             client,
--- a/crates/daemon/src/control/gossip/transport.rs
+++ b/crates/daemon/src/control/gossip/transport.rs
@@ -15,6 +15,7 @@
 
 use crate::body::{AnswerBody, RequestBody};
 use crate::events::{Event, Quoted, log_event};
+use crate::metrics::{Direction, Metrics, Transport};
 use crate::peers::PeerPool;
 
 /// Path on the control listener that takes gossip and configuration messages.
@@ -87,13 +88,15 @@
 pub(super) struct Datagrams {
     socket: UdpSocket,
     buffer: Vec<u8>,
+    metrics: Arc<Metrics>,
 }
 
 impl Datagrams {
-    pub(super) fn new(socket: UdpSocket) -> Self {
+    pub(super) fn new(socket: UdpSocket, metrics: Arc<Metrics>) -> Self {
         Self {
             socket,
             buffer: vec![0; DATAGRAM_BUFFER],
+            metrics,
         }
     }
 
@@ -101,7 +104,10 @@
     pub(super) async fn receive(&mut self) -> (SocketAddr, Vec<u8>) {
         loop {
             match self.socket.recv_from(&mut self.buffer).await {
-                Ok((length, source)) => return (source, self.buffer[..length].to_vec()),
+                Ok((length, source)) => {
+                    self.count(Direction::Received, length);
+                    return (source, self.buffer[..length].to_vec());
+                }
                 Err(error) => {
                     log_event!(Event::ControlReceiveFailed, "error={}", Quoted(error));
                     tokio::time::sleep(SOCKET_ERROR_PAUSE).await;
@@ -112,10 +118,19 @@
 
     /// Sends a datagram; one that can't be sent counts as lost.
     pub(super) async fn send(&self, to: SocketAddr, bytes: &[u8]) {
-        if let Err(error) = self.socket.send_to(bytes, to).await {
-            log_event!(Event::ControlSendFailed, "to={to} error={}", Quoted(error));
+        match self.socket.send_to(bytes, to).await {
+            Ok(length) => self.count(Direction::Sent, length),
+            Err(error) => {
+                log_event!(Event::ControlSendFailed, "to={to} error={}", Quoted(error));
+            }
         }
     }
+
+    fn count(&self, direction: Direction, bytes: usize) {
+        let bytes = bytes as u64;
+        self.metrics
+            .control_message(Transport::Datagram, direction, bytes);
+    }
 }
 
 /// Sends messages over streams, each in a task of its own.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -32,6 +32,7 @@
 use crate::control::claims::Claims;
 use crate::control::gossip::{ControlSockets, GossipTask, StreamInbox};
 use crate::events::PlatformHealth;
+use crate::metrics::Metrics;
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
@@ -55,6 +56,8 @@
     pub leaving: watch::Receiver<bool>,
     /// Claims on idempotency keys.
     pub claims: Arc<Claims>,
+    /// The daemons that gossip knows.
+    pub members: watch::Receiver<MemberTable>,
     /// Whether the platform answers.
     pub platform: Arc<PlatformHealth>,
     /// Takes control messages that arrive over streams; absent without a control listener.
@@ -91,6 +94,7 @@
     clock: Clock,
     client: Arc<Client>,
     sockets: Option<ControlSockets>,
+    metrics: Arc<Metrics>,
     tasks: &TaskTracker,
     stop: &CancellationToken,
 ) -> ControlView {
@@ -116,6 +120,7 @@
         members: members_sender,
         machines: addresses,
         stopping: stopping_receiver.clone(),
+        metrics,
     };
     let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
     let backend = settings.backend.as_ref();
@@ -129,7 +134,7 @@
         },
         sources: machines::Sources {
             snapshot: snapshot.clone(),
-            members,
+            members: members.clone(),
             health,
             stopping: stopping_receiver,
         },
@@ -152,6 +157,7 @@
         claims,
         inbox,
         stopping,
+        members,
         platform,
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
 use crate::listeners::{Addresses, Listeners, StartError};
-use crate::metrics::Metrics;
+use crate::metrics::{Direction, Metrics, Transport};
 use crate::node::{Applied, EventLimits, Node};
 use crate::outbound::routes::RouteTable;
 use crate::outbound::{Forwarder, OutboundHandler};
@@ -93,7 +93,8 @@
         ..ClientSettings::default()
     };
     let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
-    let control = control::start(&settings, clock, client, sockets, tasks, stop);
+    let traffic = Arc::clone(&metrics);
+    let control = control::start(&settings, clock, client, sockets, traffic, tasks, stop);
     let routes = RouteTable::new(Zone::from(settings.zone.as_str()));
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
@@ -247,7 +248,9 @@
                 async move {
                     let received = request.body().size_hint().lower();
                     let response = control.serve(request).await;
-                    metrics.control_request(received, response.body().size_hint().lower());
+                    let sent = response.body().size_hint().lower();
+                    metrics.control_message(Transport::Stream, Direction::Received, received);
+                    metrics.control_message(Transport::Stream, Direction::Sent, sent);
                     response
                 }
             });
--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -48,7 +48,7 @@
     Stopping = "stopping", Info, ["calls_in_flight"], "A stop was asked for; new work is refused.";
     Stopped = "stopped", Info, ["calls_cut"], "The daemon ends; calls cut had not ended at the drain limit.";
     DrainStarted = "drain_started", Info, ["calls_in_flight"],
-        "The own back end is marked as leaving by a drain or the machine list; new work is refused.";
+        "The own back end is marked as leaving by a drain, the machine list or its health endpoint; new work is refused.";
     DrainFinished = "drain_finished", Info, ["after_ms"], "The last call in flight of the leaving back end has ended.";
     DrainWithdrawn = "drain_withdrawn", Info, ["after_ms"], "The own back end is no longer marked as leaving.";
     ConfigurationAdopted = "configuration_adopted", Info, ["revision", "previous"],
--- a/crates/daemon/src/metrics/catalogue.rs
+++ b/crates/daemon/src/metrics/catalogue.rs
@@ -95,10 +95,10 @@
         "Answers whose body broke off.";
     AcceptErrors = "wharfquay_accept_errors_total", Counter, "connections", "", Always,
         "Connections that could not be accepted.";
-    ControlRequests = "wharfquay_control_requests_total", Counter, "requests", "", Always,
-        "Requests on the control listener.";
-    ControlBytes = "wharfquay_control_bytes_total", Counter, "bytes", "direction", Always,
-        "Bodies on the control listener whose length was stated.";
+    ControlMessages = "wharfquay_control_messages_total", Counter, "messages", "transport direction", Always,
+        "Control messages: datagrams, and requests and answers on streams that other daemons opened.";
+    ControlBytes = "wharfquay_control_bytes_total", Counter, "bytes", "transport direction", Always,
+        "Length of these messages, without headers; on streams, as far as it was stated.";
     Ready = "wharfquay_ready", Gauge, "0 or 1", "", Always,
         "Whether the daemon can serve.";
     Leaving = "wharfquay_leaving", Gauge, "0 or 1", "", Always,
@@ -113,6 +113,8 @@
         "Calls that have not ended.";
     PeersConnected = "wharfquay_peers_connected", Gauge, "daemons", "", Always,
         "Daemons with an open connection for calls.";
+    MembersLive = "wharfquay_members_live", Gauge, "daemons", "", Always,
+        "Daemons that gossip takes for alive, this one included; 0 without a control listener.";
     ClaimEpoch = "wharfquay_claim_epoch", Gauge, "epoch", "", Always,
         "Epoch of the claim group in force; 0 without one.";
     ClaimVoting = "wharfquay_claim_voting", Gauge, "0 or 1", "", Always,
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -79,6 +79,53 @@
     }
 }
 
+/// How a control message travels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transport {
+    /// As one datagram.
+    Datagram,
+    /// As the body of a request or an answer.
+    Stream,
+}
+
+impl Transport {
+    const ALL: [Self; 2] = [Self::Datagram, Self::Stream];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Datagram => "datagram",
+            Self::Stream => "stream",
+        }
+    }
+}
+
+/// Which way a control message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// To this daemon.
+    Received,
+    /// From this daemon.
+    Sent,
+}
+
+impl Direction {
+    const ALL: [Self; 2] = [Self::Received, Self::Sent];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Received => "received",
+            Self::Sent => "sent",
+        }
+    }
+}
+
+/// Number and size of control messages.
+#[derive(Debug, Default)]
+struct Traffic {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
 const CODES: usize = ResultCode::ALL.len();
 const SIDES: usize = Side::ALL.len();
 const ADMISSIONS: usize = Admission::ALL.len();
@@ -93,9 +140,7 @@
     retries: AtomicU64,
     bodies_cut: AtomicU64,
     accept_errors: AtomicU64,
-    control_requests: AtomicU64,
-    control_bytes_received: AtomicU64,
-    control_bytes_sent: AtomicU64,
+    control: [[Traffic; Direction::ALL.len()]; Transport::ALL.len()],
 }
 
 impl Default for Metrics {
@@ -110,9 +155,7 @@
             retries: AtomicU64::new(0),
             bodies_cut: AtomicU64::new(0),
             accept_errors: AtomicU64::new(0),
-            control_requests: AtomicU64::new(0),
-            control_bytes_received: AtomicU64::new(0),
-            control_bytes_sent: AtomicU64::new(0),
+            control: Default::default(),
         }
     }
 }
@@ -170,12 +213,11 @@
         count(&self.accept_errors);
     }
 
-    /// Counts a request on the control listener and the stated lengths of its bodies, in bytes.
-    pub fn control_request(&self, received: u64, sent: u64) {
-        count(&self.control_requests);
-        let received_counter = &self.control_bytes_received;
-        received_counter.fetch_add(received, Ordering::Relaxed);
-        self.control_bytes_sent.fetch_add(sent, Ordering::Relaxed);
+    /// Counts a control message and its length.
+    pub fn control_message(&self, transport: Transport, direction: Direction, bytes: u64) {
+        let traffic = &self.control[transport as usize][direction as usize];
+        count(&traffic.messages);
+        traffic.bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// Calls that ended with this code at this side.
@@ -198,13 +240,12 @@
             Sample::plain(Metric::Retries, read(&self.retries)),
             Sample::plain(Metric::BodiesCut, read(&self.bodies_cut)),
             Sample::plain(Metric::AcceptErrors, read(&self.accept_errors)),
-            Sample::plain(Metric::ControlRequests, read(&self.control_requests)),
         ];
         let mut labelled = self.results_samples();
         labelled.extend(self.cancelled_samples());
         labelled.extend(self.admission_samples());
         labelled.extend(self.claim_samples());
-        labelled.extend(self.control_byte_samples());
+        labelled.extend(self.control_samples());
         samples.extend(labelled.into_iter().filter(|sample| sample.value > 0));
         samples
     }
@@ -256,14 +297,23 @@
         })
     }
 
-    fn control_byte_samples(&self) -> [Sample; 2] {
-        [
-            ("received", &self.control_bytes_received),
-            ("sent", &self.control_bytes_sent),
-        ]
-        .map(|(direction, counter)| {
-            let labels = format!("direction=\"{direction}\"");
-            Sample::labelled(Metric::ControlBytes, labels, read(counter))
-        })
+    fn control_samples(&self) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        for transport in Transport::ALL {
+            for direction in Direction::ALL {
+                let traffic = &self.control[transport as usize][direction as usize];
+                let (transport, direction) = (transport.name(), direction.name());
+                let labels = format!("transport=\"{transport}\",direction=\"{direction}\"");
+                let messages = read(&traffic.messages);
+                let bytes = read(&traffic.bytes);
+                samples.push(Sample::labelled(
+                    Metric::ControlMessages,
+                    labels.clone(),
+                    messages,
+                ));
+                samples.push(Sample::labelled(Metric::ControlBytes, labels, bytes));
+            }
+        }
+        samples
     }
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -29,6 +29,8 @@
     pub calls_in_flight: usize,
     /// Daemons with an open connection for calls.
     pub peers_connected: usize,
+    /// Daemons that gossip takes for alive, this one included; 0 without a control listener.
+    pub members_live: usize,
     /// The endpoint table, in order of service.
     pub endpoints: Vec<EndpointStatus>,
     /// Admission at the back end; null at an edge.
@@ -40,7 +42,8 @@
 /// A drain of the daemon's own back end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainStatus {
-    /// Names of the drains that cover the back end; empty when only the machine list says so.
+    /// Names of the drains that cover the back end; empty when only the machine list or the health
+    /// endpoint says so.
     pub drains: Vec<String>,
     /// Longest time that calls in flight may take by the shortest of these drains, in milliseconds;
     /// null without a drain.
