Wait for the configuration in the tests of decisions

Cause: the tests waited until the endpoint was listed, which can come before the configuration is applied; the first request then got UnknownService (seen once, at a load average above 70). Change: they wait until the daemon is ready as well.

--- a/crates/daemon/tests/decisions.rs
+++ b/crates/daemon/tests/decisions.rs
@@ -118,8 +118,9 @@
             daemon,
             _platform: platform,
         };
-        support::eventually("the endpoint is known", async || {
-            edge.page("/status").await.text().contains("booking-1")
+        support::eventually("configuration and endpoint are applied", async || {
+            let status = edge.page("/status").await.text();
+            status.contains("\"ready\":true") && status.contains("booking-1")
         })
         .await;
         edge
