--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -31,6 +31,8 @@
 use crate::clock::Clock;
 use crate::control::claims::Claims;
 use crate::control::gossip::{ControlSockets, GossipTask, StreamInbox};
+use crate::events::PlatformHealth;
+use crate::metrics::Metrics;
 use crate::peers::PeerPool;
 use crate::settings::Settings;
 
@@ -54,6 +56,10 @@
     pub leaving: watch::Receiver<bool>,
     /// Claims on idempotency keys.
     pub claims: Arc<Claims>,
+    /// The daemons that gossip knows.
+    pub members: watch::Receiver<MemberTable>,
+    /// Whether the platform answers.
+    pub platform: Arc<PlatformHealth>,
     /// Takes control messages that arrive over streams; absent without a control listener.
     pub(crate) inbox: Option<StreamInbox>,
     /// Tells the other daemons that this one leaves.
@@ -88,6 +94,7 @@
     clock: Clock,
     client: Arc<Client>,
     sockets: Option<ControlSockets>,
+    metrics: Arc<Metrics>,
     tasks: &TaskTracker,
     stop: &CancellationToken,
 ) -> ControlView {
@@ -97,6 +104,7 @@
     let (addresses_sender, addresses) = watch::channel(Arc::new(ControlAddresses::default()));
     let (members_sender, members) = watch::channel(MemberTable::default());
     let (stopping, stopping_receiver) = watch::channel(false);
+    let platform = Arc::new(PlatformHealth::default());
     let limits = &settings.limits;
     let claims = Arc::new(Claims::new(
         &settings.id,
@@ -112,6 +120,7 @@
         members: members_sender,
         machines: addresses,
         stopping: stopping_receiver.clone(),
+        metrics,
     };
     let inbox = start_reading(settings, clock, &client, sockets, channels, tasks, stop);
     let backend = settings.backend.as_ref();
@@ -125,7 +134,7 @@
         },
         sources: machines::Sources {
             snapshot: snapshot.clone(),
-            members,
+            members: members.clone(),
             health,
             stopping: stopping_receiver,
         },
@@ -134,6 +143,7 @@
             leaving: leaving_sender,
             addresses: addresses_sender,
         },
+        platform: Arc::clone(&platform),
     };
     spawn_until(tasks, stop, poller.run());
     if let Some(poller) = health_poller(settings, health_sender) {
@@ -147,6 +157,8 @@
         claims,
         inbox,
         stopping,
+        members,
+        platform,
     }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use salvo::conn::tcp::TcpAcceptor;
 use tokio::time::Instant;
@@ -21,13 +22,15 @@
 use crate::body::AnswerBody;
 use crate::clock::Clock;
 use crate::control::{self, gossip::ControlSockets};
+use crate::decisions::DecisionLog;
 use crate::edge::EdgeHandler;
+use crate::events::{self, Event, Quoted, log_event};
 use crate::inbound::gate::AdmissionGate;
 use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
 use crate::listeners::{Addresses, Listeners, StartError};
-use crate::metrics::Metrics;
-use crate::node::{Applied, Node};
+use crate::metrics::{Direction, Metrics, Transport};
+use crate::node::{Applied, EventLimits, Node};
 use crate::outbound::routes::RouteTable;
 use crate::outbound::{Forwarder, OutboundHandler};
 use crate::pause::PauseDetector;
@@ -90,11 +93,14 @@
         ..ClientSettings::default()
     };
     let client = Arc::new(Client::new(platform.addresses.clone(), client_settings));
-    let control = control::start(&settings, clock, client, sockets, tasks, stop);
+    let traffic = Arc::clone(&metrics);
+    let control = control::start(&settings, clock, client, sockets, traffic, tasks, stop);
     let routes = RouteTable::new(Zone::from(settings.zone.as_str()), &settings.id);
     let limits = settings.limits;
     let peers = PeerPool::new(limits.connect_timeout(), limits.header_bytes);
     let forwarder = Forwarder::new(clock, routes, peers, Arc::clone(&metrics));
+    let capacity = settings.admin.decision_records as usize;
+    let decisions = DecisionLog::new(&settings.id, capacity, control.endpoints.clone());
     Arc::new(Node {
         settings,
         clock,
@@ -104,6 +110,8 @@
         metrics,
         pauses: PauseDetector::new(clock.now()),
         applied: Mutex::default(),
+        decisions,
+        event_limits: EventLimits::default(),
         stopping: AtomicBool::new(false),
         in_flight: Arc::default(),
     })
@@ -151,13 +159,13 @@
             backend.gate.begin_drain();
         }
         let in_flight = self.node.calls_in_flight();
-        log::info!("event=stopping calls_in_flight={in_flight}");
+        log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         let left = self.drain().await;
         tokio::time::sleep_until(announced).await;
         self.stop.cancel();
         self.tasks.close();
         let _ = tokio::time::timeout(CLOSE_GRACE, self.tasks.wait()).await;
-        log::info!("event=stopped calls_cut={left}");
+        log_event!(Event::Stopped, "calls_cut={left}");
     }
 
     /// Waits for the calls in flight; gives how many were left at the limit.
@@ -174,8 +182,9 @@
         let show = |address: Option<SocketAddr>| {
             address.map_or_else(|| "none".to_owned(), |address| address.to_string())
         };
-        log::info!(
-            "event=started id={} zone={} edge={} inbound={} outbound={} control={} admin={}",
+        log_event!(
+            Event::Started,
+            "id={} zone={} edge={} inbound={} outbound={} control={} admin={}",
             settings.id,
             settings.zone,
             show(self.addresses.edge),
@@ -193,6 +202,8 @@
         self.spawn_until_stop(async move { apply_updates(&node, backend.as_deref()).await });
         let node = Arc::clone(&self.node);
         self.spawn_until_stop(async move { node.run_beats().await });
+        let observed = events::observe(Arc::clone(&self.node), self.backend.clone());
+        self.spawn_until_stop(observed);
         if let Some(backend) = self.backend.clone() {
             self.spawn_until_stop(async move { backend.gate.run_timer().await });
         }
@@ -230,9 +241,18 @@
         }
         if let Some(listener) = listeners.control {
             let control = self.node.control.clone();
+            let metrics = Arc::clone(&self.node.metrics);
             self.spawn_listener(listener, Protocols::Http2, move |request| {
                 let control = control.clone();
-                async move { control.serve(request).await }
+                let metrics = Arc::clone(&metrics);
+                async move {
+                    let received = request.body().size_hint().lower();
+                    let response = control.serve(request).await;
+                    let sent = response.body().size_hint().lower();
+                    metrics.control_message(Transport::Stream, Direction::Received, received);
+                    metrics.control_message(Transport::Stream, Direction::Sent, sent);
+                    response
+                }
             });
         }
         self.spawn_admin(listeners.admin);
@@ -267,7 +287,7 @@
             let acceptor = match TcpAcceptor::try_from(bound.listener) {
                 Ok(acceptor) => acceptor,
                 Err(error) => {
-                    log::error!("event=admin_failed error=\"{error}\"");
+                    log_event!(Event::AdminFailed, "error={}", Quoted(error));
                     return;
                 }
             };
@@ -275,7 +295,7 @@
             tokio::select! {
                 ended = server.try_serve(state.router()) => {
                     if let Err(error) = ended {
-                        log::error!("event=admin_failed error=\"{error}\"");
+                        log_event!(Event::AdminFailed, "error={}", Quoted(error));
                     }
                 }
                 () = stop.cancelled() => {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,7 +11,9 @@
 mod connect;
 pub mod control;
 pub mod daemon;
+mod decisions;
 mod edge;
+pub mod events;
 mod headers;
 mod inbound;
 mod listener;
@@ -26,6 +28,7 @@
 pub mod scopes;
 mod server;
 pub mod settings;
+pub mod status;
 mod sync;
 
 pub use daemon::{Daemon, RunningDaemon};
