Give an edge threads for the callers of a whole zone

The three edges ran on two threads each; with about 64,000 attempts in the surge they could not answer refusals before the callers left.

--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -162,7 +162,7 @@
     pub drain_limit_ms: u64,
     /// Calls that one peer may have in flight at this daemon. 1 to 100000, default 4096.
     pub streams_per_peer: u32,
-    /// Threads that serve calls. 1 to 256, default 2.
+    /// Threads that serve calls; an edge wants one for each processor. 1 to 256, default 2.
     pub worker_threads: u32,
 }
 
--- a/crates/emulator/src/demo/layout.rs
+++ b/crates/emulator/src/demo/layout.rs
@@ -57,6 +57,9 @@
 /// Where the back end stand-in tells whether it is leaving.
 const HEALTH_PATH: &str = "/wharfquay/health";
 
+/// Threads of an edge, which takes the callers of a whole zone.
+const EDGE_WORKER_THREADS: usize = 6;
+
 /// Ports of one machine, in the order in which they are given out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ports {
@@ -172,6 +175,8 @@
     pub fn daemon_settings(&self, platform: SocketAddr) -> String {
         let mut text = common_settings(&self.id, &self.zone, platform, self.admin, self.control);
         table(&mut text, "edge", "listen", self.edge);
+        // Writing to a String can't fail.
+        let _ = write!(text, "\n[limits]\nworker_threads = {EDGE_WORKER_THREADS}\n");
         text
     }
 }
