Read command lines of the emulator in one place

Cause: the loop over the options, the error about an unknown option and the reading of addresses, lists and seeds stand again in every program of the emulator. Ruled out: one type for all command lines; the programs share few options. Change: `arguments` gets `read`, `Command::try_map`, `list`, `address`, `address_list`, `seed`, `invalid` and `unknown_option`. No program uses them yet.

--- a/crates/emulator/src/arguments.rs
+++ b/crates/emulator/src/arguments.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 
 use displaydoc::Display;
+use lexopt::Arg;
 
 use crate::scenario::{Scenario, ScenarioError};
 
@@ -57,6 +58,66 @@
     Help,
 }
 
+impl<T> Command<T> {
+    /// Makes the settings to run with from what was given.
+    ///
+    /// # Errors
+    /// What `settings` returns.
+    pub fn try_map<U>(
+        self,
+        settings: impl FnOnce(T) -> Result<U, ArgumentError>,
+    ) -> Result<Command<U>, ArgumentError> {
+        match self {
+            Self::Run(given) => settings(given).map(Command::Run),
+            Self::Help => Ok(Command::Help),
+        }
+    }
+}
+
+/// Reads a command line of long options into `given`. `read_option` gets the name of each option
+/// without its dashes and reads its value, if it takes one.
+///
+/// # Errors
+/// What `read_option` returns, and [`ArgumentError::Syntax`] for anything but a long option.
+pub fn read<T>(
+    mut parser: lexopt::Parser,
+    mut given: T,
+    read_option: impl Fn(&mut lexopt::Parser, &str, &mut T) -> Result<(), ArgumentError>,
+) -> Result<Command<T>, ArgumentError> {
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
+            Arg::Long(name) => {
+                let name = name.to_owned();
+                read_option(&mut parser, &name, &mut given)?;
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Command::Run(given))
+}
+
+/// The error about a value of `option` that can't be used.
+pub fn invalid(
+    option: &'static str,
+    given: impl Into<String>,
+    problem: impl Into<String>,
+    allowed: &'static str,
+) -> ArgumentError {
+    ArgumentError::Value {
+        option,
+        given: given.into(),
+        problem: problem.into(),
+        allowed,
+    }
+}
+
+/// The error about an option, named without its dashes, that the program doesn't have.
+#[must_use]
+pub fn unknown_option(name: &str) -> ArgumentError {
+    Arg::Long(name).unexpected().into()
+}
+
 /// Reads the value of `option`.
 ///
 /// # Errors
@@ -98,12 +159,29 @@
     T: FromStr,
     T::Err: DisplayTrait,
 {
-    given.parse().map_err(|error: T::Err| ArgumentError::Value {
-        option,
-        given: given.to_owned(),
-        problem: error.to_string(),
-        allowed,
-    })
+    given
+        .parse()
+        .map_err(|error: T::Err| invalid(option, given, error.to_string(), allowed))
+}
+
+/// Reads a list of values with commas in between; at least one.
+///
+/// # Errors
+/// [`ArgumentError`] when the list is absent or one of the values can't be parsed.
+pub fn list<T>(
+    parser: &mut lexopt::Parser,
+    option: &'static str,
+    allowed: &'static str,
+) -> Result<Vec<T>, ArgumentError>
+where
+    T: FromStr,
+    T::Err: DisplayTrait,
+{
+    let given = text(parser)?;
+    let parts = given.split(',');
+    parts
+        .map(|part| parse(option, part.trim(), allowed))
+        .collect()
 }
 
 /// Reads a number that must lie in a range.
@@ -121,12 +199,37 @@
     if range.contains(&number) {
         return Ok(number);
     }
-    Err(ArgumentError::Value {
-        option,
-        given,
-        problem: "out of range".to_owned(),
-        allowed,
-    })
+    Err(invalid(option, given, "out of range", allowed))
+}
+
+/// Reads the seed of what is random in a run.
+///
+/// # Errors
+/// [`ArgumentError`] when the value is absent or not a whole number of 64 bits.
+pub fn seed(parser: &mut lexopt::Parser) -> Result<u64, ArgumentError> {
+    value(parser, "seed", "0 to 2^64-1")
+}
+
+/// Reads a socket address.
+///
+/// # Errors
+/// [`ArgumentError`] when the value is absent or can't be parsed.
+pub fn address(
+    parser: &mut lexopt::Parser,
+    option: &'static str,
+) -> Result<SocketAddr, ArgumentError> {
+    value(parser, option, "ip:port")
+}
+
+/// Reads a list of socket addresses with commas in between; at least one.
+///
+/// # Errors
+/// [`ArgumentError`] when the list is absent or one of them can't be parsed.
+pub fn address_list(
+    parser: &mut lexopt::Parser,
+    option: &'static str,
+) -> Result<Vec<SocketAddr>, ArgumentError> {
+    list(parser, option, "ip:port,ip:port,…")
 }
 
 /// Parses a list of socket addresses with commas in between; at least one.
