Read the load's command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option, address_list and seed come from the shared module.

--- a/crates/emulator/src/load/arguments.rs
+++ b/crates/emulator/src/load/arguments.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use super::arrivals::Surge;
 use super::run::LoadSettings;
@@ -60,52 +60,35 @@
 ///
 /// # Errors
 /// [`ArgumentError`] names the option, what was given and what is allowed.
-pub fn parse(mut parser: lexopt::Parser) -> Result<Command<LoadArguments>, ArgumentError> {
-    let mut given = Given::default();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long(name) => {
-                let name = name.to_owned();
-                read_option(&mut parser, &name, &mut given)?;
-            }
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    load_arguments(given).map(Command::Run)
+pub fn parse(parser: Parser) -> Result<Command<LoadArguments>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(load_arguments)
 }
 
-fn read_option(
-    parser: &mut lexopt::Parser,
-    name: &str,
-    given: &mut Given,
-) -> Result<(), ArgumentError> {
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
     match name {
         "scenario" => given.scenario = Some(arguments::text(parser)?),
-        "edges" => given.edges = arguments::addresses("edges", &arguments::text(parser)?)?,
+        "edges" => given.edges = arguments::address_list(parser, "edges")?,
         "seconds" => given.seconds = Some(seconds(parser, "seconds")?),
         "factor" => given.factor = Some(factor(parser, "factor")?),
         "surge-start" => given.surge_start = Some(seconds(parser, "surge-start")?),
         "surge-seconds" => given.surge_seconds = Some(seconds(parser, "surge-seconds")?),
         "rate-factor" => given.rate_factor = Some(factor(parser, "rate-factor")?),
-        "seed" => given.seed = Some(arguments::value(parser, "seed", "0 to 2^64-1")?),
-        "backends" => {
-            given.backends = arguments::addresses("backends", &arguments::text(parser)?)?;
-        }
+        "seed" => given.seed = Some(arguments::seed(parser)?),
+        "backends" => given.backends = arguments::address_list(parser, "backends")?,
         "retry-bound" => {
             given.retry_bound = Some(arguments::value(parser, "retry-bound", "0 or more")?);
         }
         "json" => given.json = true,
-        other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}")).into()),
+        other => return Err(arguments::unknown_option(other)),
     }
     Ok(())
 }
 
-fn seconds(parser: &mut lexopt::Parser, option: &'static str) -> Result<f64, ArgumentError> {
+fn seconds(parser: &mut Parser, option: &'static str) -> Result<f64, ArgumentError> {
     arguments::number_in(parser, option, 0.1..=LONGEST_SECONDS, SECONDS)
 }
 
-fn factor(parser: &mut lexopt::Parser, option: &'static str) -> Result<f64, ArgumentError> {
+fn factor(parser: &mut Parser, option: &'static str) -> Result<f64, ArgumentError> {
     arguments::number_in(parser, option, 0.001..=1e3, "0.001 to 1000")
 }
 
