Read the latency measurement's command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option, address, list and seed come from the shared module.

--- a/crates/emulator/src/latency/arguments.rs
+++ b/crates/emulator/src/latency/arguments.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use super::measure::LatencySettings;
 use crate::arguments::{self, ArgumentError, Command};
@@ -28,6 +28,7 @@
 const DEFAULT_SECONDS: f64 = 20.0;
 const DEFAULT_WARM_UP: f64 = 3.0;
 const DEFAULT_SEED: u64 = 1;
+const PIDS: &str = "process ids with commas in between";
 
 /// What the command line asks for.
 #[derive(Clone, Debug)]
@@ -55,30 +56,15 @@
 ///
 /// # Errors
 /// [`ArgumentError`] names the option, what was given and what is allowed.
-pub fn parse(mut parser: lexopt::Parser) -> Result<Command<LatencyArguments>, ArgumentError> {
-    let mut given = Given::default();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long(name) => {
-                let name = name.to_owned();
-                read_option(&mut parser, &name, &mut given)?;
-            }
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    latency_arguments(given).map(Command::Run)
+pub fn parse(parser: Parser) -> Result<Command<LatencyArguments>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(latency_arguments)
 }
 
-fn read_option(
-    parser: &mut lexopt::Parser,
-    name: &str,
-    given: &mut Given,
-) -> Result<(), ArgumentError> {
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
     match name {
         "scenario" => given.scenario = Some(arguments::text(parser)?),
-        "direct" => given.direct = Some(arguments::value(parser, "direct", "ip:port")?),
-        "edge" => given.edge = Some(arguments::value(parser, "edge", "ip:port")?),
+        "direct" => given.direct = Some(arguments::address(parser, "direct")?),
+        "edge" => given.edge = Some(arguments::address(parser, "edge")?),
         "seconds" => given.seconds = Some(seconds(parser, "seconds")?),
         "warm-up" => given.warm_up = Some(seconds(parser, "warm-up")?),
         "rate-factor" => {
@@ -86,22 +72,15 @@
             let factor = arguments::number_in(parser, "rate-factor", range, "0.001 to 1000")?;
             given.rate_factor = Some(factor);
         }
-        "seed" => given.seed = Some(arguments::value(parser, "seed", "0 to 2^64-1")?),
-        "pids" => given.pids = pids(&arguments::text(parser)?)?,
+        "seed" => given.seed = Some(arguments::seed(parser)?),
+        "pids" => given.pids = arguments::list(parser, "pids", PIDS)?,
         "json" => given.json = true,
-        other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}")).into()),
+        other => return Err(arguments::unknown_option(other)),
     }
     Ok(())
 }
 
-fn pids(given: &str) -> Result<Vec<u32>, ArgumentError> {
-    let parts = given.split(',');
-    parts
-        .map(|part| arguments::parse("pids", part.trim(), "process ids with commas in between"))
-        .collect()
-}
-
-fn seconds(parser: &mut lexopt::Parser, option: &'static str) -> Result<f64, ArgumentError> {
+fn seconds(parser: &mut Parser, option: &'static str) -> Result<f64, ArgumentError> {
     arguments::number_in(parser, option, 0.1..=3_600.0, "0.1 to 3600")
 }
 
