Read the hollow daemons' command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option, address, address_list and invalid come from the shared module.

--- a/crates/emulator/src/hollow/arguments.rs
+++ b/crates/emulator/src/hollow/arguments.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use super::{HollowSettings, WatchedMember};
 use crate::arguments::{self, ArgumentError, Command};
@@ -50,42 +50,27 @@
 ///
 /// # Errors
 /// [`ArgumentError`] names the option, what was given and what is allowed.
-pub fn parse(mut parser: lexopt::Parser) -> Result<Command<HollowSettings>, ArgumentError> {
-    let mut given = Given::default();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long(name) => {
-                let name = name.to_owned();
-                read_option(&mut parser, &name, &mut given)?;
-            }
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    settings(given).map(Command::Run)
+pub fn parse(parser: Parser) -> Result<Command<HollowSettings>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(settings)
 }
 
-fn read_option(
-    parser: &mut lexopt::Parser,
-    name: &str,
-    given: &mut Given,
-) -> Result<(), ArgumentError> {
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
     match name {
         "daemons" => {
             let number = arguments::number_in(parser, "daemons", 1.0..=20_000.0, DAEMONS)?;
             given.daemons = Some(number as u16);
         }
-        "listen" => given.listen = Some(arguments::value(parser, "listen", "ip:port")?),
+        "listen" => given.listen = Some(arguments::address(parser, "listen")?),
         "zones" => {
             let count = arguments::number_in(parser, "zones", 1.0..=100.0, ZONES)? as u16;
             given.zones = Some((0..count).map(|zone| format!("zone-{zone}")).collect());
         }
         "zone" => given.zones = Some(vec![arguments::text(parser)?]),
         "prefix" => given.prefix = Some(arguments::text(parser)?),
-        "seeds" => given.seeds = arguments::addresses("seeds", &arguments::text(parser)?)?,
-        "platform" => given.platform = arguments::addresses("platform", &arguments::text(parser)?)?,
+        "seeds" => given.seeds = arguments::address_list(parser, "seeds")?,
+        "platform" => given.platform = arguments::address_list(parser, "platform")?,
         "watch" => given.watched = Some(watched(arguments::text(parser)?)?),
-        other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}")).into()),
+        other => return Err(arguments::unknown_option(other)),
     }
     Ok(())
 }
@@ -96,12 +81,7 @@
             zone: zone.to_owned(),
             id: id.to_owned(),
         }),
-        None => Err(ArgumentError::Value {
-            option: "watch",
-            given,
-            problem: "no slash".to_owned(),
-            allowed: "ZONE/ID",
-        }),
+        None => Err(arguments::invalid("watch", given, "no slash", "ZONE/ID")),
     }
 }
 
@@ -121,12 +101,8 @@
 }
 
 fn check_listen(listen: SocketAddr, daemons: u16) -> Result<(), ArgumentError> {
-    let refused = |problem: &str| ArgumentError::Value {
-        option: "listen",
-        given: listen.to_string(),
-        problem: problem.to_owned(),
-        allowed: "a loopback address whose port leaves room for all daemons, from 1024 on",
-    };
+    let allowed = "a loopback address whose port leaves room for all daemons, from 1024 on";
+    let refused = |problem| arguments::invalid("listen", listen.to_string(), problem, allowed);
     if !listen.ip().is_loopback() {
         return Err(refused("not a loopback address"));
     }
