Read the back end's command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option, address, seed and invalid come from the shared module.

--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use super::faults::{Faults, HealthAnswer};
 use super::state::BackendSettings;
@@ -27,7 +27,6 @@
 ";
 
 const SHARE: &str = "0 to 1";
-const ADDRESS: &str = "ip:port";
 
 #[derive(Default)]
 struct Given {
@@ -46,49 +45,28 @@
 ///
 /// # Errors
 /// [`ArgumentError`] names the option, what was given and what is allowed.
-pub fn parse(mut parser: lexopt::Parser) -> Result<Command<BackendSettings>, ArgumentError> {
-    let mut given = Given::default();
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long(name) => {
-                let name = name.to_owned();
-                if !read_setting(&mut parser, &name, &mut given)? {
-                    read_fault(&mut parser, &name, &mut given.faults)?;
-                }
-            }
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    settings(given).map(Command::Run)
+pub fn parse(parser: Parser) -> Result<Command<BackendSettings>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(settings)
 }
 
-fn read_setting(
-    parser: &mut lexopt::Parser,
-    name: &str,
-    given: &mut Given,
-) -> Result<bool, ArgumentError> {
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
     match name {
         "scenario" => given.scenario = Some(arguments::text(parser)?),
         "service" => given.service = Some(arguments::text(parser)?),
         "id" => given.id = Some(arguments::text(parser)?),
-        "listen" => given.listen = Some(arguments::value(parser, "listen", ADDRESS)?),
-        "outbound" => given.outbound = Some(arguments::value(parser, "outbound", ADDRESS)?),
+        "listen" => given.listen = Some(arguments::address(parser, "listen")?),
+        "outbound" => given.outbound = Some(arguments::address(parser, "outbound")?),
         "queue-limit" => {
             given.queue_limit = Some(arguments::value(parser, "queue-limit", "0 or more")?);
         }
-        "seed" => given.seed = Some(arguments::value(parser, "seed", "0 to 2^64-1")?),
+        "seed" => given.seed = Some(arguments::seed(parser)?),
         "warm" => given.warm = true,
-        _ => return Ok(false),
+        _ => return read_fault(parser, name, &mut given.faults),
     }
-    Ok(true)
+    Ok(())
 }
 
-fn read_fault(
-    parser: &mut lexopt::Parser,
-    name: &str,
-    faults: &mut Faults,
-) -> Result<(), ArgumentError> {
+fn read_fault(parser: &mut Parser, name: &str, faults: &mut Faults) -> Result<(), ArgumentError> {
     match name {
         "slow" => faults.slow = arguments::number_in(parser, "slow", 0.01..=1e3, "0.01 to 1000")?,
         "cut-answer" => faults.cut_answer = share(parser, "cut-answer")?,
@@ -104,12 +82,12 @@
             faults.report_lag_ms = arguments::value(parser, "report-lag-ms", "0 to 600000")?;
         }
         "health" => faults.health = health(&arguments::text(parser)?)?,
-        other => return Err(lexopt::Error::UnexpectedOption(format!("--{other}")).into()),
+        other => return Err(arguments::unknown_option(other)),
     }
     Ok(())
 }
 
-fn share(parser: &mut lexopt::Parser, option: &'static str) -> Result<f64, ArgumentError> {
+fn share(parser: &mut Parser, option: &'static str) -> Result<f64, ArgumentError> {
     arguments::number_in(parser, option, 0.0..=1.0, SHARE)
 }
 
@@ -118,12 +96,12 @@
         "truthful" => Ok(HealthAnswer::Truthful),
         "always_live" => Ok(HealthAnswer::AlwaysLive),
         "always_leaving" => Ok(HealthAnswer::AlwaysLeaving),
-        other => Err(ArgumentError::Value {
-            option: "health",
-            given: other.to_owned(),
-            problem: "unknown answer".to_owned(),
-            allowed: "truthful, always_live, always_leaving",
-        }),
+        other => Err(arguments::invalid(
+            "health",
+            other,
+            "unknown answer",
+            "truthful, always_live, always_leaving",
+        )),
     }
 }
 
