Read the wait command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option and address_list come from the shared module. The default is a duration.

--- a/crates/emulator/src/command/wait.rs
+++ b/crates/emulator/src/command/wait.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use crate::arguments::{self, ArgumentError, Command};
 use crate::readiness;
@@ -20,7 +20,7 @@
   wharfquay-emulator wait --admins 127.0.0.1:7300,127.0.0.1:7301 --endpoints 2
 ";
 
-const DEFAULT_SECONDS: f64 = 30.0;
+const DEFAULT_LIMIT: Duration = Duration::from_secs(30);
 
 /// What the command line asks for.
 pub(super) struct WaitArguments {
@@ -29,36 +29,37 @@
     limit: Duration,
 }
 
-pub(super) fn parse_arguments(
-    mut parser: lexopt::Parser,
-) -> Result<Command<WaitArguments>, ArgumentError> {
-    let mut admins = Vec::new();
-    let mut endpoints = 0;
-    let mut seconds = DEFAULT_SECONDS;
-    let parser = &mut parser;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("admins") => {
-                admins = arguments::addresses("admins", &arguments::text(parser)?)?;
-            }
-            Arg::Long("endpoints") => {
-                endpoints = arguments::value(parser, "endpoints", "0 or more")?;
-            }
-            Arg::Long("seconds") => {
-                seconds = arguments::number_in(parser, "seconds", 0.1..=3600.0, "0.1 to 3600")?;
-            }
-            other => return Err(other.unexpected().into()),
+pub(super) fn parse_arguments(parser: Parser) -> Result<Command<WaitArguments>, ArgumentError> {
+    let defaults = WaitArguments {
+        admins: Vec::new(),
+        endpoints: 0,
+        limit: DEFAULT_LIMIT,
+    };
+    arguments::read(parser, defaults, read_option)?.try_map(check)
+}
+
+fn read_option(
+    parser: &mut Parser,
+    name: &str,
+    given: &mut WaitArguments,
+) -> Result<(), ArgumentError> {
+    match name {
+        "admins" => given.admins = arguments::address_list(parser, "admins")?,
+        "endpoints" => given.endpoints = arguments::value(parser, "endpoints", "0 or more")?,
+        "seconds" => {
+            let seconds = arguments::number_in(parser, "seconds", 0.1..=3600.0, "0.1 to 3600")?;
+            given.limit = Duration::from_secs_f64(seconds);
         }
+        other => return Err(arguments::unknown_option(other)),
     }
-    if admins.is_empty() {
+    Ok(())
+}
+
+fn check(given: WaitArguments) -> Result<WaitArguments, ArgumentError> {
+    if given.admins.is_empty() {
         return Err(ArgumentError::Missing("admins"));
     }
-    Ok(Command::Run(WaitArguments {
-        admins,
-        endpoints,
-        limit: Duration::from_secs_f64(seconds),
-    }))
+    Ok(given)
 }
 
 pub(super) async fn run(arguments: WaitArguments) -> ExitCode {
