Read the platform's command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read, unknown_option and address come from the shared module.

--- a/crates/emulator/src/command/platform.rs
+++ b/crates/emulator/src/command/platform.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use lexopt::Arg;
+use lexopt::Parser;
 use wharfquay_core::time::Timestamp;
 use wharfquay_platform::wire::Machine;
 use wharfquay_resources::kinds::Resource;
@@ -33,29 +33,33 @@
     machines: Option<PathBuf>,
 }
 
-pub(super) fn parse_arguments(
-    mut parser: lexopt::Parser,
-) -> Result<Command<PlatformArguments>, ArgumentError> {
-    let mut listen = None;
-    let mut files = Vec::new();
-    let mut machines = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("listen") => {
-                listen = Some(arguments::value(&mut parser, "listen", "ip:port")?);
-            }
-            Arg::Long("load") => files.push(PathBuf::from(parser.value()?)),
-            Arg::Long("machines") => machines = Some(PathBuf::from(parser.value()?)),
-            other => return Err(other.unexpected().into()),
-        }
+#[derive(Default)]
+struct Given {
+    listen: Option<SocketAddr>,
+    files: Vec<PathBuf>,
+    machines: Option<PathBuf>,
+}
+
+pub(super) fn parse_arguments(parser: Parser) -> Result<Command<PlatformArguments>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(platform_arguments)
+}
+
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
+    match name {
+        "listen" => given.listen = Some(arguments::address(parser, "listen")?),
+        "load" => given.files.push(PathBuf::from(parser.value()?)),
+        "machines" => given.machines = Some(PathBuf::from(parser.value()?)),
+        other => return Err(arguments::unknown_option(other)),
     }
-    let listen = listen.ok_or(ArgumentError::Missing("listen"))?;
-    Ok(Command::Run(PlatformArguments {
-        listen,
-        files,
-        machines,
-    }))
+    Ok(())
+}
+
+fn platform_arguments(given: Given) -> Result<PlatformArguments, ArgumentError> {
+    Ok(PlatformArguments {
+        listen: given.listen.ok_or(ArgumentError::Missing("listen"))?,
+        files: given.files,
+        machines: given.machines,
+    })
 }
 
 pub(super) async fn run(arguments: PlatformArguments) -> ExitCode {
