Read the layout command line with the shared module

Cause: the loop over the options and the error about an unknown one stand again here. Ruled out: sharing the ranges of numbers; they differ between the programs. Change: read and unknown_option come from the shared module.

--- a/crates/emulator/src/command/layout.rs
+++ b/crates/emulator/src/command/layout.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use lexopt::Arg;
+use lexopt::Parser;
 
 use super::bad_use;
 use crate::arguments::{self, ArgumentError, Command};
@@ -39,30 +39,38 @@
     directory: PathBuf,
 }
 
-pub(super) fn parse_arguments(
-    mut parser: lexopt::Parser,
-) -> Result<Command<LayoutArguments>, ArgumentError> {
-    let mut scenario = None;
-    let mut base_port = None;
-    let mut directory = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("scenario") => scenario = Some(arguments::text(&mut parser)?),
-            Arg::Long("base-port") => {
-                let range = 1_024.0..=60_000.0;
-                base_port = Some(arguments::number_in(&mut parser, "base-port", range, PORT)?);
-            }
-            Arg::Long("directory") => directory = Some(PathBuf::from(parser.value()?)),
-            other => return Err(other.unexpected().into()),
+#[derive(Default)]
+struct Given {
+    scenario: Option<String>,
+    base_port: Option<f64>,
+    directory: Option<PathBuf>,
+}
+
+pub(super) fn parse_arguments(parser: Parser) -> Result<Command<LayoutArguments>, ArgumentError> {
+    arguments::read(parser, Given::default(), read_option)?.try_map(layout_arguments)
+}
+
+fn read_option(parser: &mut Parser, name: &str, given: &mut Given) -> Result<(), ArgumentError> {
+    match name {
+        "scenario" => given.scenario = Some(arguments::text(parser)?),
+        "base-port" => {
+            let range = 1_024.0..=60_000.0;
+            given.base_port = Some(arguments::number_in(parser, "base-port", range, PORT)?);
         }
+        "directory" => given.directory = Some(PathBuf::from(parser.value()?)),
+        other => return Err(arguments::unknown_option(other)),
     }
-    let scenario = scenario.ok_or(ArgumentError::Missing("scenario"))?;
-    Ok(Command::Run(LayoutArguments {
+    Ok(())
+}
+
+fn layout_arguments(given: Given) -> Result<LayoutArguments, ArgumentError> {
+    let scenario = given.scenario.ok_or(ArgumentError::Missing("scenario"))?;
+    let base_port = given.base_port;
+    Ok(LayoutArguments {
         scenario: arguments::scenario(&scenario)?,
         base_port: base_port.ok_or(ArgumentError::Missing("base-port"))? as u16,
-        directory: directory.ok_or(ArgumentError::Missing("directory"))?,
-    }))
+        directory: given.directory.ok_or(ArgumentError::Missing("directory"))?,
+    })
 }
 
 pub(super) fn run(arguments: &LayoutArguments) -> ExitCode {
