Read the surge experiment's command line with the shared module

Cause: the loop over the options and the making of errors stand again here. Ruled out: sharing the numbers, the seed and the scenario; their messages or rules differ. Change: read, unknown_option and invalid come from the shared module.

--- a/crates/emulator/src/experiment/surge/arguments.rs
+++ b/crates/emulator/src/experiment/surge/arguments.rs
@@ -4,10 +4,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use lexopt::Arg;
 use wharfquay_core::admission::{LimitAlgorithm, QueueDiscipline};
 
-use crate::arguments::{ArgumentError, Command, text, value};
+use crate::arguments::{ArgumentError, Command, invalid, read, text, unknown_option, value};
 use crate::scenario::Scenario;
 use crate::simulator::call_path::policy::{Policy, RankMode};
 use crate::simulator::call_path::settings::{RunSettings, SlowService};
@@ -58,6 +57,15 @@
     pub services: bool,
 }
 
+struct Given {
+    scenario: Option<Scenario>,
+    run: RunSettings,
+    policies: Vec<Policy>,
+    json: bool,
+    seeds: u64,
+    services: bool,
+}
+
 /// Reads the command line.
 ///
 /// # Errors
@@ -65,38 +73,45 @@
 pub fn parse(
     arguments: impl IntoIterator<Item = OsString>,
 ) -> Result<Command<SurgeSettings>, ArgumentError> {
-    let mut parser = lexopt::Parser::from_args(arguments);
-    let mut scenario = None;
-    let mut policies = parse_policies("all".to_owned())?;
-    let mut json = false;
-    let mut services = false;
-    let mut seeds = 1;
-    let mut run = RunSettings::new(Policy::Wharfquay, 2.0, 1);
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("scenario") => scenario = Some(load(&text(&mut parser)?)?),
-            Arg::Long("policy") => policies = parse_policies(text(&mut parser)?)?,
-            Arg::Long("json") => json = true,
-            Arg::Long("seeds") => seeds = value(&mut parser, "seeds", "1 or more")?,
-            Arg::Long("services") => services = true,
-            Arg::Long(name) => {
-                let name = name.to_owned();
-                run_option(&mut parser, &name, &mut run)?;
-            }
-            other => return Err(other.unexpected().into()),
-        }
+    let parser = lexopt::Parser::from_args(arguments);
+    let defaults = Given {
+        scenario: None,
+        run: RunSettings::new(Policy::Wharfquay, 2.0, 1),
+        policies: parse_policies("all".to_owned())?,
+        json: false,
+        seeds: 1,
+        services: false,
+    };
+    read(parser, defaults, read_option)?.try_map(settings)
+}
+
+fn read_option(
+    parser: &mut lexopt::Parser,
+    name: &str,
+    given: &mut Given,
+) -> Result<(), ArgumentError> {
+    match name {
+        "scenario" => given.scenario = Some(load(&text(parser)?)?),
+        "policy" => given.policies = parse_policies(text(parser)?)?,
+        "json" => given.json = true,
+        "seeds" => given.seeds = value(parser, "seeds", "1 or more")?,
+        "services" => given.services = true,
+        _ => return run_option(parser, name, &mut given.run),
     }
-    let scenario = scenario.ok_or(ArgumentError::Missing("scenario"))?;
-    check_slow(&scenario, &run)?;
-    Ok(Command::Run(SurgeSettings {
+    Ok(())
+}
+
+fn settings(given: Given) -> Result<SurgeSettings, ArgumentError> {
+    let scenario = given.scenario.ok_or(ArgumentError::Missing("scenario"))?;
+    check_slow(&scenario, &given.run)?;
+    Ok(SurgeSettings {
         scenario,
-        run,
-        policies,
-        json,
-        services,
-        seeds,
-    }))
+        run: given.run,
+        policies: given.policies,
+        json: given.json,
+        seeds: given.seeds,
+        services: given.services,
+    })
 }
 
 fn run_option(
@@ -141,7 +156,7 @@
         "reported-slots" => {
             mechanisms.reported_slots = number(parser, "reported-slots", 0.01, 100.0)?;
         }
-        _ => return Err(Arg::Long(name).unexpected().into()),
+        other => return Err(unknown_option(other)),
     }
     Ok(())
 }
@@ -187,7 +202,7 @@
     let found = choices.values.iter().find(|(name, _)| *name == given);
     found
         .map(|&(_, value)| value)
-        .ok_or_else(|| bad(option, given, "unknown", choices.allowed))
+        .ok_or_else(|| invalid(option, given, "unknown", choices.allowed))
 }
 
 fn parse_policies(given: String) -> Result<Vec<Policy>, ArgumentError> {
@@ -197,7 +212,7 @@
         "static" => Ok(vec![Policy::Static]),
         "none" => Ok(vec![Policy::None]),
         "oracle" => Ok(Vec::new()),
-        _ => Err(bad(
+        _ => Err(invalid(
             "policy",
             given,
             "unknown",
@@ -225,7 +240,7 @@
             factor,
         })
     });
-    parsed.ok_or_else(|| bad("slow", given, "malformed", allowed))
+    parsed.ok_or_else(|| invalid("slow", given, "malformed", allowed))
 }
 
 fn check_slow(scenario: &Scenario, run: &RunSettings) -> Result<(), ArgumentError> {
@@ -235,7 +250,12 @@
         .find(|slow| scenario.service(&slow.service).is_none());
     unknown.map_or(Ok(()), |slow| {
         let given = slow.service.clone();
-        Err(bad("slow", given, "no such service", "a listed service"))
+        Err(invalid(
+            "slow",
+            given,
+            "no such service",
+            "a listed service",
+        ))
     })
 }
 
@@ -250,18 +270,9 @@
         return Ok(given);
     }
     let problem = format!("not in {least} to {most}");
-    Err(bad(option, given.to_string(), &problem, "see --help"))
+    Err(invalid(option, given.to_string(), problem, "see --help"))
 }
 
 fn seconds(parser: &mut lexopt::Parser, option: &'static str) -> Result<Duration, ArgumentError> {
     number(parser, option, 0.1, 3_600.0).map(Duration::from_secs_f64)
 }
-
-fn bad(option: &'static str, given: String, problem: &str, allowed: &'static str) -> ArgumentError {
-    ArgumentError::Value {
-        option,
-        given,
-        problem: problem.to_owned(),
-        allowed,
-    }
-}
