Remove the address list parser that has no user

Cause: address_list reads the value and the list in one step; nothing calls addresses any more. Ruled out: none. Change: addresses is removed.

--- a/crates/emulator/src/arguments.rs
+++ b/crates/emulator/src/arguments.rs
@@ -232,17 +232,6 @@
     list(parser, option, "ip:port,ip:port,…")
 }
 
-/// Parses a list of socket addresses with commas in between; at least one.
-///
-/// # Errors
-/// [`ArgumentError::Value`] when one of them can't be parsed.
-pub fn addresses(option: &'static str, given: &str) -> Result<Vec<SocketAddr>, ArgumentError> {
-    given
-        .split(',')
-        .map(|part| parse(option, part.trim(), "ip:port,ip:port,…"))
-        .collect()
-}
-
 /// Loads a scenario by the name of one that ships with the program, or from a file.
 ///
 /// # Errors
