--- a/crates/resources/src/fields.rs
+++ b/crates/resources/src/fields.rs
@@ -162,7 +162,7 @@
         integer(1, 10_000),
         "requests",
         FieldDefault::Required,
-        "Requests that one back end executes at a time; the start of the adaptive limit.",
+        "Requests that one back end executes at a time: the concurrency limit that its daemon keeps.",
     ),
     field(
         "connections",
--- a/crates/resources/src/kinds.rs
+++ b/crates/resources/src/kinds.rs
@@ -10,7 +10,7 @@
 pub struct Service {
     /// Name, unique among services; callers name it in the request's host.
     pub name: String,
-    /// Requests that one back end executes at a time; the start of the adaptive limit.
+    /// Requests that one back end executes at a time: the concurrency limit that its daemon keeps.
     pub slots: u32,
     /// Connections that one back end accepts.
     #[serde(default = "default_connections")]
