--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -62,14 +62,14 @@
 }
 
 /// Writes the result code and its outcome class.
-pub(crate) fn set_result(headers: &mut HeaderMap, code: ResultCode) {
+pub fn set_result(headers: &mut HeaderMap, code: ResultCode) {
     let outcome = HeaderValue::from_static(code.outcome().as_str());
     headers.insert(names::RESULT, HeaderValue::from(code.number()));
     headers.insert(names::OUTCOME, outcome);
 }
 
 /// Reads the result code that another daemon wrote.
-pub(crate) fn result(headers: &HeaderMap) -> Option<ResultCode> {
+pub fn result(headers: &HeaderMap) -> Option<ResultCode> {
     let text = headers.get(names::RESULT)?.to_str().ok()?;
     ResultCode::from_number(text.parse().ok()?)
 }
@@ -84,7 +84,7 @@
 }
 
 /// Reads when a refused caller should come back; zero where the answer does not say.
-pub(crate) fn retry_after(headers: &HeaderMap) -> Duration {
+pub fn retry_after(headers: &HeaderMap) -> Duration {
     let millis = headers
         .get(RETRY_AFTER_MS)
         .and_then(|value| value.to_str().ok())
@@ -93,14 +93,14 @@
 }
 
 /// Writes the metadata for the daemon that sent the call.
-pub(crate) fn set_metadata(headers: &mut HeaderMap, metadata: &WireAnswer) {
+pub fn set_metadata(headers: &mut HeaderMap, metadata: &WireAnswer) {
     if let Ok(value) = HeaderValue::from_str(&metadata.encode()) {
         headers.insert(names::ANSWER, value);
     }
 }
 
 /// Takes the metadata of the answering daemon out of the headers.
-pub(crate) fn take_metadata(headers: &mut HeaderMap) -> Option<WireAnswer> {
+pub fn take_metadata(headers: &mut HeaderMap) -> Option<WireAnswer> {
     let value = headers.remove(names::ANSWER)?;
     WireAnswer::decode(value.as_bytes()).ok()
 }
--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -25,6 +25,10 @@
 /// Longest time from the end of an answer until its connection must be ready again; a back end that
 /// answered before it has read the request is not waited for longer.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// Taken off the time for which a back end says that it keeps an idle connection.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Parameter of the `Keep-Alive` header that gives that time in seconds.
+const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
 /// Why the back end gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +49,10 @@
     address: SocketAddr,
     connect_timeout: Duration,
     limit: AtomicUsize,
+    /// Longest rest of a connection that is used again, where the back end says nothing else.
+    longest_rest: Duration,
     open: Arc<AtomicUsize>,
-    idle: Mutex<Vec<Connection>>,
+    idle: Mutex<Vec<Resting>>,
     freed: Notify,
     /// Bounds the log lines about connections that can't be opened.
     connect_failures: RateLimit,
@@ -56,10 +62,22 @@
     /// A pool that opens at most `limit` connections to `address`.
     #[must_use]
     pub fn new(address: SocketAddr, limit: usize, connect_timeout: Duration) -> Arc<Self> {
+        Self::with_longest_rest(address, limit, connect_timeout, Duration::MAX)
+    }
+
+    /// As [`Self::new`], for a back end that closes connections after a rest.
+    #[must_use]
+    pub fn with_longest_rest(
+        address: SocketAddr,
+        limit: usize,
+        connect_timeout: Duration,
+        longest_rest: Duration,
+    ) -> Arc<Self> {
         Arc::new(Self {
             address,
             connect_timeout,
             limit: AtomicUsize::new(limit),
+            longest_rest,
             open: Arc::default(),
             idle: Mutex::default(),
             freed: Notify::new(),
@@ -96,6 +114,7 @@
         Ok(Lease {
             pool: Arc::clone(self),
             connection: Some(connection),
+            longest_rest: self.longest_rest,
         })
     }
 
@@ -120,9 +139,10 @@
 
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        while let Some(connection) = idle.pop() {
-            if !connection.sender.is_closed() {
-                return Some(connection);
+        while let Some(resting) = idle.pop() {
+            let rested = resting.since.elapsed();
+            if !resting.connection.sender.is_closed() && rested < resting.longest_rest {
+                return Some(resting.connection);
             }
         }
         None
@@ -161,15 +181,15 @@
     }
 
     /// Takes back a connection whose answer is whole, as soon as it can carry the next request.
-    fn give_back(self: Arc<Self>, mut connection: Connection) {
+    fn give_back(self: Arc<Self>, mut connection: Connection, longest_rest: Duration) {
         if connection.sender.is_ready() {
-            self.push_idle(connection);
+            self.push_idle(connection, longest_rest);
             return;
         }
         tokio::spawn(async move {
             let ready = tokio::time::timeout(SETTLE_TIME, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                self.push_idle(connection);
+                self.push_idle(connection, longest_rest);
             } else {
                 drop(connection);
                 self.freed.notify_one();
@@ -177,8 +197,12 @@
         });
     }
 
-    fn push_idle(&self, connection: Connection) {
-        lock(&self.idle).push(connection);
+    fn push_idle(&self, connection: Connection, longest_rest: Duration) {
+        lock(&self.idle).push(Resting {
+            connection,
+            since: Instant::now(),
+            longest_rest,
+        });
         self.freed.notify_one();
     }
 
@@ -194,6 +218,14 @@
     }
 }
 
+/// A connection that carries no request.
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    since: Instant,
+    longest_rest: Duration,
+}
+
 /// What a request can be sent on.
 enum Reserved {
     Idle(Connection),
@@ -230,6 +262,7 @@
 pub struct Lease {
     pool: Arc<BackendPool>,
     connection: Option<Connection>,
+    longest_rest: Duration,
 }
 
 /// Why a request got no answer on a leased connection.
@@ -254,6 +287,9 @@
             return Err(SendError::NotSent(request));
         };
         let answer = connection.sender.try_send_request(request).await;
+        if let Some(told) = answer.as_ref().ok().and_then(told_rest) {
+            self.longest_rest = told;
+        }
         answer.map_err(|mut failed| match failed.take_message() {
             Some(request) => SendError::NotSent(request),
             None => SendError::Failed(classify(failed.error())),
@@ -261,6 +297,16 @@
     }
 }
 
+/// How long the back end says that it keeps the connection of this answer, less a margin.
+fn told_rest(answer: &Response<Incoming>) -> Option<Duration> {
+    let value = answer.headers().get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix(KEEP_ALIVE_TIMEOUT))?;
+    let told = Duration::from_secs(timeout.parse().ok()?);
+    Some(told.saturating_sub(KEEP_ALIVE_MARGIN))
+}
+
 fn classify(error: &hyper::Error) -> BackendError {
     if error.is_parse() {
         BackendError::MalformedAnswer
@@ -275,7 +321,7 @@
             return;
         }
         if let Some(connection) = self.connection.take() {
-            Arc::clone(&self.pool).give_back(connection);
+            Arc::clone(&self.pool).give_back(connection, self.longest_rest);
         }
     }
 }
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -7,6 +7,7 @@
 use displaydoc::Display;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, Sleep};
 
 /// Largest request body that is held in memory so that the call can be tried again, in bytes.
@@ -19,6 +20,8 @@
     Stream(hyper::Error),
     /// the deadline passed before the body was whole
     DeadlinePassed,
+    /// the sender broke off
+    BrokenOff,
 }
 
 impl std::error::Error for BodyError {}
@@ -35,6 +38,33 @@
         /// What is still to come.
         rest: Incoming,
     },
+    /// A body that another task reads from its sender.
+    Fed(FedBody),
+}
+
+/// A request body that another task reads from its sender, piece by piece.
+#[derive(Debug)]
+pub struct FedBody {
+    /// The pieces; closing the channel ends the body.
+    pub pieces: mpsc::Receiver<Result<Bytes, BodyError>>,
+    /// Bytes still to come, where the sender said how many.
+    pub remaining: Option<u64>,
+    /// Whether the body has ended.
+    pub ended: bool,
+}
+
+impl FedBody {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let piece = ready!(self.pieces.poll_recv(context));
+        match &piece {
+            Some(Ok(bytes)) => {
+                let length = bytes.len() as u64;
+                self.remaining = self.remaining.map(|left| left.saturating_sub(length));
+            }
+            Some(Err(_)) | None => self.ended = true,
+        }
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+    }
 }
 
 impl RequestBody {
@@ -62,6 +92,7 @@
                 let frame = ready!(Pin::new(rest).poll_frame(context));
                 Poll::Ready(frame.map(|result| result.map_err(BodyError::Stream)))
             }
+            Self::Fed(body) => body.poll(context),
         }
     }
 
@@ -69,6 +100,7 @@
         match self {
             Self::Held(bytes) => bytes.is_none(),
             Self::Streamed { prefix, rest } => prefix.is_none() && rest.is_end_stream(),
+            Self::Fed(body) => body.ended,
         }
     }
 
@@ -76,6 +108,9 @@
         match self {
             Self::Held(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
             Self::Streamed { prefix, rest } => prefixed(length(prefix.as_ref()), &rest.size_hint()),
+            Self::Fed(body) => body
+                .remaining
+                .map_or_else(SizeHint::new, SizeHint::with_exact),
         }
     }
 }
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -30,7 +30,7 @@
 const INTERNAL_ANSWER: [HeaderName; 3] = [names::RESULT, names::OUTCOME, names::ANSWER];
 
 /// Removes the headers that describe the connection on which the message came.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     for name in named_by_connection(headers) {
         headers.remove(name);
     }
@@ -50,14 +50,14 @@
 }
 
 /// Removes the system's own headers from a request of a caller or a back end.
-pub(crate) fn remove_internal_request(headers: &mut HeaderMap) {
+pub fn remove_internal_request(headers: &mut HeaderMap) {
     for name in &INTERNAL_REQUEST {
         headers.remove(name);
     }
 }
 
 /// Removes the system's own headers from an answer of a back end.
-pub(crate) fn remove_internal_answer(headers: &mut HeaderMap) {
+pub fn remove_internal_answer(headers: &mut HeaderMap) {
     for name in &INTERNAL_ANSWER {
         headers.remove(name);
     }
--- a/crates/daemon/src/inbound/gate.rs
+++ b/crates/daemon/src/inbound/gate.rs
@@ -21,7 +21,7 @@
 
 /// Admission to the local back end.
 #[derive(Debug)]
-pub(crate) struct AdmissionGate {
+pub struct AdmissionGate {
     clock: Clock,
     state: Mutex<GateState>,
     next_ticket: AtomicU64,
@@ -55,17 +55,17 @@
 
 /// Load and level of the local back end.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct GateReport {
+pub struct GateReport {
     /// Calls in execution, limit and queue.
-    pub(crate) load: Load,
+    pub load: Load,
     /// Admission level in force.
-    pub(crate) level: AdmissionLevel,
+    pub level: AdmissionLevel,
 }
 
 impl AdmissionGate {
     /// A gate without calls.
     #[must_use]
-    pub(crate) fn new(settings: AdmissionSettings, clock: Clock) -> Arc<Self> {
+    pub fn new(settings: AdmissionSettings, clock: Clock) -> Arc<Self> {
         let controller = AdmissionController::new(settings, clock.now());
         Arc::new(Self {
             clock,
@@ -82,7 +82,7 @@
     ///
     /// # Errors
     /// The refusal, in which case the call was not run.
-    pub(crate) async fn enter(
+    pub async fn enter(
         self: &Arc<Self>,
         key: AdmissionKey,
         deadline: Timestamp,
@@ -117,18 +117,18 @@
     }
 
     /// Puts new settings in force.
-    pub(crate) fn reconfigure(&self, settings: AdmissionSettings) {
+    pub fn reconfigure(&self, settings: AdmissionSettings) {
         self.with_state(|state, now| state.controller.reconfigure(now, settings));
     }
 
     /// Refuses every waiting call and every call from now on.
-    pub(crate) fn begin_drain(&self) {
+    pub fn begin_drain(&self) {
         self.with_state(|state, now| state.controller.begin_drain(now));
     }
 
     /// Load and level now.
     #[must_use]
-    pub(crate) fn report(&self) -> GateReport {
+    pub fn report(&self) -> GateReport {
         let state = lock(&self.state);
         GateReport {
             load: state.controller.load(),
@@ -137,19 +137,19 @@
     }
 
     /// Notes that the execution behind `ticket` waits for a call of its own.
-    pub(crate) fn downstream_started(&self, ticket: CallTicket) {
+    pub fn downstream_started(&self, ticket: CallTicket) {
         let now = self.clock.now();
         lock(&self.state).controller.downstream_started(now, ticket);
     }
 
     /// Notes the end of that call.
-    pub(crate) fn downstream_ended(&self, ticket: CallTicket) {
+    pub fn downstream_ended(&self, ticket: CallTicket) {
         let now = self.clock.now();
         lock(&self.state).controller.downstream_ended(now, ticket);
     }
 
     /// Runs the controller's timer; never returns.
-    pub(crate) async fn run_timer(&self) {
+    pub async fn run_timer(&self) {
         loop {
             let wakeup = lock(&self.state).controller.next_wakeup();
             match wakeup {
@@ -194,7 +194,7 @@
 /// A call's place: waiting, or in execution. Dropping it withdraws the call or reports the
 /// execution as cancelled.
 #[derive(Debug)]
-pub(crate) struct Permit {
+pub struct Permit {
     gate: Arc<AdmissionGate>,
     ticket: CallTicket,
     state: PermitState,
@@ -203,12 +203,12 @@
 impl Permit {
     /// The call, as admission knows it.
     #[must_use]
-    pub(crate) const fn ticket(&self) -> CallTicket {
+    pub const fn ticket(&self) -> CallTicket {
         self.ticket
     }
 
     /// Reports how the execution ended.
-    pub(crate) fn complete(mut self, completion: Completion) {
+    pub fn complete(mut self, completion: Completion) {
         self.settle(completion);
     }
 
--- a/crates/daemon/src/inbound/mod.rs
+++ b/crates/daemon/src/inbound/mod.rs
@@ -1,7 +1,7 @@
 //! The inbound side: calls of other daemons for the local back end.
 
 mod dispatch;
-pub(crate) mod gate;
+pub mod gate;
 mod handler;
 
 pub(crate) use handler::{InboundHandler, LocalBackend};
--- /dev/null
+++ b/crates/sidecar/src/control/task.rs
@@ -0,0 +1,338 @@
+//! The task that drives this sidecar's part in gossip membership and the configuration relay.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use wharfquay_daemon::clock::Clock;
+use wharfquay_membership::gossip::Seed;
+use wharfquay_membership::member::{MemberId, MemberProfile, ZoneName};
+use wharfquay_membership::message::{Delta, Snapshot};
+use wharfquay_membership::node::{Channel, Effect, Identity, Node};
+use wharfquay_membership::relay::StoreReport;
+use wharfquay_membership::settings::Settings as MembershipSettings;
+use wharfquay_membership::table::MemberTable;
+
+use super::reader::{Reader, ReaderEvent};
+use super::transport::{Datagrams, Received, StreamInbox, inbox, send_stream};
+use super::{decode, encode};
+use crate::configuration::{Configuration, RouteIndex};
+use crate::platform::{DirectoryEntry, Platform};
+use crate::settings::Settings;
+
+/// Revision from which on a delta may be applied: it holds the whole configuration, so any.
+const ANY_REVISION: u64 = 1;
+/// Readers of the platform in the whole deployment.
+const READERS: usize = 4;
+/// First pause between two looks into the directory.
+const FIRST_DIRECTORY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause between two looks into the directory while no other sidecar answers.
+const LONGEST_DIRECTORY_PAUSE: Duration = Duration::from_secs(2);
+/// Longest wait for the directory's answer.
+const DIRECTORY_LIMIT: Duration = Duration::from_millis(1_500);
+/// Looks into the directory after another sidecar answered: entries that came later may show a part
+/// of the deployment that gossip does not reach.
+const LOOKS_AFTER_CONTACT: u32 = 2;
+/// Entries of the directory that are used as seeds.
+const MAX_SEEDS: usize = 64;
+
+/// Timing of the control traffic in a deployment of machines that come and go within seconds.
+fn membership_settings() -> MembershipSettings {
+    MembershipSettings {
+        probe_timeout: Duration::from_millis(250),
+        suspicion_timeout: Duration::from_secs(2),
+        settle_time: Duration::from_millis(300),
+        readiness_limit: Duration::from_millis(2_000),
+        readers: READERS,
+        readers_per_zone: 1,
+        announce_after: Duration::from_millis(50),
+        bytes_per_second: 12_000,
+        burst_bytes: 256_000,
+        ..MembershipSettings::default()
+    }
+}
+
+/// What the task publishes and listens to.
+pub(crate) struct ControlChannels {
+    /// The configuration in force.
+    pub(crate) configuration: watch::Sender<Arc<RouteIndex>>,
+    /// The members.
+    pub(crate) members: watch::Sender<MemberTable>,
+    /// Whether this sidecar was told to stop.
+    pub(crate) stopping: watch::Receiver<bool>,
+}
+
+/// The control plane's task.
+pub(crate) struct ControlTask<P> {
+    clock: Clock,
+    own_address: SocketAddr,
+    node: Node,
+    datagrams: Datagrams,
+    inbox: mpsc::Receiver<Received>,
+    seeds: mpsc::Receiver<Vec<DirectoryEntry>>,
+    own_id: String,
+    platform: Arc<P>,
+    reader: Option<Reader>,
+    held: HashMap<u64, Configuration>,
+    channels: ControlChannels,
+}
+
+/// What the task goes on with.
+enum Next {
+    Message(Received),
+    Reader(Option<ReaderEvent>),
+    Seeds(Vec<DirectoryEntry>),
+    Stopping,
+    Timer,
+}
+
+impl<P: Platform> ControlTask<P> {
+    /// A task and the inbox for messages that arrive over streams.
+    pub(crate) fn new(
+        settings: &Settings,
+        clock: Clock,
+        platform: Arc<P>,
+        socket: UdpSocket,
+        channels: ControlChannels,
+    ) -> (Self, StreamInbox) {
+        let profile = MemberProfile {
+            id: MemberId::from(settings.id.as_str()),
+            zone: ZoneName::from(settings.zone.as_str()),
+            service: Some(settings.service.clone()),
+            call_address: settings.inbound,
+            control_address: settings.control,
+            slots: 0,
+            connections: 0,
+        };
+        let identity = Identity {
+            profile,
+            started_at_ms: clock.started_at().as_millis(),
+        };
+        let now = clock.now();
+        let random = &mut rand::rng();
+        let node = Node::new(membership_settings(), identity, Vec::new(), now, random);
+        let (sender, inbox) = inbox();
+        let (seed_sender, seeds) = mpsc::channel(1);
+        let entry = DirectoryEntry {
+            id: settings.id.clone(),
+            control_address: settings.control,
+        };
+        let members = channels.members.subscribe();
+        tokio::spawn(look_up(Arc::clone(&platform), entry, members, seed_sender));
+        let task = Self {
+            clock,
+            own_address: settings.control,
+            node,
+            datagrams: Datagrams::new(socket),
+            inbox,
+            seeds,
+            own_id: settings.id.clone(),
+            platform,
+            reader: None,
+            held: HashMap::new(),
+            channels,
+        };
+        (task, sender)
+    }
+
+    /// Runs for ever.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let next = self.next().await;
+            let effects = self.take(next);
+            self.carry_out(effects);
+        }
+    }
+
+    async fn next(&mut self) -> Next {
+        let wakeup = self.node.next_wakeup();
+        tokio::select! {
+            received = self.datagrams.receive() => Next::Message(received),
+            Some(received) = self.inbox.recv() => Next::Message(received),
+            event = next_of(&mut self.reader) => Next::Reader(event),
+            Some(entries) = self.seeds.recv() => Next::Seeds(entries),
+            Ok(()) = self.channels.stopping.changed() => Next::Stopping,
+            () = self.clock.sleep_until(Some(wakeup)) => Next::Timer,
+        }
+    }
+
+    fn take(&mut self, next: Next) -> Vec<Effect> {
+        let now = self.clock.now();
+        let random = &mut rand::rng();
+        match next {
+            Next::Message(received) => {
+                self.node
+                    .receive(now, received.source, &received.bytes, random)
+            }
+            Next::Timer => self.node.advance(now, random),
+            Next::Stopping => self.node.leave(now, random),
+            Next::Seeds(entries) => {
+                self.set_seeds(&entries);
+                Vec::new()
+            }
+            Next::Reader(Some(event)) => self.take_reading(event),
+            Next::Reader(None) => {
+                self.reader = None;
+                Vec::new()
+            }
+        }
+    }
+
+    fn set_seeds(&mut self, entries: &[DirectoryEntry]) {
+        let others = entries.iter().filter(|entry| entry.id != self.own_id);
+        let seeds = others.map(|entry| Seed {
+            control_address: entry.control_address,
+        });
+        self.node.set_seeds(seeds.take(MAX_SEEDS).collect());
+    }
+
+    fn take_reading(&mut self, event: ReaderEvent) -> Vec<Effect> {
+        let configuration = match event {
+            ReaderEvent::Configuration(configuration) => *configuration,
+            ReaderEvent::Unchanged => {
+                self.node.store_contact(true);
+                return Vec::new();
+            }
+            ReaderEvent::NoContact => {
+                self.node.store_contact(false);
+                return Vec::new();
+            }
+        };
+        if let Err(error) = configuration.validate() {
+            let version = configuration.version;
+            log::error!("event=configuration_rejected version={version} error=\"{error}\"");
+            return Vec::new();
+        }
+        let revision = configuration.version;
+        let payload = match encode(&configuration) {
+            Ok(payload) => payload,
+            Err(error) => {
+                log::error!("event=configuration_not_encoded error=\"{error}\"");
+                return Vec::new();
+            }
+        };
+        let report = if self.node.revision() == 0 {
+            StoreReport::Snapshot(Snapshot { revision, payload })
+        } else {
+            StoreReport::Delta(Delta {
+                previous: ANY_REVISION.min(revision),
+                revision,
+                payload,
+            })
+        };
+        let now = self.clock.now();
+        self.node.on_store(now, &report, &mut rand::rng())
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, channel, bytes } => match channel {
+                    Channel::Datagram => self.datagrams.send(to, &bytes),
+                    Channel::Stream => send_stream(self.own_address, to, bytes),
+                },
+                Effect::MembersChanged => {
+                    let members = self.node.table().clone();
+                    self.channels.members.send_replace(members);
+                }
+                Effect::DeclaredDead(id) => log::warn!("event=member_dead id={id}"),
+                Effect::AdoptSnapshot(snapshot) => {
+                    self.adopt(snapshot.revision, &snapshot.payload);
+                }
+                Effect::AdoptDelta(delta) => self.adopt(delta.revision, &delta.payload),
+                Effect::Ready(revision) => log::info!("event=ready version={revision}"),
+                Effect::Read(read) => self.read_platform(read),
+                Effect::ReadSnapshot => self.read_platform(true),
+                Effect::StoreOlder { store, held } => {
+                    log::debug!("event=configuration_older_ignored found={store} in_force={held}");
+                }
+                Effect::Compact(revision) => self.compact(revision),
+                Effect::Dropped { source, reason } => {
+                    log::debug!(
+                        "event=control_message_dropped source={source} reason=\"{reason}\""
+                    );
+                }
+            }
+        }
+    }
+
+    fn read_platform(&mut self, read: bool) {
+        log::info!("event=store_reader reading={read}");
+        self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
+    }
+
+    fn adopt(&mut self, revision: u64, payload: &wharfquay_membership::message::Payload) {
+        let mut configuration = match decode(payload) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                log::error!("event=configuration_undecodable version={revision} error=\"{error}\"");
+                return;
+            }
+        };
+        configuration.version = revision;
+        let routes = configuration.routes.len();
+        log::info!("event=configuration_in_force version={revision} routes={routes}");
+        self.held.clear();
+        self.held.insert(revision, configuration.clone());
+        let index = Arc::new(RouteIndex::new(configuration));
+        self.channels.configuration.send_if_modified(|current| {
+            let is_newer = current.configuration.version < revision;
+            if is_newer {
+                *current = index;
+            }
+            is_newer
+        });
+    }
+
+    fn compact(&mut self, revision: u64) {
+        let Some(configuration) = self.held.get(&revision) else {
+            return;
+        };
+        if let Ok(payload) = encode(configuration) {
+            self.node.compacted(revision, payload);
+        }
+    }
+}
+
+/// The next event of the reader; never when this sidecar does not read.
+async fn next_of(reader: &mut Option<Reader>) -> Option<ReaderEvent> {
+    match reader {
+        Some(reader) => reader.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Enters this sidecar in the directory, and looks there for others until gossip has found some.
+async fn look_up<P: Platform>(
+    platform: Arc<P>,
+    entry: DirectoryEntry,
+    members: watch::Receiver<MemberTable>,
+    seeds: mpsc::Sender<Vec<DirectoryEntry>>,
+) {
+    let mut is_registered = false;
+    let mut looks_left = LOOKS_AFTER_CONTACT;
+    let mut pause = FIRST_DIRECTORY_PAUSE;
+    tokio::time::sleep(pause.mul_f64(rand::random_range(0.0..=0.5))).await;
+    while looks_left > 0 || !is_registered {
+        if !is_registered {
+            let registering = platform.register(&entry);
+            let registered = tokio::time::timeout(DIRECTORY_LIMIT, registering).await;
+            is_registered = matches!(registered, Ok(Ok(())));
+        }
+        let listing = platform.directory();
+        if let Ok(Ok(entries)) = tokio::time::timeout(DIRECTORY_LIMIT, listing).await {
+            if seeds.send(entries).await.is_err() {
+                return;
+            }
+            if members.borrow().members().count() > 1 {
+                looks_left = looks_left.saturating_sub(1);
+            }
+        }
+        let jitter = rand::random_range(0.5..=1.0);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        pause = (pause * 2).min(LONGEST_DIRECTORY_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -0,0 +1,10 @@
+//! The inbound side: calls for the local back end, from this sidecar or from others.
+
+pub mod backend;
+
+mod answer;
+mod execution;
+mod handler;
+
+pub(crate) use execution::{InFlight, LocalExecutor};
+pub(crate) use handler::InboundHandler;
--- /dev/null
+++ b/crates/sidecar/src/instance/registry.rs
@@ -0,0 +1,207 @@
+//! Carries out what the tracker decides: durable marks, verification, and the gate of the back end.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::sync::lock;
+
+use super::{Heartbeat, InstanceId, InstanceTracker, Standing, TrackerDecision};
+use crate::inbound::backend::LocalBackend;
+use crate::platform::Platform;
+
+/// Longest wait for a durable mark; the instance waits a second for its acknowledgement.
+const RECORD_LIMIT: Duration = Duration::from_millis(850);
+/// Longest wait for one answer about the durable marks.
+const LOOKUP_LIMIT: Duration = Duration::from_millis(800);
+/// Pauses between two tries to verify an instance.
+const VERIFY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause between two tries to verify an instance.
+const LONGEST_VERIFY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Tries with the durable marks before heartbeats and health may stand in for them.
+const LOOKUPS_BEFORE_FALLBACK: u32 = 2;
+/// Longest wait for a health answer.
+const HEALTH_LIMIT: Duration = Duration::from_millis(500);
+
+/// Whether a message of an instance is acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acknowledgement {
+    /// It is, and what it says holds from now on.
+    Given,
+    /// Not now; the instance should try again.
+    Refused,
+}
+
+/// Keeps the local back end's gate in step with what its instances say.
+#[derive(Debug)]
+pub struct Registry<P> {
+    platform: Arc<P>,
+    backend: Arc<LocalBackend>,
+    clock: Clock,
+    tracker: Mutex<InstanceTracker>,
+    verifying: Mutex<Option<InstanceId>>,
+}
+
+impl<P: Platform> Registry<P> {
+    /// A registry that has heard of nothing.
+    pub fn new(platform: Arc<P>, backend: Arc<LocalBackend>, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            platform,
+            backend,
+            clock,
+            tracker: Mutex::default(),
+            verifying: Mutex::default(),
+        })
+    }
+
+    /// Takes a heartbeat.
+    pub async fn heartbeat(self: &Arc<Self>, beat: &Heartbeat) -> Acknowledgement {
+        let now = self.clock.now();
+        let decision = lock(&self.tracker).heartbeat(now, beat);
+        match decision {
+            TrackerDecision::Acknowledge => {
+                self.backend.update_slots(&beat.instance, beat.slots);
+                Acknowledgement::Given
+            }
+            TrackerDecision::Verify => {
+                self.spawn_verification(beat.instance.clone());
+                Acknowledgement::Given
+            }
+            TrackerDecision::RecordDeparture => self.record(&beat.instance).await,
+        }
+    }
+
+    /// Takes the message of an instance that goes.
+    pub async fn departure(self: &Arc<Self>, instance: &InstanceId) -> Acknowledgement {
+        let now = self.clock.now();
+        let decision = lock(&self.tracker).departure(now, instance);
+        match decision {
+            TrackerDecision::RecordDeparture => self.record(instance).await,
+            _ => Acknowledgement::Given,
+        }
+    }
+
+    /// Looks for an instance at the back end's address until one gets work; a sidecar that was
+    /// restarted alone need not wait for a heartbeat.
+    pub async fn discover(self: &Arc<Self>) {
+        while lock(&self.tracker).current().is_none() {
+            if let Some(instance) = self.healthy_instance().await {
+                let now = self.clock.now();
+                if lock(&self.tracker).seen_healthy(now, &instance) {
+                    self.spawn_verification(instance);
+                }
+                return;
+            }
+            tokio::time::sleep(VERIFY_PAUSE).await;
+            if lock(&self.verifying).is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Another back end than the one that was meant has the address.
+    pub fn misdirected(self: &Arc<Self>, instance: &InstanceId) {
+        lock(&self.tracker).replaced(instance);
+        self.backend.close(instance);
+        log::warn!("event=instance_replaced instance={instance}");
+    }
+
+    async fn record(&self, instance: &InstanceId) -> Acknowledgement {
+        self.backend.close(instance);
+        let recording = self.platform.record_departure(instance);
+        let recorded = tokio::time::timeout(RECORD_LIMIT, recording).await;
+        match recorded {
+            Ok(Ok(())) => {
+                let now = self.clock.now();
+                lock(&self.tracker).departure_recorded(now, instance);
+                log::info!("event=departure_acknowledged instance={instance}");
+                Acknowledgement::Given
+            }
+            Ok(Err(error)) => {
+                log::warn!("event=departure_not_durable instance={instance} error=\"{error}\"");
+                Acknowledgement::Refused
+            }
+            Err(_) => {
+                log::warn!("event=departure_not_durable instance={instance} error=\"timeout\"");
+                Acknowledgement::Refused
+            }
+        }
+    }
+
+    fn spawn_verification(self: &Arc<Self>, instance: InstanceId) {
+        let mut verifying = lock(&self.verifying);
+        if verifying.as_ref() == Some(&instance) {
+            return;
+        }
+        *verifying = Some(instance.clone());
+        drop(verifying);
+        let registry = Arc::clone(self);
+        tokio::spawn(async move {
+            registry.verify(&instance).await;
+            let mut verifying = lock(&registry.verifying);
+            if verifying.as_ref() == Some(&instance) {
+                *verifying = None;
+            }
+        });
+    }
+
+    /// Tries until it is known whether the instance may get work.
+    async fn verify(&self, instance: &InstanceId) {
+        let mut pause = VERIFY_PAUSE;
+        let mut lookups = 0;
+        loop {
+            if lock(&self.tracker).standing(instance) == Standing::Leaving {
+                return;
+            }
+            let looking = self.platform.has_departed(instance);
+            match tokio::time::timeout(LOOKUP_LIMIT, looking).await {
+                Ok(Ok(departed)) => {
+                    self.conclude(instance, departed);
+                    return;
+                }
+                _ => lookups += 1,
+            }
+            if lookups >= LOOKUPS_BEFORE_FALLBACK && self.is_confirmed_without_marks(instance).await
+            {
+                log::info!("event=instance_confirmed_by_heartbeats instance={instance}");
+                self.conclude(instance, false);
+                return;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_VERIFY_PAUSE);
+        }
+    }
+
+    fn conclude(&self, instance: &InstanceId, departed: bool) {
+        let now = self.clock.now();
+        let mut tracker = lock(&self.tracker);
+        if departed {
+            tracker.departure_recorded(now, instance);
+            drop(tracker);
+            self.backend.close(instance);
+            log::info!("event=instance_departed_earlier instance={instance}");
+            return;
+        }
+        if tracker.verified(now, instance) {
+            let slots = tracker.slots(instance);
+            drop(tracker);
+            self.backend.open(instance, slots);
+            log::info!("event=instance_serving instance={instance} slots={slots:?}");
+        }
+    }
+
+    async fn is_confirmed_without_marks(&self, instance: &InstanceId) -> bool {
+        if !lock(&self.tracker).is_confirmed(instance) {
+            return false;
+        }
+        self.healthy_instance().await.as_ref() == Some(instance)
+    }
+
+    async fn healthy_instance(&self) -> Option<InstanceId> {
+        let asking = self.backend.healthy_instance();
+        tokio::time::timeout(HEALTH_LIMIT, asking)
+            .await
+            .ok()
+            .flatten()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,23 @@
+//! The sidecar: wharfquay's call path on a platform that keeps its own HTTP/1.1 dialect.
+//!
+//! One process stands beside each back end. Callers and the back end itself send requests to its
+//! [`outbound`] side; other sidecars send calls for the local back end to its [`inbound`] side. What
+//! the platform names and stores comes through the traits and types of [`platform`]; every decision
+//! (admission, routing, retries, drains, adoption of configurations) is taken by `wharfquay_core`,
+//! `wharfquay_membership` and [`instance`].
+
+pub mod configuration;
+pub mod control;
+pub mod dialect;
+pub mod inbound;
+pub mod instance;
+pub mod outbound;
+pub mod platform;
+pub mod settings;
+pub mod sidecar;
+
+mod body;
+mod message;
+mod scopes;
+
+pub use sidecar::{Sidecar, StartError};
--- /dev/null
+++ b/crates/sidecar/src/outbound/answer.rs
@@ -0,0 +1,56 @@
+//! The answers that the sidecar itself gives to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{Response, StatusCode};
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_daemon::answer::Failure;
+use wharfquay_daemon::body::AnswerBody;
+use wharfquay_protocol::headers as names;
+
+/// Shortest Retry-After that a caller is told.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// The answer in place of a back end's. A status that promises that the request was not executed is
+/// given only where that holds.
+pub(crate) fn refusal(failure: Failure) -> Response<AnswerBody> {
+    let status = status_of(failure.code);
+    let text = format!(
+        "result={} name={}\n",
+        failure.code.number(),
+        failure.code.name()
+    );
+    let mut response = Response::new(AnswerBody::own(Bytes::from(text)));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    headers.insert(names::RESULT, HeaderValue::from(failure.code.number()));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(header::RETRY_AFTER, retry_after(failure.retry_after));
+    }
+    response
+}
+
+/// The status by which a caller of this platform learns what it may conclude.
+pub(crate) fn status_of(code: ResultCode) -> StatusCode {
+    match code {
+        ResultCode::MalformedRequest | ResultCode::InvalidContext => StatusCode::BAD_REQUEST,
+        ResultCode::RequestTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ResultCode::UnknownService => StatusCode::NOT_FOUND,
+        ResultCode::DeadlineAfterDispatch => StatusCode::GATEWAY_TIMEOUT,
+        code if code.outcome() == OutcomeClass::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Seconds with their fraction.
+fn retry_after(wait: Duration) -> HeaderValue {
+    let wait = wait.max(SHORTEST_RETRY_AFTER);
+    let text = format!("{:.3}", wait.as_secs_f64());
+    HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("1"))
+}
--- /dev/null
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -0,0 +1,275 @@
+//! One attempt of a call at one sidecar.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use wharfquay_core::call::{AttemptId, CallContext, RetryAllowance};
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::routing::{Observation, ReportedLoad};
+use wharfquay_core::time::Timestamp;
+use wharfquay_daemon::answer::{self, Failure};
+use wharfquay_daemon::backend_pool::{BackendPool, Lease, SendError};
+use wharfquay_daemon::body::{AnswerBody, BodyEnd, BodyObserver, RequestBody};
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_answer};
+use wharfquay_protocol::answer::WireAnswer;
+use wharfquay_protocol::context::WireContext;
+use wharfquay_protocol::headers as names;
+
+use crate::body::{Collected, collect, remove_length};
+use crate::message::RequestHead;
+use crate::outbound::routing::{ServiceRouter, Target};
+
+/// Part of the remaining time that is kept back at a hop, so that the hop nearer to the back end
+/// answers first and its more exact answer reaches the caller.
+const HOP_MARGIN: Duration = Duration::from_millis(3);
+/// The margin is never more than this part of the remaining time.
+const HOP_MARGIN_SHARE: u32 = 16;
+/// Connections that may prove closed before a byte was written, for one attempt.
+const CONNECTION_TRIES: usize = 2;
+
+/// How an attempt ended.
+pub(crate) struct AttemptEnd {
+    /// The answer of the back end, or the failure in its place.
+    pub(crate) result: Result<Response<AnswerBody>, Failure>,
+    /// What the answering sidecar told along with it.
+    pub(crate) metadata: Option<WireAnswer>,
+    /// What became of the retries that the attempt carried: handed back, or lost.
+    pub(crate) returned: Option<RetryAllowance>,
+    /// The body, where none of it was sent.
+    pub(crate) unsent: Option<RequestBody>,
+}
+
+impl AttemptEnd {
+    fn lost(code: ResultCode) -> Self {
+        Self {
+            result: Err(Failure::new(code)),
+            metadata: None,
+            returned: None,
+            unsent: None,
+        }
+    }
+
+    fn not_sent(allowance: RetryAllowance, body: Option<RequestBody>) -> Self {
+        Self {
+            result: Err(Failure::new(ResultCode::ConnectFailed)),
+            metadata: None,
+            returned: Some(allowance),
+            unsent: body,
+        }
+    }
+}
+
+/// The context of an attempt: a little less time, one hop deeper.
+pub(crate) fn attempt_context(
+    context: &CallContext,
+    now: Timestamp,
+    allowance: RetryAllowance,
+) -> CallContext {
+    let margin = HOP_MARGIN.min(context.remaining(now) / HOP_MARGIN_SHARE);
+    CallContext {
+        attempt: AttemptId::new(rand::random()),
+        deadline: context.deadline - margin,
+        allowance,
+        depth: context.depth.saturating_add(1),
+        ..context.clone()
+    }
+}
+
+/// Sends one attempt to another sidecar and waits for its answer.
+pub(crate) async fn send(
+    pool: &Arc<BackendPool>,
+    clock: &Clock,
+    head: &RequestHead,
+    context: &CallContext,
+    body: RequestBody,
+) -> AttemptEnd {
+    let allowance = context.allowance;
+    let mut request = head.to_request(body);
+    for _ in 0..CONNECTION_TRIES {
+        let Ok(mut lease) = pool.checkout().await else {
+            return AttemptEnd::not_sent(allowance, Some(request.into_body()));
+        };
+        if !write_context(&mut request, context, clock.now()) {
+            return AttemptEnd::lost(ResultCode::MalformedRequest);
+        }
+        match lease.send(request).await {
+            Ok(response) => {
+                let deadline = clock.instant(context.deadline);
+                return read(&head.method, response, lease, deadline).await;
+            }
+            Err(SendError::NotSent(unsent)) => request = unsent,
+            Err(SendError::Failed(_)) => return AttemptEnd::lost(ResultCode::ConnectionLost),
+        }
+    }
+    AttemptEnd::not_sent(allowance, Some(request.into_body()))
+}
+
+fn write_context(
+    request: &mut Request<RequestBody>,
+    context: &CallContext,
+    now: Timestamp,
+) -> bool {
+    let encoded = WireContext::from_context(context, now).encode();
+    let Ok(value) = HeaderValue::from_str(&encoded) else {
+        return false;
+    };
+    request.headers_mut().insert(names::CONTEXT, value);
+    true
+}
+
+async fn read(
+    method: &Method,
+    mut response: Response<Incoming>,
+    lease: Lease,
+    deadline: Instant,
+) -> AttemptEnd {
+    let metadata = answer::take_metadata(response.headers_mut());
+    let returned = metadata.map(|metadata| metadata.returned);
+    let result = match answer::result(response.headers()) {
+        Some(ResultCode::Answered) => read_answer(method, response, lease, deadline).await,
+        Some(code) => {
+            let retry_after = answer::retry_after(response.headers());
+            finish_refusal(response, lease).await;
+            Err(Failure::with_retry_after(code, retry_after))
+        }
+        None => Err(Failure::new(ResultCode::MalformedAnswer)),
+    };
+    AttemptEnd {
+        result,
+        metadata,
+        returned,
+        unsent: None,
+    }
+}
+
+async fn read_answer(
+    method: &Method,
+    response: Response<Incoming>,
+    lease: Lease,
+    deadline: Instant,
+) -> Result<Response<AnswerBody>, Failure> {
+    let (mut parts, incoming) = response.into_parts();
+    remove_hop_by_hop(&mut parts.headers);
+    remove_internal_answer(&mut parts.headers);
+    remove_length(method, &mut parts.headers);
+    let collected = collect(incoming).await;
+    let collected = collected.map_err(|_| Failure::new(ResultCode::ConnectionLost))?;
+    let is_whole = matches!(collected, Collected::Whole(_));
+    let mut body = collected.into_body(deadline);
+    if is_whole {
+        Box::new(lease).ended(BodyEnd::Complete);
+    } else {
+        body.observe(Box::new(lease));
+    }
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Reads the short body of a refusal, so that its connection can be used again.
+async fn finish_refusal(response: Response<Incoming>, lease: Lease) {
+    if let Ok(Collected::Whole(_)) = collect(response.into_body()).await {
+        Box::new(lease).ended(BodyEnd::Complete);
+    }
+}
+
+/// The router's record of an attempt in flight. Dropped without an end, the attempt was cancelled.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    router: Arc<ServiceRouter>,
+    target: Target,
+    clock: Clock,
+    started: Timestamp,
+    ended: bool,
+}
+
+impl Flight {
+    pub(crate) fn new(router: &Arc<ServiceRouter>, target: &Target, clock: Clock) -> Self {
+        Self {
+            router: Arc::clone(router),
+            target: target.clone(),
+            clock,
+            started: clock.now(),
+            ended: false,
+        }
+    }
+
+    /// The attempt ended.
+    pub(crate) fn finish(mut self, end: &AttemptEnd) {
+        let now = self.clock.now();
+        match &end.result {
+            Ok(response) => self.observe(now, end, OutcomeClass::Run, response.status(), false),
+            Err(failure) => {
+                self.note_unavailable(now, failure.code);
+                let outcome = failure.code.outcome();
+                let overloaded = is_overload(failure.code);
+                self.observe(now, end, outcome, StatusCode::OK, overloaded);
+            }
+        }
+    }
+
+    fn note_unavailable(&self, now: Timestamp, code: ResultCode) {
+        match code {
+            ResultCode::Draining | ResultCode::NoBackend | ResultCode::NotReady => {
+                self.router.refused_as_leaving(now, &self.target.id);
+            }
+            ResultCode::ConnectionLimit | ResultCode::ConnectFailed => {
+                self.router.connection_refused(now, &self.target.id);
+            }
+            _ => {}
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: Timestamp,
+        end: &AttemptEnd,
+        outcome: OutcomeClass,
+        status: StatusCode,
+        overloaded: bool,
+    ) {
+        self.ended = true;
+        let load = end.metadata.map(|metadata| ReportedLoad {
+            in_flight: metadata.in_flight,
+            limit: metadata.limit,
+            queued: metadata.queued,
+        });
+        let seen = Observation {
+            latency: now.saturating_since(self.started),
+            outcome,
+            error_answer: status.is_server_error(),
+            overloaded,
+            load: load.filter(|load| load.limit > 0),
+            level: end.metadata.map(|metadata| metadata.level),
+        };
+        self.router.observe(now, &self.target.id, seen);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.router.abandoned(&self.target.id);
+        }
+    }
+}
+
+/// Whether a refusal shows a busy endpoint rather than a broken one.
+const fn is_overload(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::RefusedByLevel
+            | ResultCode::RefusedQueueFull
+            | ResultCode::DisplacedFromQueue
+            | ResultCode::QueueTimeout
+            | ResultCode::DeadlineUnreachable
+            | ResultCode::DeadlineAfterDispatch
+            | ResultCode::Draining
+            | ResultCode::ConnectionLimit
+            | ResultCode::NotReady
+            | ResultCode::NoBackend
+            | ResultCode::RefusedByBackend
+    )
+}
--- /dev/null
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -0,0 +1,306 @@
+//! The way of a call to a service: early refusal, choice of an endpoint, attempts and retries.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use wharfquay_core::call::{CallContext, Repeatability};
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::retry::{
+    Backoff, FailureLocation, Grant, Ledger, RetryDecision, RetryQuestion,
+};
+use wharfquay_core::routing::EndpointId;
+use wharfquay_daemon::answer::Failure;
+use wharfquay_daemon::body::{AnswerBody, RequestBody};
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::sync::lock;
+
+use super::attempt::{self, AttemptEnd, Flight, attempt_context};
+use super::peers::Peers;
+use super::routing::{Routing, ServiceRouter, Target};
+use crate::inbound::LocalExecutor;
+use crate::message::RequestHead;
+
+/// Sidecars that a call is offered to after refusals that cost their back ends nothing.
+const MAX_OFFERS: usize = 3;
+/// Retry-After when no sidecar of a service is known.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What is known of a call while it is under way, for an answer at its deadline.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    may_run: AtomicBool,
+}
+
+impl Progress {
+    /// Whether a back end may have executed the call, or may do so.
+    pub(crate) fn may_run(&self) -> bool {
+        self.may_run.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, may_run: bool) {
+        self.may_run.store(may_run, Ordering::Relaxed);
+    }
+}
+
+/// A call to a service.
+#[derive(Debug)]
+pub(crate) struct OutgoingCall {
+    pub(crate) service: String,
+    pub(crate) context: CallContext,
+    pub(crate) head: RequestHead,
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+    /// Calls among which the ledger divides its allowance.
+    pub(crate) children: usize,
+    /// Most back ends that may see the call.
+    pub(crate) max_attempts: u32,
+    pub(crate) progress: Arc<Progress>,
+}
+
+/// The body of a call: in memory, so that it can be sent again, or a stream that is sent once.
+#[derive(Debug)]
+pub(crate) enum CallBody {
+    Held(Bytes),
+    Once(Option<RequestBody>),
+}
+
+impl CallBody {
+    pub(crate) fn new(body: RequestBody) -> Self {
+        match body {
+            RequestBody::Held(bytes) => Self::Held(bytes.unwrap_or_default()),
+            other => Self::Once(Some(other)),
+        }
+    }
+
+    fn for_attempt(&mut self) -> Option<RequestBody> {
+        match self {
+            Self::Held(bytes) => Some(RequestBody::held(bytes.clone())),
+            Self::Once(body) => body.take(),
+        }
+    }
+
+    fn restore(&mut self, unsent: RequestBody) {
+        if let Self::Once(body) = self {
+            *body = Some(unsent);
+        }
+    }
+
+    const fn can_repeat(&self) -> bool {
+        match self {
+            Self::Held(_) => true,
+            Self::Once(body) => body.is_some(),
+        }
+    }
+}
+
+/// What the attempts of one call have shown so far.
+#[derive(Debug, Default)]
+struct Attempts {
+    tried: Vec<EndpointId>,
+    offers: usize,
+    arrivals: u32,
+    /// Result of an attempt that may have run.
+    uncertain: Option<Failure>,
+}
+
+impl Attempts {
+    fn note(&mut self, target: Target, failure: Failure) {
+        self.tried.push(target.id);
+        if failure.code.outcome() == OutcomeClass::Unknown {
+            self.uncertain = Some(failure);
+        }
+        if reached_backend(failure.code) {
+            self.arrivals += 1;
+        } else {
+            self.offers += 1;
+        }
+    }
+
+    /// The failure to report: "not run" only if that holds for every attempt.
+    fn conclude(&self, last: Failure) -> Failure {
+        match self.uncertain {
+            Some(uncertain) if last.code.outcome() == OutcomeClass::NotRun => {
+                Failure::with_retry_after(uncertain.code, last.retry_after)
+            }
+            _ => last,
+        }
+    }
+}
+
+/// Whether a failed attempt arrived at a back end, which counts it against the retry budget.
+fn reached_backend(code: ResultCode) -> bool {
+    code == ResultCode::RefusedByBackend || code.outcome() != OutcomeClass::NotRun
+}
+
+/// Sends calls to services.
+#[derive(Debug)]
+pub(crate) struct Forwarder {
+    pub(crate) clock: Clock,
+    pub(crate) own_id: EndpointId,
+    pub(crate) routing: Arc<Routing>,
+    pub(crate) peers: Peers,
+    pub(crate) local: Arc<LocalExecutor>,
+}
+
+impl Forwarder {
+    /// Takes a call to a back end of its service and gives the answer, or the failure in its place.
+    ///
+    /// # Errors
+    /// The failure to report to the caller.
+    pub(crate) async fn forward(
+        &self,
+        call: &OutgoingCall,
+        mut body: CallBody,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let router = self.routing.service(&call.service).ok_or_else(|| {
+            Failure::with_retry_after(ResultCode::NoBackend, NO_ENDPOINT_RETRY_AFTER)
+        })?;
+        let (kind, key) = (&call.context.request_kind, call.context.admission_key());
+        self.routing.check_path(&call.service, kind, key)?;
+        let mut attempts = Attempts::default();
+        loop {
+            let target = self
+                .pick(call, &router, &attempts)
+                .map_err(|failure| attempts.conclude(failure))?;
+            let failure = match self.attempt(call, &mut body, &router, &target).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            attempts.note(target, failure);
+            call.progress.set(attempts.uncertain.is_some());
+            let Some(after) = self.next_after(call, &body, &router, &attempts, failure) else {
+                return Err(attempts.conclude(failure));
+            };
+            if !after.is_zero() {
+                tokio::time::sleep(after).await;
+            }
+        }
+    }
+
+    /// Picks an endpoint that was not tried; after an uncertain attempt also one that was.
+    fn pick(
+        &self,
+        call: &OutgoingCall,
+        router: &ServiceRouter,
+        attempts: &Attempts,
+    ) -> Result<Target, Failure> {
+        let now = self.clock.now();
+        if call.context.remaining(now).is_zero() {
+            return Err(Failure::new(ResultCode::DeadlineUnreachable));
+        }
+        let key = call.context.admission_key();
+        let picked = router.pick(now, key, &attempts.tried);
+        if picked.is_err() && attempts.uncertain.is_some() {
+            return router.pick(now, key, &[]);
+        }
+        picked
+    }
+
+    async fn attempt(
+        &self,
+        call: &OutgoingCall,
+        body: &mut CallBody,
+        router: &Arc<ServiceRouter>,
+        target: &Target,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let flight = Flight::new(router, target, self.clock);
+        let sent = body
+            .for_attempt()
+            .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
+        let grant = lock(&call.ledger).grant(call.children);
+        let context = attempt_context(&call.context, self.clock.now(), grant.allowance());
+        call.progress.set(true);
+        let end = if target.id == self.own_id {
+            self.execute_locally(call, context, sent).await
+        } else {
+            let pool = self.peers.pool(target.address);
+            attempt::send(&pool, &self.clock, &call.head, &context, sent).await
+        };
+        settle(&call.ledger, grant, &end);
+        if let Some(metadata) = &end.metadata {
+            let kind = &call.context.request_kind;
+            self.routing
+                .heard(&call.service, kind, &target.id, metadata);
+        }
+        flight.finish(&end);
+        if let Some(unsent) = end.unsent {
+            body.restore(unsent);
+        }
+        end.result
+    }
+
+    async fn execute_locally(
+        &self,
+        call: &OutgoingCall,
+        context: CallContext,
+        body: RequestBody,
+    ) -> AttemptEnd {
+        let executed = self.local.execute(context, &call.head, body).await;
+        AttemptEnd {
+            result: executed.result,
+            returned: Some(executed.metadata.returned),
+            metadata: Some(executed.metadata),
+            unsent: None,
+        }
+    }
+
+    /// The wait before the next attempt, or `None` to give up.
+    fn next_after(
+        &self,
+        call: &OutgoingCall,
+        body: &CallBody,
+        router: &ServiceRouter,
+        attempts: &Attempts,
+        failure: Failure,
+    ) -> Option<Duration> {
+        let now = self.clock.now();
+        let key = call.context.admission_key();
+        let sibling_available = body.can_repeat() && router.can_pick(now, key, &attempts.tried);
+        if !reached_backend(failure.code) {
+            let may_offer = sibling_available && attempts.offers < MAX_OFFERS;
+            return may_offer.then_some(Duration::ZERO);
+        }
+        if attempts.arrivals >= call.max_attempts {
+            return None;
+        }
+        if failure.code == ResultCode::RefusedByBackend && !router.charge(now) {
+            return None;
+        }
+        let mut ledger = lock(&call.ledger);
+        let question = RetryQuestion {
+            now,
+            deadline: call.context.deadline,
+            code: failure.code,
+            location: FailureLocation::ThisHop,
+            repeatability: effective_repeatability(call, body),
+            sibling_available,
+            allowance: ledger.remaining(),
+            budget_available: true,
+            backoff: Backoff::default().delay(attempts.arrivals, &mut rand::rng()),
+            expected_latency: Duration::ZERO,
+        };
+        match router.authorize(&question, &mut ledger) {
+            RetryDecision::Retry { after } => Some(after),
+            RetryDecision::GiveUp(_) => None,
+        }
+    }
+}
+
+fn settle(ledger: &Mutex<Ledger>, grant: Grant, end: &AttemptEnd) {
+    let mut ledger = lock(ledger);
+    match end.returned {
+        Some(returned) => ledger.settle(grant, returned),
+        None => ledger.lose(grant),
+    };
+}
+
+/// A body that can't be sent again makes a call unrepeatable.
+const fn effective_repeatability(call: &OutgoingCall, body: &CallBody) -> Repeatability {
+    if body.can_repeat() {
+        call.context.repeatability
+    } else {
+        Repeatability::AtMostOnce
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/outbound/mod.rs
@@ -0,0 +1,15 @@
+//! The outbound side: requests of callers on this machine and of the local back end.
+
+pub mod connection;
+pub mod routing;
+
+mod answer;
+mod attempt;
+mod forward;
+mod handler;
+pub mod parse;
+mod peers;
+
+pub(crate) use forward::Forwarder;
+pub(crate) use handler::OutboundHandler;
+pub(crate) use peers::Peers;
--- /dev/null
+++ b/crates/sidecar/src/outbound/peers.rs
@@ -0,0 +1,38 @@
+//! Connections to other sidecars: HTTP/1.1, so that one lost packet holds up one call only.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use wharfquay_daemon::backend_pool::BackendPool;
+use wharfquay_daemon::sync::lock;
+
+/// Longest time to open a connection to another sidecar.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Most connections to one other sidecar.
+const CONNECTIONS: usize = 256;
+/// Longest rest of a connection that is used again.
+const LONGEST_REST: Duration = Duration::from_secs(20);
+
+/// Connections to every sidecar that was called.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    pools: Mutex<HashMap<SocketAddr, Arc<BackendPool>>>,
+}
+
+impl Peers {
+    /// The connections to one sidecar.
+    pub(crate) fn pool(&self, address: SocketAddr) -> Arc<BackendPool> {
+        let mut pools = lock(&self.pools);
+        let pool = pools.entry(address).or_insert_with(|| {
+            BackendPool::with_longest_rest(address, CONNECTIONS, CONNECT_TIMEOUT, LONGEST_REST)
+        });
+        Arc::clone(pool)
+    }
+
+    /// Forgets the sidecars that `keep` does not name.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.pools).retain(|address, _| keep(address));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -0,0 +1,302 @@
+//! For each service a router, a retry budget and the addresses of its sidecars; and what is known of
+//! the admission levels on the paths below.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
+
+use wharfquay_core::admission::{PathLevels, level_below};
+use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
+use wharfquay_core::retry::{
+    BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
+};
+use wharfquay_core::routing::{
+    Endpoint, EndpointId, EndpointState, Observation, Pick, PickRequest, Router, RouterSettings,
+    Zone,
+};
+use wharfquay_core::time::Timestamp;
+use wharfquay_daemon::answer::Failure;
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::sync::lock;
+use wharfquay_membership::member::{Member, MemberState};
+use wharfquay_membership::table::MemberTable;
+use wharfquay_protocol::answer::WireAnswer;
+
+/// Executions at a time that an endpoint is taken to bear before it has reported its limit.
+const ASSUMED_SLOTS: u32 = 16;
+/// Time for which an endpoint that refused as leaving gets nothing.
+const LEAVING_HOLD: Duration = Duration::from_millis(700);
+/// Part of the deployment's retry ratio that one hop may use: repeats at each hop of a chain add up
+/// at its end.
+const HOPS_SHARING_RATIO: f64 = 5.0;
+/// Retries per second and sidecar that are allowed at any rate of requests.
+const BUDGET_FLOOR: f64 = 0.02;
+/// Retries that one sidecar may save up towards one service.
+const BUDGET_CAPACITY: u32 = 3;
+/// Request kinds whose called services are remembered.
+const REMEMBERED_KINDS: usize = 1_024;
+
+/// A sidecar that was picked for an attempt; the router counts the attempt until it is observed.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its identity.
+    pub id: EndpointId,
+    /// Its address for calls.
+    pub address: SocketAddr,
+}
+
+/// How the calls of this sidecar to one service are routed.
+#[derive(Debug)]
+pub struct ServiceRouter {
+    state: Mutex<RouterState>,
+}
+
+#[derive(Debug)]
+struct RouterState {
+    router: Router,
+    budget: DestinationBudget,
+    addresses: HashMap<EndpointId, SocketAddr>,
+}
+
+fn router_settings() -> RouterSettings {
+    RouterSettings {
+        warm_up: Duration::ZERO,
+        leaving_hold: LEAVING_HOLD,
+        ..RouterSettings::default()
+    }
+}
+
+impl ServiceRouter {
+    fn new(zone: &Zone, ratio: f64, now: Timestamp) -> Self {
+        let budget = BudgetSettings {
+            ratio: ratio / HOPS_SHARING_RATIO,
+            floor_per_second: BUDGET_FLOOR,
+            capacity: BUDGET_CAPACITY,
+        };
+        Self {
+            state: Mutex::new(RouterState {
+                router: Router::new(router_settings(), zone.clone()),
+                budget: DestinationBudget::with_settings(budget, now),
+                addresses: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Picks an endpoint and counts the attempt there.
+    ///
+    /// # Errors
+    /// What to answer when no endpoint can take the call.
+    pub fn pick(
+        &self,
+        now: Timestamp,
+        key: AdmissionKey,
+        excluded: &[EndpointId],
+    ) -> Result<Target, Failure> {
+        let mut state = lock(&self.state);
+        let request = PickRequest { key, excluded };
+        let id = match state.router.pick(now, &mut rand::rng(), &request) {
+            Pick::Endpoint(id) => id,
+            Pick::None {
+                reason,
+                retry_after,
+            } => return Err(Failure::with_retry_after(reason, retry_after)),
+        };
+        let address = state.addresses.get(&id).copied();
+        let address = address.ok_or_else(|| Failure::new(ResultCode::NoBackend))?;
+        state.router.dispatched(now, &id);
+        Ok(Target { id, address })
+    }
+
+    /// Whether another endpoint could take the call.
+    pub fn can_pick(&self, now: Timestamp, key: AdmissionKey, excluded: &[EndpointId]) -> bool {
+        let request = PickRequest { key, excluded };
+        lock(&self.state).router.can_pick(now, &request)
+    }
+
+    /// Level of the most open endpoint.
+    pub fn level(&self, now: Timestamp) -> AdmissionLevel {
+        lock(&self.state).router.level(now)
+    }
+
+    /// Takes in the end of an attempt.
+    pub fn observe(&self, now: Timestamp, endpoint: &EndpointId, seen: Observation) {
+        let mut state = lock(&self.state);
+        if seen.outcome == OutcomeClass::Run {
+            state.budget.record_success(now);
+        }
+        state.router.observe(now, endpoint, seen);
+    }
+
+    /// Takes in the end of an attempt that says nothing about the endpoint.
+    pub fn abandoned(&self, endpoint: &EndpointId) {
+        lock(&self.state).router.abandoned(endpoint);
+    }
+
+    /// Keeps calls away for a while from an endpoint that can't take any.
+    pub fn refused_as_leaving(&self, now: Timestamp, endpoint: &EndpointId) {
+        lock(&self.state).router.refused_as_leaving(now, endpoint);
+    }
+
+    /// Keeps calls away for a moment from an endpoint that could not be reached.
+    pub fn connection_refused(&self, now: Timestamp, endpoint: &EndpointId) {
+        lock(&self.state).router.connection_refused(now, endpoint);
+    }
+
+    /// Pays for an arrival at another back end after one that was refused; false when the budget is
+    /// exhausted.
+    pub fn charge(&self, now: Timestamp) -> bool {
+        lock(&self.state).budget.try_withdraw(now)
+    }
+
+    /// Decides on a retry and pays for it.
+    pub fn authorize(&self, question: &RetryQuestion, ledger: &mut Ledger) -> RetryDecision {
+        authorize(question, ledger, &mut lock(&self.state).budget)
+    }
+
+    fn set_members(&self, now: Timestamp, members: &[&Member]) {
+        let mut state = lock(&self.state);
+        let mut addresses = HashMap::with_capacity(members.len());
+        let mut endpoints = Vec::with_capacity(members.len());
+        for member in members {
+            let id = EndpointId::from(member.profile.id.as_str());
+            addresses.insert(id.clone(), member.profile.call_address);
+            endpoints.push(Endpoint {
+                id,
+                zone: Zone::from(member.profile.zone.as_str()),
+                incarnation: member.incarnation.process(),
+                state: endpoint_state(member.state()),
+                started_at: None,
+                slots: ASSUMED_SLOTS,
+                connections: u32::MAX,
+            });
+        }
+        state.addresses = addresses;
+        state.router.set_endpoints(now, endpoints);
+    }
+}
+
+const fn endpoint_state(state: MemberState) -> EndpointState {
+    match state {
+        MemberState::Alive | MemberState::Suspect => EndpointState::Live,
+        MemberState::Leaving | MemberState::Dead => EndpointState::Leaving,
+    }
+}
+
+/// The routers of every service with a sidecar, and the levels below.
+#[derive(Debug)]
+pub struct Routing {
+    clock: Clock,
+    zone: Zone,
+    retry_ratio: f64,
+    services: RwLock<HashMap<String, Arc<ServiceRouter>>>,
+    levels: Mutex<PathLevels>,
+    /// Services that executions of a request kind at the local back end were seen to call.
+    called: Mutex<HashMap<String, BTreeSet<String>>>,
+}
+
+impl Routing {
+    /// Routing that knows no service.
+    #[must_use]
+    pub fn new(clock: Clock, zone: &str, retry_ratio: f64) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            zone: Zone::from(zone),
+            retry_ratio,
+            services: RwLock::default(),
+            levels: Mutex::default(),
+            called: Mutex::default(),
+        })
+    }
+
+    /// The router of a service, if a sidecar of it is known.
+    pub fn service(&self, name: &str) -> Option<Arc<ServiceRouter>> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(name).cloned()
+    }
+
+    /// Takes over the members that are known. Calls go on meanwhile.
+    pub fn update(&self, table: &MemberTable) {
+        let now = self.clock.now();
+        let mut by_service: HashMap<&str, Vec<&Member>> = HashMap::new();
+        for member in table.members().filter(|member| member.is_live()) {
+            if let Some(service) = &member.profile.service {
+                by_service.entry(service).or_default().push(member);
+            }
+        }
+        let mut services = self
+            .services
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        for (name, members) in &by_service {
+            let router = services
+                .entry((*name).to_owned())
+                .or_insert_with(|| Arc::new(ServiceRouter::new(&self.zone, self.retry_ratio, now)));
+            router.set_members(now, members);
+        }
+        for (name, router) in services.iter() {
+            if !by_service.contains_key(name.as_str()) {
+                router.set_members(now, &[]);
+            }
+        }
+    }
+
+    /// Refuses a call that the path below its service would refuse.
+    ///
+    /// # Errors
+    /// The refusal, with the time after which the path may admit the call.
+    pub fn check_path(
+        &self,
+        service: &str,
+        request_kind: &str,
+        key: AdmissionKey,
+    ) -> Result<(), Failure> {
+        let now = self.clock.now();
+        let admitted = lock(&self.levels).admits(now, service, request_kind, key);
+        admitted.map_err(|refusal| {
+            Failure::with_retry_after(ResultCode::RefusedByLevel, refusal.retry_after)
+        })
+    }
+
+    /// Notes what an answer says about the path below its endpoint.
+    pub fn heard(&self, service: &str, request_kind: &str, from: &EndpointId, told: &WireAnswer) {
+        let Some(below) = level_below(told.level, told.folded_level) else {
+            return;
+        };
+        let now = self.clock.now();
+        let mut levels = lock(&self.levels);
+        levels.observe_from(now, service, from.as_str(), request_kind, below);
+    }
+
+    /// Notes that an execution of a request kind at the local back end calls a service.
+    pub fn calls(&self, request_kind: &str, service: &str) {
+        let mut called = lock(&self.called);
+        if let Some(services) = called.get_mut(request_kind) {
+            if !services.contains(service) {
+                services.insert(service.to_owned());
+            }
+            return;
+        }
+        if called.len() >= REMEMBERED_KINDS {
+            called.clear();
+        }
+        let services = BTreeSet::from([service.to_owned()]);
+        called.insert(request_kind.to_owned(), services);
+    }
+
+    /// Strictest level towards the services that executions of a request kind call from here.
+    pub fn level_below(&self, request_kind: &str) -> AdmissionLevel {
+        let now = self.clock.now();
+        let called = lock(&self.called);
+        let Some(services) = called.get(request_kind) else {
+            return AdmissionLevel::OPEN;
+        };
+        let levels = services.iter().map(|service| {
+            let below = lock(&self.levels).level(now, service, request_kind);
+            let router = self.service(service);
+            below.fold(router.map_or(AdmissionLevel::OPEN, |router| router.level(now)))
+        });
+        levels.fold(AdmissionLevel::OPEN, AdmissionLevel::fold)
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/platform.rs
@@ -0,0 +1,85 @@
+//! The seams towards the platform: where configurations, other sidecars and durable marks come from.
+
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+use crate::configuration::Configuration;
+use crate::instance::InstanceId;
+
+/// A point in the platform's history of configurations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position(pub u64);
+
+/// What the platform said about the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationReading {
+    /// The configuration, if there is one, or if it changed.
+    pub configuration: Option<Configuration>,
+    /// Where to go on.
+    pub position: Position,
+}
+
+/// Why the platform gave no usable answer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum PlatformError {
+    /// no answer: {0}
+    Unreachable(String),
+    /// it asks to be called less often
+    Throttled,
+    /// it refused with status {0}
+    Refused(u16),
+    /// the history after this position is gone
+    HistoryGone,
+    /// the answer can't be understood: {0}
+    Malformed(String),
+}
+
+impl std::error::Error for PlatformError {}
+
+/// How a starting sidecar finds another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DirectoryEntry {
+    /// Identity of the sidecar.
+    pub id: String,
+    /// Its control address.
+    pub control_address: SocketAddr,
+}
+
+/// What a sidecar needs of its platform. Implementations translate and keep nothing: retries,
+/// backoff and timeouts of the whole belong to the caller.
+pub trait Platform: fmt::Debug + Send + Sync + 'static {
+    /// Reads the newest configuration.
+    fn read_configuration(
+        &self,
+    ) -> impl Future<Output = Result<ConfigurationReading, PlatformError>> + Send;
+
+    /// Waits a bounded time for a configuration after `position`.
+    fn watch_configuration(
+        &self,
+        position: Position,
+    ) -> impl Future<Output = Result<ConfigurationReading, PlatformError>> + Send;
+
+    /// Enters this sidecar in the directory, or changes its entry.
+    fn register(
+        &self,
+        entry: &DirectoryEntry,
+    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+
+    /// The entries of the directory; some may be stale.
+    fn directory(&self) -> impl Future<Output = Result<Vec<DirectoryEntry>, PlatformError>> + Send;
+
+    /// Makes it durable that an instance leaves. Repeating it changes nothing.
+    fn record_departure(
+        &self,
+        instance: &InstanceId,
+    ) -> impl Future<Output = Result<(), PlatformError>> + Send;
+
+    /// Whether an earlier [`Self::record_departure`] of this instance was acknowledged.
+    fn has_departed(
+        &self,
+        instance: &InstanceId,
+    ) -> impl Future<Output = Result<bool, PlatformError>> + Send;
+}
--- /dev/null
+++ b/crates/sidecar/src/scopes.rs
@@ -0,0 +1,90 @@
+//! The requests in execution at the local back end, as its own calls refer to them by request id.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use wharfquay_core::admission::CallTicket;
+use wharfquay_core::call::{CallContext, RetryAllowance};
+use wharfquay_core::retry::Ledger;
+use wharfquay_daemon::inbound::gate::AdmissionGate;
+use wharfquay_daemon::sync::lock;
+
+/// One request in execution at the local back end.
+#[derive(Debug)]
+pub(crate) struct Scope {
+    /// What the back end's own calls inherit.
+    pub(crate) context: CallContext,
+    /// The request, as admission knows it.
+    pub(crate) ticket: CallTicket,
+    /// The gate that admitted it.
+    pub(crate) gate: Arc<AdmissionGate>,
+    /// Retries that the back end's own calls may spend.
+    pub(crate) ledger: Arc<Mutex<Ledger>>,
+}
+
+/// The open scopes of one sidecar, by request id.
+#[derive(Debug, Default)]
+pub(crate) struct ScopeTable {
+    open: Mutex<HashMap<String, Arc<Scope>>>,
+}
+
+impl ScopeTable {
+    /// Opens a scope for a request that is handed to the back end.
+    pub(crate) fn open(
+        self: &Arc<Self>,
+        request_id: &str,
+        context: CallContext,
+        ticket: CallTicket,
+        gate: Arc<AdmissionGate>,
+    ) -> OpenScope {
+        let scope = Arc::new(Scope {
+            ledger: Arc::new(Mutex::new(Ledger::new(context.allowance))),
+            context,
+            ticket,
+            gate,
+        });
+        lock(&self.open).insert(request_id.to_owned(), Arc::clone(&scope));
+        OpenScope {
+            table: Arc::clone(self),
+            request_id: request_id.to_owned(),
+            scope,
+        }
+    }
+
+    /// The open scope of a request.
+    pub(crate) fn get(&self, request_id: &str) -> Option<Arc<Scope>> {
+        lock(&self.open).get(request_id).cloned()
+    }
+
+    /// Number of open scopes.
+    pub(crate) fn len(&self) -> usize {
+        lock(&self.open).len()
+    }
+}
+
+/// Keeps a scope open for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct OpenScope {
+    table: Arc<ScopeTable>,
+    request_id: String,
+    scope: Arc<Scope>,
+}
+
+impl OpenScope {
+    /// Ends the account of the scope and gives what is left to hand back.
+    pub(crate) fn close_ledger(&self) -> RetryAllowance {
+        lock(&self.scope.ledger).close()
+    }
+}
+
+impl Drop for OpenScope {
+    fn drop(&mut self) {
+        let mut open = lock(&self.table.open);
+        let is_own = open
+            .get(&self.request_id)
+            .is_some_and(|scope| Arc::ptr_eq(scope, &self.scope));
+        if is_own {
+            open.remove(&self.request_id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/sidecar.rs
@@ -0,0 +1,377 @@
+//! Putting a sidecar together: listeners, control, and the orderly stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use displaydoc::Display;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use wharfquay_core::routing::EndpointId;
+use wharfquay_daemon::body::{AnswerBody, RequestBody};
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::connect::notice_silence;
+use wharfquay_membership::table::MemberTable;
+
+use crate::configuration::{ConnectionLimits, RouteIndex};
+use crate::control::{ControlChannels, ControlTask, StreamInbox};
+use crate::dialect::Dialect;
+use crate::inbound::backend::LocalBackend;
+use crate::inbound::{InboundHandler, LocalExecutor};
+use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
+use crate::outbound::connection::{ConnectionSettings, RequestHandler, serve};
+use crate::outbound::routing::Routing;
+use crate::outbound::{Forwarder, OutboundHandler};
+use crate::platform::Platform;
+use crate::scopes::ScopeTable;
+use crate::settings::Settings;
+
+/// How often a stop looks whether the last call has ended.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Time for which a stopping sidecar still takes requests, so that callers that have not noticed yet
+/// lose nothing.
+const STOP_NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace that is kept back for the end of the process.
+const STOP_RESERVE: Duration = Duration::from_millis(400);
+/// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a sidecar can't start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// {side}: {address} can't be used: {error}
+    Bind {
+        /// The listener.
+        side: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// What the operating system reported.
+        error: std::io::Error,
+    },
+    /// service {0:?} can't stand in a header
+    ServiceName(String),
+}
+
+impl std::error::Error for StartError {}
+
+/// A sidecar that serves.
+#[derive(Debug)]
+pub struct Sidecar<P> {
+    settings: Settings,
+    registry: Arc<Registry<P>>,
+    backend: Arc<LocalBackend>,
+    configuration: watch::Receiver<Arc<RouteIndex>>,
+    members: watch::Receiver<MemberTable>,
+    scopes: Arc<ScopeTable>,
+    stopping: Arc<AtomicBool>,
+    stop_sender: watch::Sender<bool>,
+    closing_sender: watch::Sender<bool>,
+    in_flight: Arc<AtomicUsize>,
+    outbound_in_flight: Arc<AtomicUsize>,
+}
+
+impl RequestHandler for CountedHandler {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<AnswerBody> {
+        let _in_flight = crate::inbound::InFlight::begin(&self.in_flight);
+        self.handler.handle(request).await
+    }
+}
+
+/// The outbound handler, with the requests in progress counted.
+struct CountedHandler {
+    handler: OutboundHandler,
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl<P: Platform> Sidecar<P> {
+    /// Binds the listeners and starts to serve.
+    ///
+    /// # Errors
+    /// [`StartError`] names what can't be used.
+    pub async fn start(
+        settings: Settings,
+        dialect: Dialect,
+        platform: Arc<P>,
+    ) -> Result<Arc<Self>, StartError> {
+        let caller_service = HeaderValue::from_str(&settings.service)
+            .map_err(|_| StartError::ServiceName(settings.service.clone()))?;
+        let listeners = Listeners::bind(&settings).await?;
+        let clock = Clock::start();
+        let (configuration_sender, configuration) = watch::channel(Arc::new(RouteIndex::default()));
+        let (member_sender, members) = watch::channel(MemberTable::default());
+        let (stop_sender, stopping_receiver) = watch::channel(false);
+        let (closing_sender, closing) = watch::channel(false);
+        let channels = ControlChannels {
+            configuration: configuration_sender,
+            members: member_sender,
+            stopping: stopping_receiver,
+        };
+        let (control, inbox) = ControlTask::new(
+            &settings,
+            clock,
+            Arc::clone(&platform),
+            listeners.datagrams,
+            channels,
+        );
+        tokio::spawn(control.run());
+
+        let backend =
+            LocalBackend::new(&settings.service, settings.backend, dialect.clone(), clock);
+        let registry = Registry::new(platform, Arc::clone(&backend), clock);
+        let routing = Routing::new(clock, &settings.zone, settings.bounds.retry_ratio);
+        let scopes = Arc::new(ScopeTable::default());
+        let stopping = Arc::new(AtomicBool::new(false));
+        let in_flight = Arc::new(AtomicUsize::new(0));
+        let outbound_in_flight = Arc::new(AtomicUsize::new(0));
+        let observer = Arc::clone(&registry);
+        let local = Arc::new(LocalExecutor {
+            backend: Arc::clone(&backend),
+            scopes: Arc::clone(&scopes),
+            routing: Arc::clone(&routing),
+            dialect: dialect.clone(),
+            clock,
+            stopping: Arc::clone(&stopping),
+            in_flight: Arc::clone(&in_flight),
+            misdirected: Arc::new(move |instance: &InstanceId| observer.misdirected(instance)),
+        });
+        let forwarder = Arc::new(Forwarder {
+            clock,
+            own_id: EndpointId::from(settings.id.as_str()),
+            routing: Arc::clone(&routing),
+            peers: crate::outbound::Peers::default(),
+            local: Arc::clone(&local),
+        });
+        let handler = OutboundHandler {
+            dialect,
+            clock,
+            caller_service,
+            configuration: configuration.clone(),
+            forwarder: Arc::clone(&forwarder),
+            scopes: Arc::clone(&scopes),
+        };
+        let counted = CountedHandler {
+            handler,
+            in_flight: Arc::clone(&outbound_in_flight),
+        };
+        let sidecar = Arc::new(Self {
+            settings,
+            registry,
+            backend,
+            configuration,
+            members,
+            scopes,
+            stopping,
+            stop_sender,
+            closing_sender,
+            in_flight,
+            outbound_in_flight,
+        });
+        let limits = sidecar.spawn_updates(routing, forwarder);
+        let connection_settings = ConnectionSettings { limits, closing };
+        spawn_outbound(listeners.outbound, counted, connection_settings);
+        spawn_inbound(listeners.inbound, InboundHandler::new(local));
+        spawn_control(listeners.control, inbox);
+        sidecar.log_start();
+        Ok(sidecar)
+    }
+
+    /// Takes a heartbeat of the local back end.
+    pub async fn heartbeat(&self, beat: &Heartbeat) -> Acknowledgement {
+        self.registry.heartbeat(beat).await
+    }
+
+    /// Takes the message of an instance of the local back end that goes.
+    pub async fn departure(&self, instance: &InstanceId) -> Acknowledgement {
+        self.registry.departure(instance).await
+    }
+
+    /// Whether clients may be sent here: the configuration is known, and no stop was asked for.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let is_configured = self.configuration.borrow().configuration.version > 0;
+        is_configured && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Ends in order: clients and other sidecars are sent away, what is in progress is finished, at
+    /// most until the grace is over.
+    pub async fn stop(&self) {
+        let started = Instant::now();
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        log::info!("event=stopping calls_in_flight={in_flight}");
+        self.stopping.store(true, Ordering::Relaxed);
+        self.stop_sender.send_replace(true);
+        self.closing_sender.send_replace(true);
+        let end = started + self.settings.bounds.stop_grace.saturating_sub(STOP_RESERVE);
+        tokio::time::sleep(STOP_NOTICE).await;
+        while self.is_busy() && Instant::now() < end {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        let left = self.in_flight.load(Ordering::Relaxed);
+        log::info!("event=stopped calls_cut={left}");
+    }
+
+    fn is_busy(&self) -> bool {
+        self.in_flight.load(Ordering::Relaxed) > 0
+            || self.outbound_in_flight.load(Ordering::Relaxed) > 0
+            || self.scopes.len() > 0
+    }
+
+    fn log_start(&self) {
+        let settings = &self.settings;
+        log::info!(
+            "event=started id={} zone={} service={} outbound={} inbound={} control={} backend={}",
+            settings.id,
+            settings.zone,
+            settings.service,
+            settings.outbound,
+            settings.inbound,
+            settings.control,
+            settings.backend,
+        );
+    }
+
+    /// Keeps routers, limits and the back end in step with members and configuration.
+    fn spawn_updates(
+        self: &Arc<Self>,
+        routing: Arc<Routing>,
+        forwarder: Arc<Forwarder>,
+    ) -> watch::Receiver<ConnectionLimits> {
+        let (limit_sender, limits) = watch::channel(ConnectionLimits::default());
+        let mut members = self.members.clone();
+        tokio::spawn(async move {
+            loop {
+                let table = members.borrow_and_update().clone();
+                routing.update(&table);
+                forwarder.peers.retain(|address| {
+                    let mut listed = table.members();
+                    listed.any(|member| member.profile.call_address == *address)
+                });
+                if members.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        let mut configuration = self.configuration.clone();
+        let sidecar = Arc::clone(self);
+        tokio::spawn(async move {
+            let mut is_first = true;
+            while configuration.changed().await.is_ok() {
+                let index = configuration.borrow_and_update().clone();
+                limit_sender.send_replace(index.configuration.limits);
+                let service = index.configuration.services.get(sidecar.backend.service());
+                if let Some(service) = service {
+                    sidecar.backend.configure(service);
+                }
+                if std::mem::take(&mut is_first) {
+                    let registry = Arc::clone(&sidecar.registry);
+                    tokio::spawn(async move { registry.discover().await });
+                }
+            }
+        });
+        limits
+    }
+}
+
+struct Listeners {
+    outbound: TcpListener,
+    inbound: TcpListener,
+    control: TcpListener,
+    datagrams: UdpSocket,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let listen = async |side, address| {
+            TcpListener::bind(address)
+                .await
+                .map_err(|error| StartError::Bind {
+                    side,
+                    address,
+                    error,
+                })
+        };
+        let datagrams =
+            UdpSocket::bind(settings.control)
+                .await
+                .map_err(|error| StartError::Bind {
+                    side: "control datagrams",
+                    address: settings.control,
+                    error,
+                })?;
+        Ok(Self {
+            outbound: listen("outbound", settings.outbound).await?,
+            inbound: listen("inbound", settings.inbound).await?,
+            control: listen("control", settings.control).await?,
+            datagrams,
+        })
+    }
+}
+
+/// Accepts connections for ever; failed accepts end nothing.
+async fn accept(listener: TcpListener, serve: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                notice_silence(&stream);
+                serve(stream);
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn spawn_outbound(listener: TcpListener, handler: CountedHandler, settings: ConnectionSettings) {
+    let handler = Arc::new(handler);
+    let settings = Arc::new(settings);
+    tokio::spawn(accept(listener, move |stream| {
+        let (handler, settings) = (Arc::clone(&handler), Arc::clone(&settings));
+        tokio::spawn(async move { serve(stream, handler, &settings).await });
+    }));
+}
+
+fn spawn_inbound(listener: TcpListener, handler: InboundHandler) {
+    tokio::spawn(accept(listener, move |stream| {
+        let handler = handler.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let handler = handler.clone();
+            async move { handler.handle(request).await }
+        });
+        tokio::spawn(async move {
+            let _ = server()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }));
+}
+
+fn spawn_control(listener: TcpListener, inbox: StreamInbox) {
+    tokio::spawn(accept(listener, move |stream| {
+        let inbox = inbox.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let inbox = inbox.clone();
+            async move { inbox.serve(request).await }
+        });
+        tokio::spawn(async move {
+            let _ = server()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }));
+}
+
+fn server() -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    builder
+}
