Join anew when the seeds of a lone daemon come late

Cause: a daemon without seeds at its first step counted itself as joined and alone; the seeds that the platform named 100 ms later were then used once in 10 s. Change: seeds that come to a daemon that knows nobody restart its joining, three contacts at a time. Test: seeds_that_come_late_are_contacted_at_once, seen to fail first.

--- a/crates/membership/src/gossip/mod.rs
+++ b/crates/membership/src/gossip/mod.rs
@@ -222,9 +222,15 @@
         *heard = at.max(*heard);
     }
 
-    /// Puts other seeds in place: the settings file's and the machine list's.
+    /// Puts other seeds in place: the settings file's and the machine list's. A daemon that knows nobody
+    /// begins to join anew: it may have taken itself for the whole deployment for lack of seeds.
     pub fn set_seeds(&mut self, seeds: Vec<Seed>) {
         self.seeds = seeds;
+        if !self.seeds.is_empty() && self.table.live_count() <= 1 {
+            self.joined = false;
+            self.seed_contacts = 0;
+            self.next_table_sync = Timestamp::ZERO;
+        }
     }
 
     /// Marks this daemon as leaving. The mark spreads before anything else and is never taken back.
--- a/crates/membership/src/gossip/sync.rs
+++ b/crates/membership/src/gossip/sync.rs
@@ -31,6 +31,8 @@
 pub(super) const REJOIN_INTERVAL: Duration = Duration::from_secs(30);
 /// Contacts with each seed before agreement among starting daemons counts.
 const SEED_ROUNDS: usize = 1;
+/// Seeds that a daemon which knows nobody contacts at a time.
+const SEEDS_AT_ONCE: usize = 3;
 /// Contacts with seeds that are enough, however many there are.
 const MAX_SEED_CONTACTS: usize = 8;
 /// Zones that one answer to a digest takes up.
@@ -63,6 +65,12 @@
         };
         self.next_table_sync = now + interval;
         self.seed_turn = !self.seed_turn;
+        if !self.joined && self.table.live_count() <= 1 {
+            for _ in 0..self.seeds.len().min(SEEDS_AT_ONCE) {
+                self.contact_seed(out);
+            }
+            return;
+        }
         if !self.joined && self.seed_turn && !self.seeds.is_empty() {
             self.contact_seed(out);
             return;
--- a/crates/membership/tests/joining.rs
+++ b/crates/membership/tests/joining.rs
@@ -82,3 +82,34 @@
         assert!(contacted, "no contact in second {second}");
     }
 }
+
+/// A platform names other daemons only after this one has started.
+#[test]
+fn seeds_that_come_late_are_contacted_at_once() {
+    println!("seed {RANDOM_SEED}");
+    let mut random = Pcg64Mcg::seed_from_u64(RANDOM_SEED);
+    let mut node = starting(0, &mut random);
+    node.set_seeds(Vec::new());
+    let mut now = Timestamp::ZERO;
+    while now < Timestamp::from_millis(1_000) {
+        now = now + Duration::from_millis(10);
+        node.advance(now, &mut random);
+    }
+    let seeds = (1..3).map(|seed| Seed {
+        control_address: address(seed),
+    });
+    node.set_seeds(seeds.collect());
+    let contacted_before = now + Duration::from_millis(100);
+    let mut contacted = Vec::new();
+    while now < contacted_before {
+        now = now + Duration::from_millis(10);
+        for effect in node.advance(now, &mut random) {
+            if let Effect::Send { to, .. } = effect {
+                contacted.push(to);
+            }
+        }
+    }
+    for seed in 1..3 {
+        assert!(contacted.contains(&address(seed)), "no contact with {seed}");
+    }
+}
