Let every sidecar of a small deployment, and a lone one, read the configuration

Ruled out: a lost or late push (the cut machine had no path to any other). Change: up to 32 sidecars each reads for itself; beyond that the elected readers do, and a sidecar that has heard of no other for 1.2 s. Store calls rise.

--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_membership::gossip::Seed;
 use wharfquay_membership::member::{MemberId, MemberProfile, ZoneName};
@@ -25,8 +27,14 @@
 
 /// Revision from which on a delta may be applied: it holds the whole configuration, so any.
 const ANY_REVISION: u64 = 1;
-/// Readers of the platform in the whole deployment.
+/// Readers of the platform in a deployment of more than [`SMALL_DEPLOYMENT`] sidecars.
 const READERS: usize = 4;
+/// Sidecars up to which each reads the platform for itself: so many it bears.
+const SMALL_DEPLOYMENT: usize = 32;
+/// Silence of all other sidecars after which one reads the platform for itself.
+const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
+/// How often it is decided anew whether to read the platform.
+const READING_REVIEW: Duration = Duration::from_millis(400);
 /// First pause between two looks into the directory.
 const FIRST_DIRECTORY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two looks into the directory while no other sidecar answers.
@@ -44,6 +52,8 @@
     MembershipSettings {
         probe_timeout: Duration::from_millis(250),
         suspicion_timeout: Duration::from_secs(2),
+        routine_round: Duration::from_millis(200),
+        table_sync_interval: Duration::from_secs(3),
         settle_time: Duration::from_millis(300),
         readiness_limit: Duration::from_millis(2_000),
         readers: READERS,
@@ -76,6 +86,10 @@
     own_id: String,
     platform: Arc<P>,
     reader: Option<Reader>,
+    /// Whether the node counts this sidecar among the readers of the deployment.
+    chosen_to_read: bool,
+    heard_at: Timestamp,
+    review_at: Timestamp,
     held: HashMap<u64, Configuration>,
     channels: ControlChannels,
 }
@@ -132,6 +146,9 @@
             own_id: settings.id.clone(),
             platform,
             reader: None,
+            chosen_to_read: false,
+            heard_at: now,
+            review_at: now,
             held: HashMap::new(),
             channels,
         };
@@ -148,7 +165,7 @@
     }
 
     async fn next(&mut self) -> Next {
-        let wakeup = self.node.next_wakeup();
+        let wakeup = self.node.next_wakeup().min(self.review_at);
         tokio::select! {
             received = self.datagrams.receive() => Next::Message(received),
             Some(received) = self.inbox.recv() => Next::Message(received),
@@ -164,10 +181,14 @@
         let random = &mut rand::rng();
         match next {
             Next::Message(received) => {
+                self.heard_at = now;
                 self.node
                     .receive(now, received.source, &received.bytes, random)
             }
-            Next::Timer => self.node.advance(now, random),
+            Next::Timer => {
+                self.review_reading(now);
+                self.node.advance(now, random)
+            }
             Next::Stopping => self.node.leave(now, random),
             Next::Seeds(entries) => {
                 self.set_seeds(&entries);
@@ -183,10 +204,14 @@
 
     fn set_seeds(&mut self, entries: &[DirectoryEntry]) {
         let others = entries.iter().filter(|entry| entry.id != self.own_id);
-        let seeds = others.map(|entry| Seed {
-            control_address: entry.control_address,
-        });
-        self.node.set_seeds(seeds.take(MAX_SEEDS).collect());
+        let mut seeds: Vec<Seed> = others
+            .map(|entry| Seed {
+                control_address: entry.control_address,
+            })
+            .collect();
+        seeds.shuffle(&mut rand::rng());
+        seeds.truncate(MAX_SEEDS);
+        self.node.set_seeds(seeds);
     }
 
     fn take_reading(&mut self, event: ReaderEvent) -> Vec<Effect> {
@@ -244,8 +269,8 @@
                 }
                 Effect::AdoptDelta(delta) => self.adopt(delta.revision, &delta.payload),
                 Effect::Ready(revision) => log::info!("event=ready version={revision}"),
-                Effect::Read(read) => self.read_platform(read),
-                Effect::ReadSnapshot => self.read_platform(true),
+                Effect::Read(read) => self.chosen_to_read = read,
+                Effect::ReadSnapshot => self.reader = None,
                 Effect::StoreOlder { store, held } => {
                     log::debug!("event=configuration_older_ignored found={store} in_force={held}");
                 }
@@ -259,9 +284,20 @@
         }
     }
 
-    fn read_platform(&mut self, read: bool) {
-        log::info!("event=store_reader reading={read}");
-        self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
+    /// Reads the platform while chosen to, while the deployment is small, and while no other sidecar
+    /// is heard of that could pass a configuration on.
+    fn review_reading(&mut self, now: Timestamp) {
+        if now < self.review_at {
+            return;
+        }
+        self.review_at = now + READING_REVIEW;
+        let is_small = self.node.table().members().count() <= SMALL_DEPLOYMENT;
+        let is_isolated = now.saturating_since(self.heard_at) >= ISOLATED_AFTER;
+        let read = self.chosen_to_read || is_small || is_isolated;
+        if read != self.reader.is_some() {
+            log::info!("event=store_reader reading={read} isolated={is_isolated}");
+            self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
+        }
     }
 
     fn adopt(&mut self, revision: u64, payload: &wharfquay_membership::message::Payload) {
