--- a/crates/sidecar/src/control/reader.rs
+++ b/crates/sidecar/src/control/reader.rs
@@ -1,12 +1,14 @@
 //! Reading the configuration from the platform while this sidecar is one of the readers.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::configuration::Configuration;
+use crate::events::Event;
+use crate::log_event;
 use crate::platform::{ConfigurationReading, Platform, PlatformError, Position};
 
 /// First pause after a failure.
@@ -58,10 +60,15 @@
 async fn read_for_ever<P: Platform>(platform: Arc<P>, events: mpsc::Sender<ReaderEvent>) {
     let mut position = None;
     let mut pause = FIRST_PAUSE;
+    let mut lost_at: Option<Instant> = None;
     loop {
         let event = match read_once(&*platform, position).await {
             Ok(reading) => {
                 pause = FIRST_PAUSE;
+                if let Some(lost_at) = lost_at.take() {
+                    let after_ms = lost_at.elapsed().as_millis();
+                    log_event!(Event::StoreRegained, "after_ms={after_ms}");
+                }
                 position = Some(reading.position);
                 match reading.configuration {
                     Some(configuration) => ReaderEvent::Configuration(Box::new(configuration)),
@@ -74,7 +81,10 @@
             }
             Err(error) => {
                 position = None;
-                log::warn!("event=configuration_read_failed error=\"{error}\"");
+                if lost_at.is_none() {
+                    lost_at = Some(Instant::now());
+                    log_event!(Event::StoreLost, "error=\"{error}\"");
+                }
                 let jitter = rand::random_range(0.5..=1.0);
                 if events.send(ReaderEvent::NoContact).await.is_err() {
                     return;
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -22,6 +22,8 @@
 use super::transport::{Datagrams, Received, StreamInbox, inbox, send_stream};
 use super::{decode, encode};
 use crate::configuration::{Configuration, RouteIndex};
+use crate::events::Event;
+use crate::log_event;
 use crate::platform::{DirectoryEntry, Platform};
 use crate::settings::Settings;
 
@@ -228,14 +230,17 @@
         };
         if let Err(error) = configuration.validate() {
             let version = configuration.version;
-            log::error!("event=configuration_rejected version={version} error=\"{error}\"");
+            log_event!(
+                Event::ConfigurationRejected,
+                "version={version} error=\"{error}\""
+            );
             return Vec::new();
         }
         let revision = configuration.version;
         let payload = match encode(&configuration) {
             Ok(payload) => payload,
             Err(error) => {
-                log::error!("event=configuration_not_encoded error=\"{error}\"");
+                log_event!(Event::ConfigurationNotEncoded, "error=\"{error}\"");
                 return Vec::new();
             }
         };
@@ -263,21 +268,25 @@
                     let members = self.node.table().clone();
                     self.channels.members.send_replace(members);
                 }
-                Effect::DeclaredDead(id) => log::warn!("event=member_dead id={id}"),
+                Effect::DeclaredDead(id) => log_event!(Event::MemberDead, "id={id}"),
                 Effect::AdoptSnapshot(snapshot) => {
                     self.adopt(snapshot.revision, &snapshot.payload);
                 }
                 Effect::AdoptDelta(delta) => self.adopt(delta.revision, &delta.payload),
-                Effect::Ready(revision) => log::info!("event=ready version={revision}"),
+                Effect::Ready(revision) => log_event!(Event::Ready, "version={revision}"),
                 Effect::Read(read) => self.chosen_to_read = read,
                 Effect::ReadSnapshot => self.reader = None,
                 Effect::StoreOlder { store, held } => {
-                    log::debug!("event=configuration_older_ignored found={store} in_force={held}");
+                    log_event!(
+                        Event::ConfigurationOlderIgnored,
+                        "found={store} in_force={held}"
+                    );
                 }
                 Effect::Compact(revision) => self.compact(revision),
                 Effect::Dropped { source, reason } => {
-                    log::debug!(
-                        "event=control_message_dropped source={source} reason=\"{reason}\""
+                    log_event!(
+                        Event::ControlMessageDropped,
+                        "source={source} reason=\"{reason}\""
                     );
                 }
             }
@@ -295,7 +304,7 @@
         let is_isolated = now.saturating_since(self.heard_at) >= ISOLATED_AFTER;
         let read = self.chosen_to_read || is_small || is_isolated;
         if read != self.reader.is_some() {
-            log::info!("event=store_reader reading={read} isolated={is_isolated}");
+            log_event!(Event::StoreReader, "reading={read} isolated={is_isolated}");
             self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
         }
     }
@@ -304,13 +313,20 @@
         let mut configuration = match decode(payload) {
             Ok(configuration) => configuration,
             Err(error) => {
-                log::error!("event=configuration_undecodable version={revision} error=\"{error}\"");
+                log_event!(
+                    Event::ConfigurationUndecodable,
+                    "version={revision} error=\"{error}\""
+                );
                 return;
             }
         };
         configuration.version = revision;
         let routes = configuration.routes.len();
-        log::info!("event=configuration_in_force version={revision} routes={routes}");
+        let previous = self.channels.configuration.borrow().configuration.version;
+        log_event!(
+            Event::ConfigurationInForce,
+            "version={revision} routes={routes} previous={previous}"
+        );
         self.held.clear();
         self.held.insert(revision, configuration.clone());
         let index = Arc::new(RouteIndex::new(configuration));
--- a/crates/sidecar/src/control/transport.rs
+++ b/crates/sidecar/src/control/transport.rs
@@ -1,5 +1,7 @@
 //! Control messages on the network: datagrams, and streams for what is too large for one.
 
+use crate::events::Event;
+use crate::log_event;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -118,7 +120,7 @@
         match self.socket.try_send_to(bytes, to) {
             Ok(_) => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) => log::debug!("event=control_send_failed to={to} error=\"{error}\""),
+            Err(error) => log_event!(Event::ControlSendFailed, "to={to} error=\"{error}\""),
         }
     }
 }
@@ -140,7 +142,7 @@
         };
         let sent = tokio::time::timeout(STREAM_TIMEOUT, sending).await;
         if !matches!(sent, Ok(Some(_))) {
-            log::debug!("event=control_stream_failed to={to}");
+            log_event!(Event::ControlSendFailed, "to={to} error=\"no answer\"");
         }
     });
 }
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -23,6 +23,7 @@
 
 use super::answer::{Verdict, judge};
 use super::backend::{LocalBackend, OpenInstance};
+use super::report::CallReport;
 use crate::body::{Collected, collect, remove_length};
 use crate::dialect::Dialect;
 use crate::instance::InstanceId;
@@ -75,22 +76,23 @@
         head: &RequestHead,
         body: RequestBody,
     ) -> Executed {
-        let request_kind = context.request_kind.clone();
+        let mut report = CallReport::new(self.clock, &context, self.request_id(head));
         let allowance = context.allowance;
-        let instance = match self.open_instance() {
-            Ok(instance) => instance,
-            Err(failure) => {
-                return Executed {
-                    result: Err(failure),
-                    metadata: self.metadata(None, &request_kind, allowance),
-                };
+        let (instance, result, returned) = match self.open_instance() {
+            Ok(instance) => {
+                let (result, returned) =
+                    self.run(&instance, context, head, body, &mut report).await;
+                (Some(instance), result, returned)
             }
+            Err(failure) => (None, Err(failure), allowance),
         };
-        let (result, returned) = self.run(&instance, context, head, body).await;
-        Executed {
-            result,
-            metadata: self.metadata(Some(&instance), &request_kind, returned),
-        }
+        let metadata = self.metadata(instance.as_ref(), report.request_kind(), returned);
+        report.write(instance.as_ref().map(|open| &open.id), &result, &metadata);
+        Executed { result, metadata }
+    }
+
+    fn request_id<'head>(&self, head: &'head RequestHead) -> &'head str {
+        self.dialect.request_id(&head.headers).unwrap_or_default()
     }
 
     fn open_instance(&self) -> Result<Arc<OpenInstance>, Failure> {
@@ -116,6 +118,7 @@
         context: CallContext,
         head: &RequestHead,
         body: RequestBody,
+        report: &mut CallReport,
     ) -> (Result<Response<AnswerBody>, Failure>, RetryAllowance) {
         let allowance = context.allowance;
         let entering = instance
@@ -125,13 +128,14 @@
             Ok(permit) => permit,
             Err(failure) => return (Err(failure), allowance),
         };
+        report.admitted();
         if instance.is_leaving() {
             let failure = Failure::with_retry_after(ResultCode::Draining, UNAVAILABLE_RETRY_AFTER);
             return (Err(failure), allowance);
         }
         let _in_flight = InFlight::begin(&self.in_flight);
         let deadline = self.clock.instant(context.deadline);
-        let request_id = self.dialect.request_id(&head.headers).unwrap_or_default();
+        let request_id = self.request_id(head);
         let gate = Arc::clone(&instance.gate);
         let ticket = permit.ticket();
         let scope = self.scopes.open(request_id, context.clone(), ticket, gate);
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod execution;
 mod handler;
+mod report;
 
 pub(crate) use execution::{InFlight, LocalExecutor};
 pub(crate) use handler::InboundHandler;
--- /dev/null
+++ b/crates/sidecar/src/inbound/report.rs
@@ -0,0 +1,85 @@
+//! What is told in the log about one call for the local back end.
+
+use http::Response;
+use wharfquay_core::call::CallContext;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::time::Timestamp;
+use wharfquay_daemon::answer::Failure;
+use wharfquay_daemon::body::AnswerBody;
+use wharfquay_daemon::clock::Clock;
+use wharfquay_protocol::answer::WireAnswer;
+
+use crate::events::{Event, is_sampled};
+use crate::instance::InstanceId;
+use crate::log_event;
+use crate::outbound::millis;
+
+/// Collects what is told about a call.
+#[derive(Debug)]
+pub(super) struct CallReport {
+    clock: Clock,
+    context: CallContext,
+    request_id: String,
+    arrived: Timestamp,
+    admitted: Option<Timestamp>,
+}
+
+impl CallReport {
+    pub(super) fn new(clock: Clock, context: &CallContext, request_id: &str) -> Self {
+        Self {
+            clock,
+            context: context.clone(),
+            request_id: request_id.to_owned(),
+            arrived: clock.now(),
+            admitted: None,
+        }
+    }
+
+    pub(super) fn request_kind(&self) -> &str {
+        &self.context.request_kind
+    }
+
+    /// The gate let the call through.
+    pub(super) fn admitted(&mut self) {
+        self.admitted = Some(self.clock.now());
+    }
+
+    /// Writes the end of the call, unless it is an ordinary success.
+    pub(super) fn write(
+        &self,
+        instance: Option<&InstanceId>,
+        result: &Result<Response<AnswerBody>, Failure>,
+        metadata: &WireAnswer,
+    ) {
+        let (code, status) = match result {
+            Ok(response) => (ResultCode::Answered, response.status().as_u16()),
+            Err(failure) => (failure.code, 0),
+        };
+        let is_success = status > 0 && status < 500;
+        if is_success && !is_sampled(self.context.origin) {
+            return;
+        }
+        let now = self.clock.now();
+        let queued = self.admitted.unwrap_or(now).saturating_since(self.arrived);
+        log_event!(
+            Event::CallEnded,
+            "request={} origin={:032x} kind={} instance={} key={} result={} name={} \
+             status={status} queued_ms={:.1} took_ms={:.1} in_flight={} limit={} waiting={} \
+             level={} below={}",
+            self.request_id,
+            self.context.origin.as_u128(),
+            self.context.request_kind,
+            instance.map_or("none", InstanceId::as_str),
+            self.context.admission_key().number(),
+            code.number(),
+            code.name(),
+            millis(queued),
+            millis(now.saturating_since(self.arrived)),
+            metadata.in_flight,
+            metadata.limit,
+            metadata.queued,
+            metadata.level.number(),
+            metadata.folded_level.number(),
+        );
+    }
+}
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -7,7 +7,9 @@
 use wharfquay_daemon::sync::lock;
 
 use super::{Heartbeat, InstanceId, InstanceTracker, Standing, TrackerDecision};
+use crate::events::Event;
 use crate::inbound::backend::LocalBackend;
+use crate::log_event;
 use crate::platform::Platform;
 
 /// Longest wait for a durable mark; the instance waits a second for its acknowledgement.
@@ -103,7 +105,7 @@
     pub fn misdirected(self: &Arc<Self>, instance: &InstanceId) {
         lock(&self.tracker).replaced(instance);
         self.backend.close(instance);
-        log::warn!("event=instance_replaced instance={instance}");
+        log_event!(Event::InstanceReplaced, "instance={instance}");
     }
 
     async fn record(&self, instance: &InstanceId) -> Acknowledgement {
@@ -114,15 +116,21 @@
             Ok(Ok(())) => {
                 let now = self.clock.now();
                 lock(&self.tracker).departure_recorded(now, instance);
-                log::info!("event=departure_acknowledged instance={instance}");
+                log_event!(Event::DepartureAcknowledged, "instance={instance}");
                 Acknowledgement::Given
             }
             Ok(Err(error)) => {
-                log::warn!("event=departure_not_durable instance={instance} error=\"{error}\"");
+                log_event!(
+                    Event::DepartureNotDurable,
+                    "instance={instance} error=\"{error}\""
+                );
                 Acknowledgement::Refused
             }
             Err(_) => {
-                log::warn!("event=departure_not_durable instance={instance} error=\"timeout\"");
+                log_event!(
+                    Event::DepartureNotDurable,
+                    "instance={instance} error=\"timeout\""
+                );
                 Acknowledgement::Refused
             }
         }
@@ -163,7 +171,7 @@
             }
             if lookups >= LOOKUPS_BEFORE_FALLBACK && self.is_confirmed_without_marks(instance).await
             {
-                log::info!("event=instance_confirmed_by_heartbeats instance={instance}");
+                log_event!(Event::InstanceConfirmed, "instance={instance}");
                 self.conclude(instance, false);
                 return;
             }
@@ -179,14 +187,17 @@
             tracker.departure_recorded(now, instance);
             drop(tracker);
             self.backend.close(instance);
-            log::info!("event=instance_departed_earlier instance={instance}");
+            log_event!(Event::InstanceDeparted, "instance={instance}");
             return;
         }
         if tracker.verified(now, instance) {
             let slots = tracker.slots(instance);
             drop(tracker);
             self.backend.open(instance, slots);
-            log::info!("event=instance_serving instance={instance} slots={slots:?}");
+            log_event!(
+                Event::InstanceServing,
+                "instance={instance} slots={slots:?}"
+            );
         }
     }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod configuration;
 pub mod control;
 pub mod dialect;
+pub mod events;
 pub mod inbound;
 pub mod instance;
+pub mod log_output;
 pub mod outbound;
 pub mod platform;
 pub mod settings;
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -19,6 +19,7 @@
 
 use super::attempt::{self, AttemptEnd, Flight, attempt_context};
 use super::peers::Peers;
+use super::report::RequestReport;
 use super::routing::{Routing, ServiceRouter, Target};
 use crate::inbound::LocalExecutor;
 use crate::message::RequestHead;
@@ -57,6 +58,7 @@
     /// Most back ends that may see the call.
     pub(crate) max_attempts: u32,
     pub(crate) progress: Arc<Progress>,
+    pub(crate) report: RequestReport,
 }
 
 /// The body of a call: in memory, so that it can be sent again, or a stream that is sent once.
@@ -206,6 +208,7 @@
         target: &Target,
     ) -> Result<Response<AnswerBody>, Failure> {
         let flight = Flight::new(router, target, self.clock);
+        let started = self.clock.now();
         let sent = body
             .for_attempt()
             .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
@@ -225,6 +228,9 @@
                 .heard(&call.service, kind, &target.id, metadata);
         }
         flight.finish(&end);
+        let code = end.result.as_ref().err().map(|failure| failure.code);
+        let code = code.unwrap_or(ResultCode::Answered);
+        call.report.attempted(&target.id, started, code);
         if let Some(unsent) = end.unsent {
             body.restore(unsent);
         }
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -15,8 +15,9 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::headers::remove_internal_request;
 
-use super::answer::refusal;
+use super::answer::{refusal, status_of};
 use super::forward::{CallBody, Forwarder, OutgoingCall, Progress};
+use super::report::RequestReport;
 use crate::configuration::{Route, RouteIndex};
 use crate::dialect::{Dialect, RequestLineage};
 use crate::message::RequestHead;
@@ -80,9 +81,19 @@
         }
         let (admitted, body) = self.admit(&index, request)?;
         let _waiting = admitted.parent.as_ref().map(DownstreamWait::start);
-        let call = admitted.call;
+        let result = self.run(&admitted.call, body).await;
+        tell(admitted.call.report, &result);
+        result
+    }
+
+    /// Forwards a call until its deadline.
+    async fn run(
+        &self,
+        call: &OutgoingCall,
+        body: RequestBody,
+    ) -> Result<Response<AnswerBody>, Failure> {
         let deadline = self.clock.instant(call.context.deadline);
-        let forwarding = self.forwarder.forward(&call, CallBody::new(body));
+        let forwarding = self.forwarder.forward(call, CallBody::new(body));
         match tokio::time::timeout_at(deadline, forwarding).await {
             Ok(Err(failure)) if is_late(failure.code) && !call.progress.may_run() => {
                 Err(placed_too_late())
@@ -132,6 +143,14 @@
                 CALLS_PER_REQUEST,
             ),
         };
+        let report = RequestReport::new(
+            self.clock,
+            request_id,
+            &route.name,
+            service,
+            index.configuration.version,
+            &context,
+        );
         let call = OutgoingCall {
             service: service.to_owned(),
             context,
@@ -140,6 +159,7 @@
             children,
             max_attempts: route.max_attempts,
             progress: Arc::new(Progress::default()),
+            report,
         };
         Ok((Admitted { call, parent }, body))
     }
@@ -202,6 +222,14 @@
     OriginId::from_u128(hash)
 }
 
+/// Writes what became of a request.
+fn tell(report: RequestReport, result: &Result<Response<AnswerBody>, Failure>) {
+    match result {
+        Ok(response) => report.answered(response.status()),
+        Err(failure) => report.failed(*failure, status_of(failure.code)),
+    }
+}
+
 const fn is_late(code: ResultCode) -> bool {
     matches!(
         code,
--- a/crates/sidecar/src/outbound/mod.rs
+++ b/crates/sidecar/src/outbound/mod.rs
@@ -9,7 +9,9 @@
 mod handler;
 pub mod parse;
 mod peers;
+mod report;
 
 pub(crate) use forward::Forwarder;
 pub(crate) use handler::OutboundHandler;
 pub(crate) use peers::Peers;
+pub(crate) use report::millis;
--- /dev/null
+++ b/crates/sidecar/src/outbound/report.rs
@@ -0,0 +1,142 @@
+//! What is told in the log about one request of a caller or of the local back end.
+
+use std::fmt::Write as _;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use http::StatusCode;
+use wharfquay_core::call::CallContext;
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::routing::EndpointId;
+use wharfquay_core::time::Timestamp;
+use wharfquay_daemon::answer::Failure;
+use wharfquay_daemon::clock::Clock;
+use wharfquay_daemon::sync::lock;
+
+use crate::events::{Event, is_sampled};
+use crate::log_event;
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+struct AttemptNote {
+    target: EndpointId,
+    result: ResultCode,
+    took: Duration,
+}
+
+/// Collects what is told about a request; dropped without an end, the caller gave it up.
+#[derive(Debug)]
+pub(crate) struct RequestReport {
+    clock: Clock,
+    started: Timestamp,
+    request_id: String,
+    route: String,
+    service: String,
+    version: u64,
+    context: CallContext,
+    attempts: Mutex<Vec<AttemptNote>>,
+    is_ended: bool,
+}
+
+impl RequestReport {
+    pub(crate) fn new(
+        clock: Clock,
+        request_id: &str,
+        route: &str,
+        service: &str,
+        version: u64,
+        context: &CallContext,
+    ) -> Self {
+        Self {
+            clock,
+            started: clock.now(),
+            request_id: request_id.to_owned(),
+            route: route.to_owned(),
+            service: service.to_owned(),
+            version,
+            context: context.clone(),
+            attempts: Mutex::default(),
+            is_ended: false,
+        }
+    }
+
+    /// Notes the end of an attempt that began at `started`.
+    pub(crate) fn attempted(&self, target: &EndpointId, started: Timestamp, result: ResultCode) {
+        let took = self.clock.now().saturating_since(started);
+        lock(&self.attempts).push(AttemptNote {
+            target: target.clone(),
+            result,
+            took,
+        });
+    }
+
+    /// The request has the answer of a back end.
+    pub(crate) fn answered(mut self, status: StatusCode) {
+        self.is_ended = true;
+        if !status.is_server_error() && !is_sampled(self.context.origin) {
+            return;
+        }
+        self.write(ResultCode::Answered, status.as_u16(), Duration::ZERO);
+    }
+
+    /// The request has the sidecar's own answer.
+    pub(crate) fn failed(mut self, failure: Failure, status: StatusCode) {
+        self.is_ended = true;
+        self.write(failure.code, status.as_u16(), failure.retry_after);
+    }
+
+    fn write(&self, result: ResultCode, status: u16, retry_after: Duration) {
+        let now = self.clock.now();
+        log_event!(
+            Event::RequestEnded,
+            "request={} origin={:032x} route={} service={} version={} depth={} key={} result={} \
+             name={} status={status} retry_after_ms={} took_ms={:.1} left_ms={:.1} attempts={}",
+            self.request_id,
+            self.context.origin.as_u128(),
+            self.route,
+            self.service,
+            self.version,
+            self.context.depth,
+            self.context.admission_key().number(),
+            result.number(),
+            result.name(),
+            retry_after.as_millis(),
+            millis(now.saturating_since(self.started)),
+            millis(self.context.remaining(now)),
+            self.attempts_text(),
+        );
+    }
+
+    /// The attempts as `target:result:milliseconds`, separated by commas.
+    fn attempts_text(&self) -> String {
+        let attempts = lock(&self.attempts);
+        if attempts.is_empty() {
+            return "none".to_owned();
+        }
+        let mut text = String::new();
+        for note in attempts.iter() {
+            let separator = if text.is_empty() { "" } else { "," };
+            let (target, result) = (&note.target, note.result.number());
+            // Writing to a String can't fail.
+            let _ = write!(
+                text,
+                "{separator}{target}:{result}:{:.1}",
+                millis(note.took)
+            );
+        }
+        text
+    }
+}
+
+impl Drop for RequestReport {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.write(ResultCode::CancelledAfterDispatch, 0, Duration::ZERO);
+        }
+    }
+}
+
+/// Milliseconds with their fraction.
+pub(crate) fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -23,9 +23,11 @@
 use crate::configuration::{ConnectionLimits, RouteIndex};
 use crate::control::{ControlChannels, ControlTask, StreamInbox};
 use crate::dialect::Dialect;
+use crate::events::Event;
 use crate::inbound::backend::LocalBackend;
 use crate::inbound::{InboundHandler, LocalExecutor};
 use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
+use crate::log_event;
 use crate::outbound::connection::{ConnectionSettings, RequestHandler, serve};
 use crate::outbound::routing::Routing;
 use crate::outbound::{Forwarder, OutboundHandler};
@@ -204,7 +206,7 @@
     pub async fn stop(&self) {
         let started = Instant::now();
         let in_flight = self.in_flight.load(Ordering::Relaxed);
-        log::info!("event=stopping calls_in_flight={in_flight}");
+        log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         self.stopping.store(true, Ordering::Relaxed);
         self.stop_sender.send_replace(true);
         self.closing_sender.send_replace(true);
@@ -214,7 +216,7 @@
             tokio::time::sleep(STOP_POLL).await;
         }
         let left = self.in_flight.load(Ordering::Relaxed);
-        log::info!("event=stopped calls_cut={left}");
+        log_event!(Event::Stopped, "calls_cut={left}");
     }
 
     fn is_busy(&self) -> bool {
@@ -225,8 +227,9 @@
 
     fn log_start(&self) {
         let settings = &self.settings;
-        log::info!(
-            "event=started id={} zone={} service={} outbound={} inbound={} control={} backend={}",
+        log_event!(
+            Event::Started,
+            "id={} zone={} service={} outbound={} inbound={} control={} backend={}",
             settings.id,
             settings.zone,
             settings.service,
@@ -324,7 +327,11 @@
                 serve(stream);
             }
             Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
+                let address = listener.local_addr().ok();
+                log_event!(
+                    Event::AcceptFailed,
+                    "listener={address:?} error=\"{error}\""
+                );
                 tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
             }
         }
