Put the calls of begun work one priority higher, and keep a margin at the edge

Change: inner calls have their origin's rank and the next higher priority; an edge asks the path with the key that the inner calls will have, lowered by 256 of 4,096.

--- a/crates/core/src/priority.rs
+++ b/crates/core/src/priority.rs
@@ -27,6 +27,12 @@
         }
     }
 
+    /// The next higher importance; the highest stays.
+    #[must_use]
+    pub const fn raised(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+
     /// The priority's number, 0 to 7.
     #[must_use]
     pub const fn number(self) -> u8 {
@@ -97,6 +103,12 @@
         Self(priority.0 as u16 * Rank::COUNT + rank.0)
     }
 
+    /// The key that lies `margin` further down the order.
+    #[must_use]
+    pub fn lowered(self, margin: u16) -> Self {
+        Self(self.0.saturating_add(margin).min(Self::COUNT - 1))
+    }
+
     /// The key's number, 0 to 32767.
     #[must_use]
     pub const fn number(self) -> u16 {
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use wharfquay_core::call::{CallContext, Repeatability};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::priority::AdmissionKey;
 use wharfquay_core::retry::{
     Backoff, FailureLocation, Grant, Ledger, RetryDecision, RetryQuestion,
 };
@@ -18,6 +19,7 @@
 use wharfquay_daemon::sync::lock;
 
 use super::attempt::{self, AttemptEnd, Flight, attempt_context};
+use super::handler::inner_priority;
 use super::peers::Peers;
 use super::report::RequestReport;
 use super::routing::{Routing, ServiceRouter, Target};
@@ -131,6 +133,23 @@
     }
 }
 
+/// The key by which the path below a call's service is asked. For a request of a caller that is the key
+/// which the calls made on its behalf will have, with a margin: what is begun should get through also
+/// when the level falls a little meanwhile.
+fn path_key(context: &CallContext) -> AdmissionKey {
+    if context.depth > 0 {
+        return context.admission_key();
+    }
+    let inner = CallContext {
+        priority: inner_priority(context),
+        ..context.clone()
+    };
+    inner.admission_key().lowered(BEGIN_MARGIN)
+}
+
+/// Keys below the level of the path that are kept free for work which has begun.
+const BEGIN_MARGIN: u16 = 256;
+
 /// Whether a failed attempt arrived at a back end, which counts it against the retry budget.
 fn reached_backend(code: ResultCode) -> bool {
     code == ResultCode::RefusedByBackend || code.outcome() != OutcomeClass::NotRun
@@ -159,8 +178,9 @@
         let router = self.routing.service(&call.service).ok_or_else(|| {
             Failure::with_retry_after(ResultCode::NoBackend, NO_ENDPOINT_RETRY_AFTER)
         })?;
-        let (kind, key) = (&call.context.request_kind, call.context.admission_key());
-        self.routing.check_path(&call.service, kind, key)?;
+        let kind = &call.context.request_kind;
+        self.routing
+            .check_path(&call.service, kind, path_key(&call.context))?;
         let mut attempts = Attempts::default();
         loop {
             let target = self
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -164,8 +164,8 @@
         Ok((Admitted { call, parent }, body))
     }
 
-    /// What the call carries: a call of the back end has the importance and the rank of the request
-    /// that it was made for, so that every hop decides alike about the whole chain.
+    /// What the call carries: a call of the back end has the rank of the request that it was made for and
+    /// the importance that follows from it, so that every hop decides alike about the whole chain.
     fn context(
         &self,
         route: &Route,
@@ -182,6 +182,7 @@
         match parent {
             Some(scope) => CallContext {
                 attempt: AttemptId::new(0),
+                priority: inner_priority(&scope.context),
                 deadline: deadline.min(scope.context.deadline),
                 allowance: RetryAllowance::NONE,
                 repeatability,
@@ -222,6 +223,19 @@
     OriginId::from_u128(hash)
 }
 
+/// Importance of the calls made on behalf of a request: above that of requests which have not begun, so
+/// that work which was begun is finished first.
+pub(super) const fn inner_priority(parent: &CallContext) -> Priority {
+    if parent.depth <= DEPTH_OF_CALLERS {
+        parent.priority.raised()
+    } else {
+        parent.priority
+    }
+}
+
+/// Depth at the back end of a request that a caller sent.
+const DEPTH_OF_CALLERS: u8 = 1;
+
 /// Writes what became of a request.
 fn tell(report: RequestReport, result: &Result<Response<AnswerBody>, Failure>) {
     match result {
