Let a stopping sidecar give its back end work for the first quarter of the grace

Change: callers are sent away at once, calls for the back end are refused after a quarter of the grace.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -37,9 +37,12 @@
 
 /// How often a stop looks whether the last call has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// Time for which a stopping sidecar still takes requests, so that callers that have not noticed yet
-/// lose nothing.
-const STOP_NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace in which a stopping sidecar still gives work to its back end: callers and other
+/// sidecars have not noticed yet, and a sibling may be short.
+const OPEN_SHARE: f64 = 0.25;
+/// Part of the grace in which it still takes requests of callers, so that those that have not noticed
+/// yet lose nothing.
+const NOTICE_SHARE: f64 = 0.43;
 /// Part of the grace that is kept back for the end of the process.
 const STOP_RESERVE: Duration = Duration::from_millis(400);
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
@@ -72,6 +75,9 @@
     configuration: watch::Receiver<Arc<RouteIndex>>,
     members: watch::Receiver<MemberTable>,
     scopes: Arc<ScopeTable>,
+    /// Whether callers are sent away.
+    leaving: AtomicBool,
+    /// Whether calls for the back end are refused.
     stopping: Arc<AtomicBool>,
     stop_sender: watch::Sender<bool>,
     closing_sender: watch::Sender<bool>,
@@ -169,6 +175,7 @@
             configuration,
             members,
             scopes,
+            leaving: AtomicBool::new(false),
             stopping,
             stop_sender,
             closing_sender,
@@ -198,20 +205,23 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let is_configured = self.configuration.borrow().configuration.version > 0;
-        is_configured && !self.stopping.load(Ordering::Relaxed)
+        is_configured && !self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Ends in order: clients and other sidecars are sent away, what is in progress is finished, at
-    /// most until the grace is over.
+    /// Ends in order: first callers are sent away, then other sidecars; what is in progress is finished,
+    /// at most until the grace is over.
     pub async fn stop(&self) {
         let started = Instant::now();
+        let grace = self.settings.bounds.stop_grace;
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         log_event!(Event::Stopping, "calls_in_flight={in_flight}");
+        self.leaving.store(true, Ordering::Relaxed);
+        self.closing_sender.send_replace(true);
+        tokio::time::sleep_until(started + grace.mul_f64(OPEN_SHARE)).await;
         self.stopping.store(true, Ordering::Relaxed);
         self.stop_sender.send_replace(true);
-        self.closing_sender.send_replace(true);
-        let end = started + self.settings.bounds.stop_grace.saturating_sub(STOP_RESERVE);
-        tokio::time::sleep(STOP_NOTICE).await;
+        let end = started + grace.saturating_sub(STOP_RESERVE);
+        tokio::time::sleep_until(started + grace.mul_f64(NOTICE_SHARE)).await;
         while self.is_busy() && Instant::now() < end {
             tokio::time::sleep(STOP_POLL).await;
         }
