Bound the debt of the control byte budget to one second, and hand starters one whole configuration

Every push of the storm was charged to the byte budget, whose debt of one burst (256 kB at 12 kB/s) held back routine gossip for up to 21 s; a starter was also sent every configuration of the storm. Ruled out: the store (reading began 2 s late, by the limit for readiness), the routers (service unknown, not held). Change: the debt is at most what a second brings; each adopted configuration becomes the base for starters; eight readers and lone sidecars read the platform in place of every one.

--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -35,12 +35,13 @@
         self.available > 0.0
     }
 
-    /// Takes the bytes of a sent message; the debt never exceeds one burst.
+    /// Takes the bytes of a sent message. The debt never exceeds what a second brings, so that large
+    /// configuration changes don't silence the gossip by which members find each other.
     pub fn spend(&mut self, now: Timestamp, bytes: usize) {
         self.refill(now);
         #[expect(clippy::cast_precision_loss, reason = "message sizes are small")]
         let spent = bytes as f64;
-        self.available = (self.available - spent).max(-self.burst);
+        self.available = (self.available - spent).max(-self.bytes_per_second);
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -1,6 +1,5 @@
 //! The task that drives this sidecar's part in gossip membership and the configuration relay.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +20,7 @@
 use super::reader::{Reader, ReaderEvent};
 use super::transport::{Datagrams, Received, StreamInbox, inbox, send_stream};
 use super::{decode, encode};
-use crate::configuration::{Configuration, RouteIndex};
+use crate::configuration::RouteIndex;
 use crate::events::Event;
 use crate::log_event;
 use crate::platform::{DirectoryEntry, Platform};
@@ -29,40 +28,38 @@
 
 /// Revision from which on a delta may be applied: it holds the whole configuration, so any.
 const ANY_REVISION: u64 = 1;
-/// Readers of the platform in a deployment of more than [`SMALL_DEPLOYMENT`] sidecars.
-const READERS: usize = 4;
-/// Sidecars up to which each reads the platform for itself: so many it bears.
-const SMALL_DEPLOYMENT: usize = 32;
+/// Readers of the platform in the whole deployment.
+const READERS: usize = 8;
+/// Readers of the platform in one zone.
+const READERS_PER_ZONE: usize = 2;
 /// Silence of all other sidecars after which one reads the platform for itself.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 /// How often it is decided anew whether to read the platform.
-const READING_REVIEW: Duration = Duration::from_millis(400);
+const READING_REVIEW: Duration = Duration::from_millis(300);
 /// First pause between two looks into the directory.
 const FIRST_DIRECTORY_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause between two looks into the directory while no other sidecar answers.
 const LONGEST_DIRECTORY_PAUSE: Duration = Duration::from_secs(2);
 /// Longest wait for the directory's answer.
 const DIRECTORY_LIMIT: Duration = Duration::from_millis(1_500);
-/// Looks into the directory after another sidecar answered: entries that came later may show a part
-/// of the deployment that gossip does not reach.
-const LOOKS_AFTER_CONTACT: u32 = 2;
 /// Entries of the directory that are used as seeds.
 const MAX_SEEDS: usize = 64;
 
 /// Timing of the control traffic in a deployment of machines that come and go within seconds.
 fn membership_settings() -> MembershipSettings {
     MembershipSettings {
-        probe_timeout: Duration::from_millis(250),
+        probe_interval: Duration::from_millis(400),
+        probe_timeout: Duration::from_millis(200),
         suspicion_timeout: Duration::from_secs(2),
         routine_round: Duration::from_millis(200),
         table_sync_interval: Duration::from_secs(3),
         settle_time: Duration::from_millis(300),
         readiness_limit: Duration::from_millis(2_000),
         readers: READERS,
-        readers_per_zone: 1,
+        readers_per_zone: READERS_PER_ZONE,
         announce_after: Duration::from_millis(50),
-        bytes_per_second: 12_000,
-        burst_bytes: 256_000,
+        bytes_per_second: 24_000,
+        burst_bytes: 96_000,
         ..MembershipSettings::default()
     }
 }
@@ -92,7 +89,6 @@
     chosen_to_read: bool,
     heard_at: Timestamp,
     review_at: Timestamp,
-    held: HashMap<u64, Configuration>,
     channels: ControlChannels,
 }
 
@@ -151,7 +147,6 @@
             chosen_to_read: false,
             heard_at: now,
             review_at: now,
-            held: HashMap::new(),
             channels,
         };
         (task, sender)
@@ -282,7 +277,8 @@
                         "found={store} in_force={held}"
                     );
                 }
-                Effect::Compact(revision) => self.compact(revision),
+                // Each adoption hands in a snapshot.
+                Effect::Compact(_) => {}
                 Effect::Dropped { source, reason } => {
                     log_event!(
                         Event::ControlMessageDropped,
@@ -293,16 +289,15 @@
         }
     }
 
-    /// Reads the platform while chosen to, while the deployment is small, and while no other sidecar
-    /// is heard of that could pass a configuration on.
+    /// Reads the platform while chosen to, and while no other sidecar is heard of that could pass a
+    /// configuration on.
     fn review_reading(&mut self, now: Timestamp) {
         if now < self.review_at {
             return;
         }
         self.review_at = now + READING_REVIEW;
-        let is_small = self.node.table().members().count() <= SMALL_DEPLOYMENT;
         let is_isolated = now.saturating_since(self.heard_at) >= ISOLATED_AFTER;
-        let read = self.chosen_to_read || is_small || is_isolated;
+        let read = self.chosen_to_read || is_isolated;
         if read != self.reader.is_some() {
             log_event!(Event::StoreReader, "reading={read} isolated={is_isolated}");
             self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
@@ -321,14 +316,14 @@
             }
         };
         configuration.version = revision;
+        // Every payload is a whole configuration: one that starts needs this one only.
+        self.node.compacted(revision, payload.clone());
         let routes = configuration.routes.len();
         let previous = self.channels.configuration.borrow().configuration.version;
         log_event!(
             Event::ConfigurationInForce,
             "version={revision} routes={routes} previous={previous}"
         );
-        self.held.clear();
-        self.held.insert(revision, configuration.clone());
         let index = Arc::new(RouteIndex::new(configuration));
         self.channels.configuration.send_if_modified(|current| {
             let is_newer = current.configuration.version < revision;
@@ -338,15 +333,6 @@
             is_newer
         });
     }
-
-    fn compact(&mut self, revision: u64) {
-        let Some(configuration) = self.held.get(&revision) else {
-            return;
-        };
-        if let Ok(payload) = encode(configuration) {
-            self.node.compacted(revision, payload);
-        }
-    }
 }
 
 /// The next event of the reader; never when this sidecar does not read.
@@ -365,24 +351,23 @@
     seeds: mpsc::Sender<Vec<DirectoryEntry>>,
 ) {
     let mut is_registered = false;
-    let mut looks_left = LOOKS_AFTER_CONTACT;
+    let mut has_company = false;
     let mut pause = FIRST_DIRECTORY_PAUSE;
     tokio::time::sleep(pause.mul_f64(rand::random_range(0.0..=0.5))).await;
-    while looks_left > 0 || !is_registered {
-        if !is_registered {
-            let registering = platform.register(&entry);
-            let registered = tokio::time::timeout(DIRECTORY_LIMIT, registering).await;
-            is_registered = matches!(registered, Ok(Ok(())));
-        }
+    while !is_registered || !has_company {
         let listing = platform.directory();
         if let Ok(Ok(entries)) = tokio::time::timeout(DIRECTORY_LIMIT, listing).await {
+            is_registered = entries.contains(&entry);
             if seeds.send(entries).await.is_err() {
                 return;
             }
-            if members.borrow().members().count() > 1 {
-                looks_left = looks_left.saturating_sub(1);
-            }
         }
+        if !is_registered {
+            let registering = platform.register(&entry);
+            let registered = tokio::time::timeout(DIRECTORY_LIMIT, registering).await;
+            is_registered = matches!(registered, Ok(Ok(())));
+        }
+        has_company = members.borrow().members().count() > 1;
         let jitter = rand::random_range(0.5..=1.0);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
         pause = (pause * 2).min(LONGEST_DIRECTORY_PAUSE);
