--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,7 +7,7 @@
 use crate::error::{CliError, Finish};
 use crate::output::Output;
 use crate::{
-    apply, check, completion, delete, demo, drain, explain, get, plan, replay, status, watch,
+    apply, check, completion, delete, demo, drain, explain, get, plan, replay, status, trace, watch,
 };
 
 /// A flag of a command.
@@ -99,6 +99,7 @@
     &explain::COMMAND,
     &plan::COMMAND,
     &replay::COMMAND,
+    &trace::COMMAND,
     &demo::COMMAND,
     &completion::COMMAND,
 ];
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,6 +26,7 @@
 mod replay;
 mod status;
 mod table;
+mod trace;
 mod watch;
 mod write;
 
--- /dev/null
+++ b/crates/cli/src/trace/line.rs
@@ -0,0 +1,63 @@
+//! One log line: its event, its time and its fields.
+
+use std::collections::BTreeMap;
+
+const EVENT_KEY: &str = "event=";
+/// Length of the shortest time with a zone; a shorter one was cut.
+const SHORTEST_TIME: usize = "2026-12-02T10:00:05Z".len();
+
+/// A log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LogLine {
+    /// What stands before the event, such as the name of the process.
+    pub(super) source: String,
+    /// Name of the event.
+    pub(super) event: String,
+    /// Time of the line, as written.
+    pub(super) time: String,
+    /// The fields.
+    pub(super) fields: BTreeMap<String, String>,
+}
+
+impl LogLine {
+    /// Reads a line; `None` when it is damaged.
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let start = text.find(EVENT_KEY)?;
+        let mut fields = parse_fields(&text[start..])?;
+        let event = fields.remove("event")?;
+        let time = fields.remove("time")?;
+        if time.len() < SHORTEST_TIME {
+            return None;
+        }
+        Some(Self {
+            source: text[..start].trim().to_owned(),
+            event,
+            time,
+            fields,
+        })
+    }
+
+    /// A field's value.
+    pub(super) fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+}
+
+/// Splits `key=value` pairs; a value in double quotes may hold blanks.
+fn parse_fields(text: &str) -> Option<BTreeMap<String, String>> {
+    let mut fields = BTreeMap::new();
+    let mut rest = text.trim();
+    while !rest.is_empty() {
+        let (key, after) = rest.split_once('=')?;
+        if key.is_empty() || key.contains(' ') {
+            return None;
+        }
+        let (value, left) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"')?,
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        fields.insert(key.to_owned(), value.to_owned());
+        rest = left.trim_start();
+    }
+    Some(fields)
+}
--- /dev/null
+++ b/crates/cli/tests/trace.rs
@@ -0,0 +1,63 @@
+//! The story of a request from logs that are mixed, damaged and incomplete.
+
+use std::process::{Command, Output};
+
+const LOG_OF_EDGE: &str = "\
+event=started time=2026-12-02T10:00:00.000+00:00 level=INFO id=a
+event=configuration_in_force time=2026-12-02T10:00:01.000+00:00 level=INFO version=6 routes=2 previous=0
+event=configuration_in_force time=2026-12-02T10:00:02.000+00:00 level=INFO version=7 routes=2 previous=6
+event=request_ended time=2026-12-02T10:00:05.300+00:00 level=INFO request=77aa origin=1 route=r result=1000 name=Answered status=500 attempts=b:1000:300.0
+event=request_ended time=2026-12-02T10:00:06.000+00:00 level=INFO request=77ab origin=2 route=r result=3001 name=RefusedByLevel status=503 attempts=none
+event=configuration_in_force time=2026-12-02T10:00:09.000+00:00 level=INFO version=8 routes=2 previous=7
+event=log_dropped time=2026-12-02T10:00:09.000+00:00 level=WARN lines=12
+";
+const LOG_OF_BACK_END: &str = "\
+  5.1 machine-b event=request_ended time=2026-12-02T10:00:05.200+00:00 level=INFO request=77aa.01 origin=1 route=inner result=3006 name=NoBackend status=503 attempts=none
+  5.3 machine-b event=call_ended time=2026-12-02T10:00:05.290+00:00 level=INFO request=77aa origin=1 instance=i result=1000 name=Answered status=500
+  5.3 machine-b event=call_ended time=2026-12-02T10:00
+no event at all
+";
+
+fn trace(name: &str, request: &str) -> Output {
+    let folder =
+        std::env::temp_dir().join(format!("wharfquay-trace-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let files = [("edge.log", LOG_OF_EDGE), ("back.log", LOG_OF_BACK_END)];
+    let paths = files.map(|(name, text)| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    });
+    let output = Command::new(env!("CARGO_BIN_EXE_wharfquay"))
+        .arg("trace")
+        .arg(request)
+        .args(paths)
+        .output()
+        .unwrap();
+    std::fs::remove_dir_all(folder).unwrap();
+    output
+}
+
+#[test]
+fn the_calls_of_a_request_are_told_with_what_was_believed() {
+    let output = trace("found", "77aa");
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8(output.stdout).unwrap();
+    let position = |part: &str| {
+        text.find(part)
+            .unwrap_or_else(|| panic!("{part} in {text}"))
+    };
+    assert!(position("name=NoBackend") < position("attempts=b:1000:300.0"));
+    assert!(position("version=7") < position("name=NoBackend"));
+    for absent in ["77ab", "version=6", "version=8"] {
+        assert!(!text.contains(absent), "{absent} in {text}");
+    }
+    assert!(text.contains("edge.log: 12 lines were dropped"), "{text}");
+    assert!(text.contains("2 damaged lines were skipped"), "{text}");
+}
+
+#[test]
+fn a_request_that_no_line_names_is_a_problem() {
+    let output = trace("absent", "99");
+    assert_eq!(output.status.code(), Some(1));
+}
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -97,6 +97,13 @@
         self.parts >= PARTS_PER_TOKEN
     }
 
+    /// Whole retries that could be paid now.
+    #[must_use]
+    pub fn tokens(&mut self, now: Timestamp) -> u64 {
+        self.refill(now);
+        self.parts / PARTS_PER_TOKEN
+    }
+
     fn refill(&mut self, now: Timestamp) {
         let elapsed = now.saturating_since(self.refilled_at).as_micros();
         let rate = u128::from(self.parts_per_second);
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -28,6 +28,7 @@
 use crate::dialect::Dialect;
 use crate::instance::InstanceId;
 use crate::message::RequestHead;
+use crate::metrics::Metrics;
 use crate::outbound::routing::Routing;
 use crate::scopes::{OpenScope, ScopeTable};
 
@@ -57,6 +58,7 @@
     pub(crate) stopping: Arc<AtomicBool>,
     pub(crate) in_flight: Arc<AtomicUsize>,
     pub(crate) misdirected: MisdirectedObserver,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 impl fmt::Debug for LocalExecutor {
@@ -87,7 +89,8 @@
             Err(failure) => (None, Err(failure), allowance),
         };
         let metadata = self.metadata(instance.as_ref(), report.request_kind(), returned);
-        report.write(instance.as_ref().map(|open| &open.id), &result, &metadata);
+        let id = instance.as_ref().map(|open| &open.id);
+        report.write(id, &result, &metadata, &self.metrics);
         Executed { result, metadata }
     }
 
--- a/crates/sidecar/src/inbound/report.rs
+++ b/crates/sidecar/src/inbound/report.rs
@@ -12,6 +12,7 @@
 use crate::events::{Event, is_sampled};
 use crate::instance::InstanceId;
 use crate::log_event;
+use crate::metrics::Metrics;
 use crate::outbound::millis;
 
 /// Collects what is told about a call.
@@ -44,23 +45,26 @@
         self.admitted = Some(self.clock.now());
     }
 
-    /// Writes the end of the call, unless it is an ordinary success.
+    /// Counts the end of the call, and writes it unless it is an ordinary success.
     pub(super) fn write(
         &self,
         instance: Option<&InstanceId>,
         result: &Result<Response<AnswerBody>, Failure>,
         metadata: &WireAnswer,
+        metrics: &Metrics,
     ) {
         let (code, status) = match result {
             Ok(response) => (ResultCode::Answered, response.status().as_u16()),
             Err(failure) => (failure.code, 0),
         };
+        let now = self.clock.now();
+        let queued = self.admitted.unwrap_or(now).saturating_since(self.arrived);
+        let took = now.saturating_since(self.arrived);
+        metrics.call_ended(code, queued, took);
         let is_success = status > 0 && status < 500;
         if is_success && !is_sampled(self.context.origin) {
             return;
         }
-        let now = self.clock.now();
-        let queued = self.admitted.unwrap_or(now).saturating_since(self.arrived);
         log_event!(
             Event::CallEnded,
             "request={} origin={:032x} kind={} instance={} key={} result={} name={} \
@@ -74,7 +78,7 @@
             code.number(),
             code.name(),
             millis(queued),
-            millis(now.saturating_since(self.arrived)),
+            millis(took),
             metadata.in_flight,
             metadata.limit,
             metadata.queued,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod inbound;
 pub mod instance;
 pub mod log_output;
+pub mod metrics;
 pub mod outbound;
 pub mod platform;
 pub mod settings;
@@ -20,6 +21,7 @@
 
 mod body;
 mod message;
+mod metered;
 mod scopes;
 
 pub use sidecar::{Sidecar, StartError};
--- /dev/null
+++ b/crates/sidecar/src/metered.rs
@@ -0,0 +1,73 @@
+//! Counts the calls to the platform by operation and result.
+
+use std::sync::Arc;
+
+use crate::instance::InstanceId;
+use crate::metrics::Metrics;
+use crate::platform::{ConfigurationReading, DirectoryEntry, Platform, PlatformError, Position};
+
+/// A platform whose calls are counted.
+#[derive(Debug)]
+pub(crate) struct Metered<P> {
+    inner: Arc<P>,
+    metrics: Arc<Metrics>,
+}
+
+impl<P: Platform> Metered<P> {
+    pub(crate) fn new(inner: Arc<P>, metrics: Arc<Metrics>) -> Arc<Self> {
+        Arc::new(Self { inner, metrics })
+    }
+
+    fn count<T>(&self, operation: &str, result: &Result<T, PlatformError>) {
+        let name = match result {
+            Ok(_) => "ok",
+            Err(PlatformError::Unreachable(_)) => "unreachable",
+            Err(PlatformError::Throttled) => "throttled",
+            Err(PlatformError::Refused(_)) => "refused",
+            Err(PlatformError::HistoryGone) => "history_gone",
+            Err(PlatformError::Malformed(_)) => "malformed",
+        };
+        self.metrics.platform_called(operation, name);
+    }
+}
+
+impl<P: Platform> Platform for Metered<P> {
+    async fn read_configuration(&self) -> Result<ConfigurationReading, PlatformError> {
+        let result = self.inner.read_configuration().await;
+        self.count("read_configuration", &result);
+        result
+    }
+
+    async fn watch_configuration(
+        &self,
+        position: Position,
+    ) -> Result<ConfigurationReading, PlatformError> {
+        let result = self.inner.watch_configuration(position).await;
+        self.count("watch_configuration", &result);
+        result
+    }
+
+    async fn register(&self, entry: &DirectoryEntry) -> Result<(), PlatformError> {
+        let result = self.inner.register(entry).await;
+        self.count("register", &result);
+        result
+    }
+
+    async fn directory(&self) -> Result<Vec<DirectoryEntry>, PlatformError> {
+        let result = self.inner.directory().await;
+        self.count("directory", &result);
+        result
+    }
+
+    async fn record_departure(&self, instance: &InstanceId) -> Result<(), PlatformError> {
+        let result = self.inner.record_departure(instance).await;
+        self.count("record_departure", &result);
+        result
+    }
+
+    async fn has_departed(&self, instance: &InstanceId) -> Result<bool, PlatformError> {
+        let result = self.inner.has_departed(instance).await;
+        self.count("has_departed", &result);
+        result
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,274 @@
+//! Counters, gauges and latency histograms of one sidecar, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+use wharfquay_core::outcome::ResultCode;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.010, 0.025, 0.050, 0.100, 0.250, 0.500, 1.0, 2.5, 5.0,
+];
+
+/// Every metric with its meaning; `docs/OPERATIONS.md` lists the same.
+pub const CATALOGUE: [(&str, &str); 18] = [
+    (
+        "wharfquay_requests_total",
+        "Requests of callers and of the back end that ended, by route and result",
+    ),
+    (
+        "wharfquay_request_seconds",
+        "Time from the arrival of a request to its final answer, by route",
+    ),
+    (
+        "wharfquay_attempts_total",
+        "Attempts that ended, by the sidecar that got them and result",
+    ),
+    (
+        "wharfquay_retries_total",
+        "Attempts after the first, by service",
+    ),
+    (
+        "wharfquay_calls_total",
+        "Calls for the local back end that ended, by result",
+    ),
+    (
+        "wharfquay_call_seconds",
+        "Time from the arrival of a call to its answer",
+    ),
+    (
+        "wharfquay_queue_seconds",
+        "Time that calls waited for admission",
+    ),
+    (
+        "wharfquay_platform_calls_total",
+        "Calls to the platform, by operation and result",
+    ),
+    (
+        "wharfquay_in_flight",
+        "Calls that the local back end executes",
+    ),
+    ("wharfquay_limit", "Calls that it may execute at a time"),
+    ("wharfquay_waiting", "Calls that wait for admission"),
+    (
+        "wharfquay_level",
+        "Admission level of the local back end; 32768 is open",
+    ),
+    (
+        "wharfquay_configuration_version",
+        "Version of the configuration in force; 0 is none",
+    ),
+    (
+        "wharfquay_configuration_age_seconds",
+        "Time since it came in force",
+    ),
+    ("wharfquay_members", "Sidecars that are known, by state"),
+    ("wharfquay_ready", "Whether callers may be sent here"),
+    (
+        "wharfquay_log_lines_total",
+        "Log lines, by whether they were written or dropped",
+    ),
+    (
+        "wharfquay_retry_budget_tokens",
+        "Retries that the budget towards a service bears now, by service",
+    ),
+];
+
+/// What is read when the metrics are asked for.
+#[derive(Clone, Debug, Default)]
+pub struct Gauges {
+    /// Calls in execution, limit, and calls that wait.
+    pub load: (u32, u32, u32),
+    /// Admission level of the local back end.
+    pub level: u16,
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Time since it came in force.
+    pub configuration_age: Duration,
+    /// Numbers of sidecars, by the name of their state.
+    pub members: Vec<(&'static str, i64)>,
+    /// Whether callers may be sent here.
+    pub is_ready: bool,
+    /// Lines written and dropped.
+    pub log_lines: (u64, u64),
+    /// Whole retries left, by service.
+    pub retry_budgets: Vec<(String, i64)>,
+}
+
+/// The metrics of one sidecar.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: HistogramVec,
+    attempts: IntCounterVec,
+    retries: IntCounterVec,
+    calls: IntCounterVec,
+    call_seconds: Histogram,
+    queue_seconds: Histogram,
+    platform_calls: IntCounterVec,
+    load: [IntGauge; 4],
+    configuration: [IntGauge; 2],
+    members: IntGaugeVec,
+    ready: IntGauge,
+    log_lines: IntGaugeVec,
+    retry_budgets: IntGaugeVec,
+}
+
+/// Registers metrics that the catalogue describes.
+struct Registrar(Registry);
+
+impl Registrar {
+    fn options(name: &'static str) -> Opts {
+        let entry = CATALOGUE.iter().find(|(listed, _)| *listed == name);
+        Opts::new(name, entry.map_or("", |(_, help)| *help))
+    }
+
+    /// A metric that can't be registered is only missing from the page.
+    fn keep<C: Collector + Clone + 'static>(&self, collector: C) -> C {
+        if let Err(error) = self.0.register(Box::new(collector.clone())) {
+            log::error!("event=library_message message=\"{error}\"");
+        }
+        collector
+    }
+
+    fn counters(&self, name: &'static str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
+        IntCounterVec::new(Self::options(name), labels).map(|counters| self.keep(counters))
+    }
+
+    fn gauge(&self, name: &'static str) -> prometheus::Result<IntGauge> {
+        IntGauge::with_opts(Self::options(name)).map(|gauge| self.keep(gauge))
+    }
+
+    fn gauges(&self, name: &'static str, labels: &[&str]) -> prometheus::Result<IntGaugeVec> {
+        IntGaugeVec::new(Self::options(name), labels).map(|gauges| self.keep(gauges))
+    }
+
+    fn histogram_options(name: &'static str) -> HistogramOpts {
+        HistogramOpts::from(Self::options(name)).buckets(LATENCY_BUCKETS.to_vec())
+    }
+
+    fn histogram(&self, name: &'static str) -> prometheus::Result<Histogram> {
+        Histogram::with_opts(Self::histogram_options(name)).map(|histogram| self.keep(histogram))
+    }
+
+    fn histograms(&self, name: &'static str, labels: &[&str]) -> prometheus::Result<HistogramVec> {
+        let histograms = HistogramVec::new(Self::histogram_options(name), labels);
+        histograms.map(|histograms| self.keep(histograms))
+    }
+}
+
+impl Metrics {
+    /// Metrics that have counted nothing.
+    ///
+    /// # Errors
+    /// When a name or a label is not allowed by the library, which no build of this crate has.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registrar = Registrar(Registry::new());
+        Ok(Self {
+            requests: registrar.counters("wharfquay_requests_total", &["route", "result"])?,
+            request_seconds: registrar.histograms("wharfquay_request_seconds", &["route"])?,
+            attempts: registrar.counters("wharfquay_attempts_total", &["target", "result"])?,
+            retries: registrar.counters("wharfquay_retries_total", &["service"])?,
+            calls: registrar.counters("wharfquay_calls_total", &["result"])?,
+            call_seconds: registrar.histogram("wharfquay_call_seconds")?,
+            queue_seconds: registrar.histogram("wharfquay_queue_seconds")?,
+            platform_calls: registrar
+                .counters("wharfquay_platform_calls_total", &["operation", "result"])?,
+            load: [
+                registrar.gauge("wharfquay_in_flight")?,
+                registrar.gauge("wharfquay_limit")?,
+                registrar.gauge("wharfquay_waiting")?,
+                registrar.gauge("wharfquay_level")?,
+            ],
+            configuration: [
+                registrar.gauge("wharfquay_configuration_version")?,
+                registrar.gauge("wharfquay_configuration_age_seconds")?,
+            ],
+            members: registrar.gauges("wharfquay_members", &["state"])?,
+            ready: registrar.gauge("wharfquay_ready")?,
+            log_lines: registrar.gauges("wharfquay_log_lines_total", &["fate"])?,
+            retry_budgets: registrar.gauges("wharfquay_retry_budget_tokens", &["service"])?,
+            registry: registrar.0,
+        })
+    }
+
+    /// Counts a request that has its final answer.
+    pub fn request_ended(&self, route: &str, result: ResultCode, took: Duration) {
+        self.requests
+            .with_label_values(&[route, result.name()])
+            .inc();
+        let seconds = self.request_seconds.with_label_values(&[route]);
+        seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempt_ended(&self, target: &str, result: ResultCode) {
+        self.attempts
+            .with_label_values(&[target, result.name()])
+            .inc();
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retried(&self, service: &str) {
+        self.retries.with_label_values(&[service]).inc();
+    }
+
+    /// Counts a call for the local back end that ended.
+    pub fn call_ended(&self, result: ResultCode, queued: Duration, took: Duration) {
+        self.calls.with_label_values(&[result.name()]).inc();
+        self.queue_seconds.observe(queued.as_secs_f64());
+        self.call_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_called(&self, operation: &str, result: &str) {
+        self.platform_calls
+            .with_label_values(&[operation, result])
+            .inc();
+    }
+
+    /// The text that a scraper reads.
+    #[must_use]
+    pub fn render(&self, gauges: &Gauges) -> String {
+        self.set(gauges);
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut text).is_err() {
+            text.clear();
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+
+    fn set(&self, gauges: &Gauges) {
+        let (in_flight, limit, waiting) = gauges.load;
+        let load = [in_flight, limit, waiting, u32::from(gauges.level)];
+        for (gauge, value) in self.load.iter().zip(load) {
+            gauge.set(i64::from(value));
+        }
+        let age = gauges.configuration_age.as_secs();
+        for (gauge, value) in self.configuration.iter().zip([gauges.version, age]) {
+            gauge.set(signed(value));
+        }
+        for (state, count) in &gauges.members {
+            self.members.with_label_values(&[*state]).set(*count);
+        }
+        self.ready.set(i64::from(gauges.is_ready));
+        let (written, dropped) = gauges.log_lines;
+        for (fate, lines) in [("written", written), ("dropped", dropped)] {
+            self.log_lines.with_label_values(&[fate]).set(signed(lines));
+        }
+        for (service, tokens) in &gauges.retry_budgets {
+            let gauge = self.retry_budgets.with_label_values(&[service.as_str()]);
+            gauge.set(*tokens);
+        }
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -25,6 +25,7 @@
 use super::routing::{Routing, ServiceRouter, Target};
 use crate::inbound::LocalExecutor;
 use crate::message::RequestHead;
+use crate::metrics::Metrics;
 
 /// Sidecars that a call is offered to after refusals that cost their back ends nothing.
 const MAX_OFFERS: usize = 3;
@@ -163,6 +164,7 @@
     pub(crate) routing: Arc<Routing>,
     pub(crate) peers: Peers,
     pub(crate) local: Arc<LocalExecutor>,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 impl Forwarder {
@@ -195,6 +197,7 @@
             let Some(after) = self.next_after(call, &body, &router, &attempts, failure) else {
                 return Err(attempts.conclude(failure));
             };
+            self.metrics.retried(&call.service);
             if !after.is_zero() {
                 tokio::time::sleep(after).await;
             }
@@ -251,6 +254,7 @@
         let code = end.result.as_ref().err().map(|failure| failure.code);
         let code = code.unwrap_or(ResultCode::Answered);
         call.report.attempted(&target.id, started, code);
+        self.metrics.attempt_ended(target.id.as_str(), code);
         if let Some(unsent) = end.unsent {
             body.restore(unsent);
         }
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -1,5 +1,6 @@
 //! Requests of callers and of the local back end: their route, their context and their answer.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
 const CALLS_PER_REQUEST: usize = 1;
 /// Retry-After while no configuration is known.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-After of a request that came to a sidecar which is about to end.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Retry-After of a request that could not be placed in its time.
 const TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -41,6 +44,8 @@
     pub(crate) configuration: watch::Receiver<Arc<RouteIndex>>,
     pub(crate) forwarder: Arc<Forwarder>,
     pub(crate) scopes: Arc<ScopeTable>,
+    /// Whether requests of callers are refused, since the process is about to end.
+    pub(crate) refusing: Arc<AtomicBool>,
 }
 
 /// A request with what the configuration says about it.
@@ -82,7 +87,12 @@
         let (admitted, body) = self.admit(&index, request)?;
         let _waiting = admitted.parent.as_ref().map(DownstreamWait::start);
         let result = self.run(&admitted.call, body).await;
-        tell(admitted.call.report, &result);
+        let code = result.as_ref().err().map(|failure| failure.code);
+        let code = code.unwrap_or(ResultCode::Answered);
+        let report = admitted.call.report;
+        let metrics = &self.forwarder.metrics;
+        metrics.request_ended(report.route(), code, report.elapsed());
+        tell(report, &result);
         result
     }
 
@@ -131,6 +141,10 @@
         let parent = RequestLineage::of(request_id)
             .parent()
             .and_then(|parent| self.scopes.get(parent));
+        if parent.is_none() && self.refusing.load(Ordering::Relaxed) {
+            let code = ResultCode::Draining;
+            return Err(Failure::with_retry_after(code, STOPPING_RETRY_AFTER));
+        }
         let given = self.dialect.deadline(&head.headers);
         let context = self.context(route, request_id, given, parent.as_deref());
         if parent.is_some() {
--- a/crates/sidecar/src/outbound/report.rs
+++ b/crates/sidecar/src/outbound/report.rs
@@ -60,6 +60,16 @@
         }
     }
 
+    /// Name of the request's route.
+    pub(crate) fn route(&self) -> &str {
+        &self.route
+    }
+
+    /// Time since the request arrived.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.clock.now().saturating_since(self.started)
+    }
+
     /// Notes the end of an attempt that began at `started`.
     pub(crate) fn attempted(&self, target: &EndpointId, started: Timestamp, result: ResultCode) {
         let took = self.clock.now().saturating_since(started);
@@ -101,7 +111,7 @@
             result.number(),
             result.name(),
             retry_after.as_millis(),
-            millis(now.saturating_since(self.started)),
+            millis(self.elapsed()),
             millis(self.context.remaining(now)),
             self.attempts_text(),
         );
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -216,6 +216,17 @@
         services.get(name).cloned()
     }
 
+    /// Whole retries that the budget towards each service bears now.
+    pub fn retry_budgets(&self) -> Vec<(String, i64)> {
+        let now = self.clock.now();
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        let budgets = services.iter().map(|(name, router)| {
+            let tokens = lock(&router.state).budget.tokens(now);
+            (name.clone(), i64::try_from(tokens).unwrap_or(i64::MAX))
+        });
+        budgets.collect()
+    }
+
     /// Takes over the members that are known. Calls go on meanwhile.
     pub fn update(&self, table: &MemberTable) {
         let now = self.clock.now();
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,8 +1,8 @@
 //! Putting a sidecar together: listeners, control, and the orderly stop.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -14,10 +14,13 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::Instant;
+use wharfquay_core::priority::AdmissionLevel;
 use wharfquay_core::routing::EndpointId;
 use wharfquay_daemon::body::{AnswerBody, RequestBody};
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::connect::notice_silence;
+use wharfquay_daemon::sync::lock;
+use wharfquay_membership::member::MemberState;
 use wharfquay_membership::table::MemberTable;
 
 use crate::configuration::{ConnectionLimits, RouteIndex};
@@ -28,6 +31,9 @@
 use crate::inbound::{InboundHandler, LocalExecutor};
 use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
 use crate::log_event;
+use crate::log_output;
+use crate::metered::Metered;
+use crate::metrics::{Gauges, Metrics};
 use crate::outbound::connection::{ConnectionSettings, RequestHandler, serve};
 use crate::outbound::routing::Routing;
 use crate::outbound::{Forwarder, OutboundHandler};
@@ -44,7 +50,7 @@
 /// yet lose nothing.
 const NOTICE_SHARE: f64 = 0.43;
 /// Part of the grace that is kept back for the end of the process.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
+const RESERVE_SHARE: f64 = 0.1;
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -62,6 +68,8 @@
     },
     /// service {0:?} can't stand in a header
     ServiceName(String),
+    /// metrics: {0}
+    Metrics(prometheus::Error),
 }
 
 impl std::error::Error for StartError {}
@@ -70,7 +78,10 @@
 #[derive(Debug)]
 pub struct Sidecar<P> {
     settings: Settings,
-    registry: Arc<Registry<P>>,
+    registry: Arc<Registry<Metered<P>>>,
+    metrics: Arc<Metrics>,
+    routing: Arc<Routing>,
+    configured_at: Mutex<Instant>,
     backend: Arc<LocalBackend>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
     members: watch::Receiver<MemberTable>,
@@ -79,6 +90,8 @@
     leaving: AtomicBool,
     /// Whether calls for the back end are refused.
     stopping: Arc<AtomicBool>,
+    /// Whether requests of callers are refused.
+    refusing: Arc<AtomicBool>,
     stop_sender: watch::Sender<bool>,
     closing_sender: watch::Sender<bool>,
     in_flight: Arc<AtomicUsize>,
@@ -110,6 +123,8 @@
     ) -> Result<Arc<Self>, StartError> {
         let caller_service = HeaderValue::from_str(&settings.service)
             .map_err(|_| StartError::ServiceName(settings.service.clone()))?;
+        let metrics = Arc::new(Metrics::new().map_err(StartError::Metrics)?);
+        let platform = Metered::new(platform, Arc::clone(&metrics));
         let listeners = Listeners::bind(&settings).await?;
         let clock = Clock::start();
         let (configuration_sender, configuration) = watch::channel(Arc::new(RouteIndex::default()));
@@ -136,6 +151,7 @@
         let routing = Routing::new(clock, &settings.zone, settings.bounds.retry_ratio);
         let scopes = Arc::new(ScopeTable::default());
         let stopping = Arc::new(AtomicBool::new(false));
+        let refusing = Arc::new(AtomicBool::new(false));
         let in_flight = Arc::new(AtomicUsize::new(0));
         let outbound_in_flight = Arc::new(AtomicUsize::new(0));
         let observer = Arc::clone(&registry);
@@ -148,6 +164,7 @@
             stopping: Arc::clone(&stopping),
             in_flight: Arc::clone(&in_flight),
             misdirected: Arc::new(move |instance: &InstanceId| observer.misdirected(instance)),
+            metrics: Arc::clone(&metrics),
         });
         let forwarder = Arc::new(Forwarder {
             clock,
@@ -155,6 +172,7 @@
             routing: Arc::clone(&routing),
             peers: crate::outbound::Peers::default(),
             local: Arc::clone(&local),
+            metrics: Arc::clone(&metrics),
         });
         let handler = OutboundHandler {
             dialect,
@@ -163,6 +181,7 @@
             configuration: configuration.clone(),
             forwarder: Arc::clone(&forwarder),
             scopes: Arc::clone(&scopes),
+            refusing: Arc::clone(&refusing),
         };
         let counted = CountedHandler {
             handler,
@@ -170,6 +189,9 @@
         };
         let sidecar = Arc::new(Self {
             settings,
+            metrics,
+            routing: Arc::clone(&routing),
+            configured_at: Mutex::new(Instant::now()),
             registry,
             backend,
             configuration,
@@ -177,6 +199,7 @@
             scopes,
             leaving: AtomicBool::new(false),
             stopping,
+            refusing,
             stop_sender,
             closing_sender,
             in_flight,
@@ -208,6 +231,25 @@
         is_configured && !self.leaving.load(Ordering::Relaxed)
     }
 
+    /// The metrics, as a scraper reads them.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        let report = self.backend.instance().map(|open| open.gate.report());
+        let level = report.map_or(AdmissionLevel::OPEN, |report| report.level);
+        let load = report.map(|report| report.load).unwrap_or_default();
+        let lines = &log_output::COUNTERS;
+        self.metrics.render(&Gauges {
+            load: (load.in_flight, load.limit, load.queued),
+            level: level.number(),
+            version: self.configuration.borrow().configuration.version,
+            configuration_age: lock(&self.configured_at).elapsed(),
+            members: count_members(&self.members.borrow()),
+            is_ready: self.is_ready(),
+            log_lines: (lines.written(), lines.dropped()),
+            retry_budgets: self.routing.retry_budgets(),
+        })
+    }
+
     /// Ends in order: first callers are sent away, then other sidecars; what is in progress is finished,
     /// at most until the grace is over.
     pub async fn stop(&self) {
@@ -220,8 +262,9 @@
         tokio::time::sleep_until(started + grace.mul_f64(OPEN_SHARE)).await;
         self.stopping.store(true, Ordering::Relaxed);
         self.stop_sender.send_replace(true);
-        let end = started + grace.saturating_sub(STOP_RESERVE);
+        let end = started + grace.mul_f64(1.0 - RESERVE_SHARE);
         tokio::time::sleep_until(started + grace.mul_f64(NOTICE_SHARE)).await;
+        self.refusing.store(true, Ordering::Relaxed);
         while self.is_busy() && Instant::now() < end {
             tokio::time::sleep(STOP_POLL).await;
         }
@@ -277,6 +320,7 @@
             let mut is_first = true;
             while configuration.changed().await.is_ok() {
                 let index = configuration.borrow_and_update().clone();
+                *lock(&sidecar.configured_at) = Instant::now();
                 limit_sender.send_replace(index.configuration.limits);
                 let service = index.configuration.services.get(sidecar.backend.service());
                 if let Some(service) = service {
@@ -292,6 +336,19 @@
     }
 }
 
+fn count_members(table: &MemberTable) -> Vec<(&'static str, i64)> {
+    let count = |state| {
+        let found = table.members().filter(|member| member.state() == state);
+        i64::try_from(found.count()).unwrap_or(i64::MAX)
+    };
+    vec![
+        ("alive", count(MemberState::Alive)),
+        ("suspect", count(MemberState::Suspect)),
+        ("leaving", count(MemberState::Leaving)),
+        ("dead", count(MemberState::Dead)),
+    ]
+}
+
 struct Listeners {
     outbound: TcpListener,
     inbound: TcpListener,
--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -385,3 +385,26 @@
     assert_eq!(answer.status, 200);
     assert_eq!(machine.backend.seen().pop().unwrap().body, b"hello");
 }
+
+#[tokio::test]
+async fn the_metrics_tell_of_requests_limits_and_the_platform() {
+    let (_platform, machine) = single().await;
+    machine.backend.expect(&[Behaviour::Refuse]);
+    call(machine.outbound, &request("POST", "/writes/1", "w", "")).await;
+    let text = machine.sidecar.metrics_text();
+    let expected = [
+        "wharfquay_requests_total{result=\"Answered\",route=\"route-reads-\"}",
+        "wharfquay_requests_total{result=\"RefusedByBackend\",route=\"route-writes-\"} 1",
+        "wharfquay_calls_total{result=\"RefusedByBackend\"} 1",
+        "wharfquay_limit 4",
+        "wharfquay_level 32768",
+        "wharfquay_configuration_version 1",
+        "wharfquay_members{state=\"alive\"} 1",
+        "wharfquay_platform_calls_total{operation=\"register\",result=\"ok\"} 1",
+        "wharfquay_request_seconds_bucket",
+        "wharfquay_retry_budget_tokens{service=\"shelf\"}",
+    ];
+    for line in expected {
+        assert!(text.contains(line), "{line} is missing in:\n{text}");
+    }
+}
