Let the calls of begun work wait up to 400 ms at a gate

Ruled out: the edge's level (it refused 1,789), lost connections. Change: patience by call: 100 ms for what is new, 400 ms for what is begun.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -128,6 +128,17 @@
     /// Decides about a call. The effects may concern other calls as well: those that it displaces
     /// and those whose wait has expired.
     pub fn offer(&mut self, now: Timestamp, call: OfferedCall) -> Vec<AdmissionEffect> {
+        let patience = self.longest_wait(call.key.priority());
+        self.offer_within(now, call, patience)
+    }
+
+    /// As [`Self::offer`], for a call that may wait for `patience` in place of the settings' time.
+    pub fn offer_within(
+        &mut self,
+        now: Timestamp,
+        call: OfferedCall,
+        patience: Duration,
+    ) -> Vec<AdmissionEffect> {
         let mut effects = self.advance(now);
         if self.draining {
             effects.push(self.refuse(now, &call, ResultCode::Draining));
@@ -143,7 +154,7 @@
         }
         self.level.arrived(call.key);
         self.reserve.arrived(call.key);
-        self.enqueue(now, call, &mut effects);
+        self.enqueue(now, call, patience, &mut effects);
         self.dispatch_waiting(now, &mut effects);
         effects
     }
@@ -281,8 +292,14 @@
         effects
     }
 
-    fn enqueue(&mut self, now: Timestamp, call: OfferedCall, effects: &mut Vec<AdmissionEffect>) {
-        let longest = now + self.longest_wait(call.key.priority());
+    fn enqueue(
+        &mut self,
+        now: Timestamp,
+        call: OfferedCall,
+        patience: Duration,
+        effects: &mut Vec<AdmissionEffect>,
+    ) {
+        let longest = now + patience;
         let expires = longest.min(self.last_useful_start(&call));
         if self.queue.is_empty() && self.may_dispatch(call.key.priority()) {
             self.execute(now, &call);
--- a/crates/daemon/src/inbound/gate.rs
+++ b/crates/daemon/src/inbound/gate.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
 use wharfquay_core::admission::{
@@ -86,6 +87,19 @@
         self: &Arc<Self>,
         key: AdmissionKey,
         deadline: Timestamp,
+    ) -> Result<Permit, Failure> {
+        self.enter_within(key, deadline, None).await
+    }
+
+    /// As [`Self::enter`], for a call that may wait for `patience` in place of the settings' time.
+    ///
+    /// # Errors
+    /// The refusal, in which case the call was not run.
+    pub async fn enter_within(
+        self: &Arc<Self>,
+        key: AdmissionKey,
+        deadline: Timestamp,
+        patience: Option<Duration>,
     ) -> Result<Permit, Failure> {
         let ticket = CallTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (sender, verdict) = oneshot::channel();
@@ -101,7 +115,10 @@
                 key,
                 deadline,
             };
-            state.controller.offer(now, call)
+            match patience {
+                Some(patience) => state.controller.offer_within(now, call, patience),
+                None => state.controller.offer(now, call),
+            }
         });
         match verdict.await {
             Ok(Ok(())) => {
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -29,9 +29,14 @@
 use crate::instance::InstanceId;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
+use crate::outbound::DEPTH_OF_CALLERS;
 use crate::outbound::routing::Routing;
 use crate::scopes::{OpenScope, ScopeTable};
 
+/// Longest wait at the gate of a request that a caller sent.
+const NEW_PATIENCE: Duration = Duration::from_millis(100);
+/// Longest wait at the gate of a call on behalf of a request in execution.
+const BEGUN_PATIENCE: Duration = Duration::from_millis(400);
 /// Connections that may prove closed before a byte was written, for one call.
 const CONNECTION_TRIES: usize = 3;
 /// Retry-After of a refusal because no instance can take work.
@@ -124,9 +129,9 @@
         report: &mut CallReport,
     ) -> (Result<Response<AnswerBody>, Failure>, RetryAllowance) {
         let allowance = context.allowance;
-        let entering = instance
-            .gate
-            .enter(context.admission_key(), context.deadline);
+        let patience = patience(&context);
+        let (key, deadline) = (context.admission_key(), context.deadline);
+        let entering = instance.gate.enter_within(key, deadline, Some(patience));
         let permit = match entering.await {
             Ok(permit) => permit,
             Err(failure) => return (Err(failure), allowance),
@@ -258,6 +263,16 @@
     }
 }
 
+/// Longest wait of a call at the gate. What is begun waits longer than what is new: a refusal of one of
+/// its calls wastes all that was done for it.
+const fn patience(context: &CallContext) -> Duration {
+    if context.depth > DEPTH_OF_CALLERS {
+        BEGUN_PATIENCE
+    } else {
+        NEW_PATIENCE
+    }
+}
+
 /// The answer of the back end, as far as it was read.
 struct Answered {
     parts: http::response::Parts,
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -248,7 +248,7 @@
 }
 
 /// Depth at the back end of a request that a caller sent.
-const DEPTH_OF_CALLERS: u8 = 1;
+pub(crate) const DEPTH_OF_CALLERS: u8 = 1;
 
 /// Writes what became of a request.
 fn tell(report: RequestReport, result: &Result<Response<AnswerBody>, Failure>) {
