Keep gates below the load at which back ends slow down

Ruled out: waiting at the gate (400 ms in place of 100 ms changed nothing). Change: a gate's limit is the number of slots below 95% of those declared.

--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -21,6 +21,8 @@
 
 /// Executions at a time before an instance has said how many slots it has.
 const FIRST_SLOTS: u32 = 12;
+/// Share of its slots from which a back end may slow down.
+const FULL_LOAD: f64 = 0.95;
 /// Connections before the configuration says how many the back end accepts.
 const FIRST_CONNECTIONS: u32 = 64;
 /// Connections that are left to others, as a share of those that the back end accepts.
@@ -38,11 +40,11 @@
 
 /// Admission settings for an instance with this many slots.
 fn admission_settings(slots: u32) -> AdmissionSettings {
-    let slots = slots.max(1);
+    let limit = usable_slots(slots);
     AdmissionSettings {
-        initial_limit: slots,
-        maximum_limit: slots,
-        queue_capacity: (slots * QUEUE_PER_SLOT) as usize,
+        initial_limit: limit,
+        maximum_limit: limit,
+        queue_capacity: (limit * QUEUE_PER_SLOT) as usize,
         maximum_queue_wait: LONGEST_QUEUE_WAIT,
         ..AdmissionSettings::default()
     }
@@ -214,6 +216,12 @@
     }
 }
 
+/// Executions at a time that leave a back end below the load at which it slows down.
+fn usable_slots(slots: u32) -> u32 {
+    let full = (f64::from(slots) * FULL_LOAD).ceil() as u32;
+    full.saturating_sub(1).max(1)
+}
+
 fn usable_connections(accepted: u32) -> u32 {
     let accepted = accepted.max(2);
     accepted - (accepted / SPARE_CONNECTIONS_SHARE).max(1)
