--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -115,7 +115,7 @@
         Self {
             limit: new_limit(&settings, now),
             queue: WaitQueue::new(settings.discipline, settings.queue_capacity),
-            level: LevelController::new(settings.level_interval, settings.queue_share, now),
+            level: LevelController::new(settings.level_interval, now),
             executing: HashMap::new(),
             shortest: [FloorDuration::default(); Priority::COUNT],
             mean: MeanDuration::default(),
@@ -270,7 +270,7 @@
             self.limit = new_limit(&settings, now);
         }
         if settings.level_interval != self.settings.level_interval || !settings.adaptive_level {
-            self.level = LevelController::new(settings.level_interval, settings.queue_share, now);
+            self.level = LevelController::new(settings.level_interval, now);
         }
         self.settings = settings;
         self.queue.set_discipline(self.settings.discipline);
--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -17,6 +17,8 @@
 const UNSEEN_MEMORY: f64 = 0.95;
 /// Admitted share of a priority below which its rate can't be told.
 const SMALLEST_SEEN_SHARE: f64 = 0.05;
+/// Length of the queue that is aimed at, as a share of the concurrency limit.
+const QUEUE_SHARE: f64 = 1.5;
 /// Intervals in which the queue is brought to the length that is aimed at.
 const CORRECTION_INTERVALS: f64 = 4.0;
 /// Share by which the capacity is overestimated, so that free slots are found.
@@ -44,18 +46,14 @@
     utilisation: f64,
     queued: [f64; Priority::COUNT],
     limit: f64,
-    /// Length of the queue that is aimed at, as a share of the limit.
-    queue_share: f64,
 }
 
 impl LevelController {
-    /// An open level, adjusted once per `interval`, that aims at a queue of `queue_share` of the
-    /// concurrency limit.
+    /// An open level, adjusted once per `interval`.
     #[must_use]
-    pub fn new(interval: Duration, queue_share: f64, now: Timestamp) -> Self {
+    pub fn new(interval: Duration, now: Timestamp) -> Self {
         Self {
             interval,
-            queue_share,
             next_adjustment: now + interval,
             level: f64::from(AdmissionKey::COUNT),
             arrived: [0.0; Priority::COUNT],
@@ -151,7 +149,7 @@
     /// the calls that wait before it, but not for less important ones: these don't delay it.
     fn position(&self) -> f64 {
         let width = f64::from(Rank::COUNT);
-        let aim = self.limit * self.queue_share;
+        let aim = self.limit * QUEUE_SHARE;
         let mut room = self.capacity() + aim / CORRECTION_INTERVALS;
         for (priority, offered) in self.offered.iter().enumerate() {
             let queued = self.queued[priority] / self.samples.max(1.0);
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -5,9 +5,6 @@
 use crate::admission::limit::LimitAlgorithm;
 use crate::admission::queue::QueueDiscipline;
 
-/// Length of the queue that is aimed at by default, as a share of the concurrency limit.
-const DEFAULT_QUEUE_SHARE: f64 = 1.5;
-
 /// Settings of an [`crate::admission::AdmissionController`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
@@ -21,8 +18,6 @@
     pub maximum_limit: u32,
     /// Calls that may wait.
     pub queue_capacity: usize,
-    /// Length of the queue that the admission level aims at, as a share of the concurrency limit.
-    pub queue_share: f64,
     /// Longest time that a call may wait.
     pub maximum_queue_wait: Duration,
     /// Order in which waiting calls are served.
@@ -47,7 +42,6 @@
             minimum_limit: 1,
             maximum_limit: 1_024,
             queue_capacity: 64,
-            queue_share: DEFAULT_QUEUE_SHARE,
             maximum_queue_wait: Duration::from_millis(50),
             discipline: QueueDiscipline::Priority,
             adaptive_level: true,
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -33,9 +33,6 @@
 const LONGEST_REST: Duration = Duration::from_secs(4);
 /// Time for which a back end that accepts no connection gets no calls.
 const UNREACHABLE_HOLD: Duration = Duration::from_millis(100);
-/// Length of the queue that the admission level aims at, as a share of the limit: under an overload by
-/// important calls, those that wait behind them are begun in vain.
-const QUEUE_SHARE: f64 = 0.3;
 /// Calls that may wait at the gate for each slot.
 const QUEUE_PER_SLOT: u32 = 2;
 /// Longest wait at the gate.
@@ -48,7 +45,6 @@
         initial_limit: limit,
         maximum_limit: limit,
         queue_capacity: (limit * QUEUE_PER_SLOT) as usize,
-        queue_share: QUEUE_SHARE,
         maximum_queue_wait: LONGEST_QUEUE_WAIT,
         ..AdmissionSettings::default()
     }
