--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -18,6 +18,6 @@
     AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall,
 };
 pub use limit::LimitAlgorithm;
-pub use path::{LevelTimes, PathLevels, Refusal, level_below};
+pub use path::{PathLevels, Refusal, level_below};
 pub use queue::QueueDiscipline;
 pub use settings::AdmissionSettings;
--- a/crates/core/src/admission/path.rs
+++ b/crates/core/src/admission/path.rs
@@ -7,25 +7,10 @@
 use crate::priority::{AdmissionKey, AdmissionLevel};
 use crate::time::Timestamp;
 
-/// How long levels that were heard are believed. The less often a caller hears of a path, the longer it
-/// has to believe what it heard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LevelTimes {
-    /// Time for which a level stays in force as it is.
-    pub fresh_for: Duration,
-    /// Time after which a level that is not heard again has reopened fully.
-    pub reopened_after: Duration,
-}
-
-impl Default for LevelTimes {
-    fn default() -> Self {
-        Self {
-            fresh_for: Duration::from_millis(100),
-            reopened_after: Duration::from_millis(1_100),
-        }
-    }
-}
-
+/// Time for which a level that was heard stays in force as it is.
+const FRESH_FOR: Duration = Duration::from_millis(100);
+/// Time after which a level that is not heard again has reopened fully.
+const REOPENED_AFTER: Duration = Duration::from_millis(1_100);
 /// Shortest Retry-After of an early refusal.
 const MINIMUM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -49,7 +34,6 @@
 /// reopens with time, so that an idle path is tried again.
 #[derive(Clone, Debug, Default)]
 pub struct PathLevels {
-    times: LevelTimes,
     heard: HashMap<String, HashMap<String, HeardLevels>>,
 }
 
@@ -61,22 +45,22 @@
 }
 
 impl HeardLevels {
-    fn observe(&mut self, endpoint: &str, heard: Heard, times: LevelTimes) {
+    fn observe(&mut self, endpoint: &str, heard: Heard) {
         self.latest = Some(heard);
         *entry(&mut self.by_endpoint, endpoint) = heard;
         self.by_endpoint
-            .retain(|_, other| heard.at.saturating_since(other.at) <= times.reopened_after);
+            .retain(|_, other| heard.at.saturating_since(other.at) <= REOPENED_AFTER);
     }
 
     /// The most open of the fresh levels; without any, the latest one, as far as it has reopened.
-    fn level(&self, now: Timestamp, times: LevelTimes) -> AdmissionLevel {
+    fn level(&self, now: Timestamp) -> AdmissionLevel {
         let fresh = self
             .by_endpoint
             .values()
-            .filter(|heard| now.saturating_since(heard.at) <= times.fresh_for)
+            .filter(|heard| now.saturating_since(heard.at) <= FRESH_FOR)
             .map(|heard| heard.level)
             .max();
-        let latest = || self.latest.map(|heard| heard.level(now, times));
+        let latest = || self.latest.map(|heard| heard.level(now));
         fresh.or_else(latest).unwrap_or(AdmissionLevel::OPEN)
     }
 }
@@ -94,13 +78,13 @@
 
 impl Heard {
     /// The level at `now`: as heard while fresh, then rising in proportion to time.
-    fn level(&self, now: Timestamp, times: LevelTimes) -> AdmissionLevel {
+    fn level(&self, now: Timestamp) -> AdmissionLevel {
         let age = now.saturating_since(self.at);
-        if age <= times.fresh_for {
+        if age <= FRESH_FOR {
             return self.level;
         }
-        let reopening_time = times.reopened_after.saturating_sub(times.fresh_for);
-        let reopening = (age - times.fresh_for).as_secs_f64() / reopening_time.as_secs_f64();
+        let reopening =
+            (age - FRESH_FOR).as_secs_f64() / (REOPENED_AFTER - FRESH_FOR).as_secs_f64();
         let closed = f64::from(AdmissionLevel::OPEN.number() - self.level.number());
         let opened = closed * reopening.min(1.0);
         AdmissionLevel::new(self.level.number() + opened as u16)
@@ -114,15 +98,6 @@
         Self::default()
     }
 
-    /// As [`Self::new`], with other times.
-    #[must_use]
-    pub fn with_times(times: LevelTimes) -> Self {
-        Self {
-            times,
-            ..Self::default()
-        }
-    }
-
     /// Takes in the folded level that an answer of `service` carried for a request kind, without
     /// regard to which of its back ends gave it.
     pub fn observe(
@@ -151,7 +126,7 @@
         };
         let kinds = entry(&mut self.heard, service);
         let endpoints = entry(kinds, request_kind);
-        endpoints.observe(endpoint, heard, self.times);
+        endpoints.observe(endpoint, heard);
     }
 
     /// The level in force for a request kind towards `service`.
@@ -160,9 +135,7 @@
         self.heard
             .get(service)
             .and_then(|kinds| kinds.get(request_kind))
-            .map_or(AdmissionLevel::OPEN, |endpoints| {
-                endpoints.level(now, self.times)
-            })
+            .map_or(AdmissionLevel::OPEN, |endpoints| endpoints.level(now))
     }
 
     /// Whether a call with this key would pass.
@@ -180,7 +153,7 @@
             return Ok(());
         }
         let jitter = unit_hash(now.as_micros() ^ (u64::from(key.number()) << 40));
-        let spread = self.times.reopened_after.mul_f64(jitter);
+        let spread = REOPENED_AFTER.mul_f64(jitter);
         Err(Refusal {
             retry_after: MINIMUM_RETRY_AFTER + spread,
         })
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use wharfquay_core::admission::{LevelTimes, PathLevels, level_below};
+use wharfquay_core::admission::{PathLevels, level_below};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
@@ -35,11 +35,6 @@
 const BUDGET_FLOOR: f64 = 0.02;
 /// Retries that one sidecar may save up towards one service.
 const BUDGET_CAPACITY: u32 = 3;
-/// A sidecar hears of a path a few times a second only.
-const LEVEL_TIMES: LevelTimes = LevelTimes {
-    fresh_for: Duration::from_millis(400),
-    reopened_after: Duration::from_millis(2_500),
-};
 /// Request kinds whose called services are remembered.
 const REMEMBERED_KINDS: usize = 1_024;
 
@@ -210,7 +205,7 @@
             zone: Zone::from(zone),
             retry_ratio,
             services: RwLock::default(),
-            levels: Mutex::new(PathLevels::with_times(LEVEL_TIMES)),
+            levels: Mutex::default(),
             called: Mutex::default(),
         })
     }
