Let an endpoint that gets no calls open no level

Two of its three back ends were gone; their sidecars, still listed, counted as open, and the most open endpoint speaks for its service, so that the path above never heard of the level. Ruled out by trials: the length of the queue, the time for which levels are believed. Change: an endpoint on hold is left out of its service's level. Test: an_endpoint_on_hold_does_not_open_its_service, seen to fail first.

--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Whether calls are kept away from the endpoint at the moment.
+    pub(super) fn is_held(&self, now: Timestamp) -> bool {
+        self.hold.is_some_and(|hold| hold.is_active(now))
+    }
+
     /// Notes that a call was sent.
     pub(super) fn dispatched(&mut self) {
         self.in_flight = self.in_flight.saturating_add(1);
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -131,10 +131,12 @@
     /// Level of the most open endpoint: a call that it refuses, no endpoint is assumed to admit.
     ///
     /// One endpoint's level must not stand for the service's, or a call would be refused while a
-    /// sibling admits less important ones. Open when there is no endpoint.
+    /// sibling admits less important ones. An endpoint that gets no calls at the moment opens nothing: a
+    /// back end that is gone would otherwise keep its service open for good. Open when there is none.
     #[must_use]
     pub fn level(&self, now: Timestamp) -> AdmissionLevel {
         let entries = self.member_indexes().map(|index| &self.entries[index]);
+        let entries = entries.filter(|entry| !entry.is_held(now));
         let levels = entries.map(|entry| entry.assumed_level(now, &self.settings));
         levels.max().unwrap_or(AdmissionLevel::OPEN)
     }
--- a/crates/core/tests/routing_refusal.rs
+++ b/crates/core/tests/routing_refusal.rs
@@ -159,3 +159,16 @@
         assert!(!router.can_pick(NOW + retry_after / 2, &request), "{shown}");
     }
 }
+
+/// An endpoint that gets no calls says nothing about what its service admits.
+#[test]
+fn an_endpoint_on_hold_does_not_open_its_service() {
+    let mut router = router(&[Live, Live, Live]);
+    refuse(&mut router, 0);
+    assert_eq!(router.level(NOW), AdmissionLevel::OPEN, "others may admit");
+    router.refused_as_leaving(NOW, &id(1));
+    router.connection_refused(NOW, &id(2));
+    assert_eq!(router.level(NOW), AdmissionLevel::CLOSED);
+    router.refused_as_leaving(NOW, &id(0));
+    assert_eq!(router.level(NOW), AdmissionLevel::OPEN, "nothing is known");
+}
