--- a/crates/sidecar/src/log_output.rs
+++ b/crates/sidecar/src/log_output.rs
@@ -56,6 +56,19 @@
     dropped: AtomicU64::new(0),
 };
 
+/// Lines that were handed to the writing thread and are not written yet.
+static WAITING: AtomicU64 = AtomicU64::new(0);
+/// Pause between two looks whether the last line is written.
+const FLUSH_POLL: Duration = Duration::from_millis(5);
+
+/// Waits until the lines so far are written, at most for `limit`; to be called before the process ends.
+pub fn flush(limit: Duration) {
+    let end = Instant::now() + limit;
+    while WAITING.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        std::thread::sleep(FLUSH_POLL);
+    }
+}
+
 /// Starts logging to standard output. The handle must be kept while logging is wanted.
 ///
 /// # Errors
@@ -74,10 +87,16 @@
 fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
     while let Ok(first) = lines.recv() {
         let mut batch = first;
+        let mut count = 1;
         for line in lines.try_iter().take(WAITING_LINES) {
             batch.push_str(&line);
+            count += 1;
         }
-        if output.write_all(batch.as_bytes()).is_err() || output.flush().is_err() {
+        let written = output
+            .write_all(batch.as_bytes())
+            .and_then(|()| output.flush());
+        WAITING.fetch_sub(count, Ordering::Relaxed);
+        if written.is_err() {
             return;
         }
     }
@@ -141,11 +160,15 @@
     }
 
     fn send(&self, line: String) {
+        WAITING.fetch_add(1, Ordering::Relaxed);
         match self.lines.try_send(line) {
             Ok(()) => {
                 COUNTERS.written.fetch_add(1, Ordering::Relaxed);
             }
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.count_dropped(),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                WAITING.fetch_sub(1, Ordering::Relaxed);
+                self.count_dropped();
+            }
         }
     }
 
--- /dev/null
+++ b/crates/sidecar/tests/log_output.rs
@@ -0,0 +1,37 @@
+//! The bound on log lines: ordinary ones are dropped first, and what was dropped is counted.
+
+use std::time::{Duration, Instant};
+
+use log::Level;
+use wharfquay_sidecar::log_output::{LINES_PER_SECOND, LineBudget};
+
+/// Lines of a level that pass in one second, from the start of a budget's window on.
+fn passed(budget: &mut LineBudget, now: Instant, level: Level, offered: u32) -> u32 {
+    let allowed = (0..offered).filter(|_| budget.allows(now, level));
+    u32::try_from(allowed.count()).unwrap()
+}
+
+#[test]
+fn ordinary_lines_leave_room_for_warnings_and_errors() {
+    let start = Instant::now();
+    let mut budget = LineBudget::new(start);
+    let many = 10 * LINES_PER_SECOND;
+    let ordinary = passed(&mut budget, start, Level::Info, many);
+    let warnings = passed(&mut budget, start, Level::Warn, many);
+    let errors = passed(&mut budget, start, Level::Error, many);
+    assert!(ordinary > warnings && warnings > 0 && errors > 0);
+    assert_eq!(ordinary + warnings + errors, LINES_PER_SECOND);
+    let dropped = u64::from(3 * many - LINES_PER_SECOND);
+    assert_eq!(budget.take_dropped(), dropped);
+    assert_eq!(budget.take_dropped(), 0);
+}
+
+#[test]
+fn each_second_has_its_own_bound() {
+    let start = Instant::now();
+    let mut budget = LineBudget::new(start);
+    let many = 10 * LINES_PER_SECOND;
+    let first = passed(&mut budget, start, Level::Info, many);
+    let later = start + Duration::from_millis(1_001);
+    assert_eq!(passed(&mut budget, later, Level::Info, many), first);
+}
--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -35,6 +35,10 @@
     Unproven503,
     /// Answers with a failure of its own.
     Fail,
+    /// Answers with a body of this many bytes.
+    Long(usize),
+    /// Says that it answers with this many bytes and breaks off before the last one.
+    LongCutShort(usize),
 }
 
 /// One request as the back end saw it.
@@ -233,6 +237,11 @@
             let text = signed(&id, "content-encoding: gzip\r\n", body.len(), &body);
             (at_once(text), false)
         }
+        Behaviour::Long(length) => (at_once(signed(&id, "", length, &"y".repeat(length))), false),
+        Behaviour::LongCutShort(length) => {
+            let body = "y".repeat(length - 1);
+            (at_once(signed(&id, "", length, &body)), true)
+        }
         Behaviour::Unproven503 | Behaviour::Fail => {
             let status = if behaviour == Behaviour::Fail {
                 500
