Be ready once each service is known, and divide the retry bound by the number of sidecars

Change: ready with a sidecar known for each routed service, or 2 s after the start; the extra of the retry bound is shared by the known sidecars; 200 ms for refusals that may be over in a moment.

--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -212,10 +212,12 @@
 
     fn note_unavailable(&self, now: Timestamp, code: ResultCode) {
         match code {
-            ResultCode::Draining | ResultCode::NoBackend | ResultCode::NotReady => {
-                self.router.refused_as_leaving(now, &self.target.id);
-            }
-            ResultCode::ConnectionLimit | ResultCode::ConnectFailed => {
+            ResultCode::Draining => self.router.refused_as_leaving(now, &self.target.id),
+            // These may be over in a moment, as when a sidecar has just started.
+            ResultCode::NoBackend
+            | ResultCode::NotReady
+            | ResultCode::ConnectionLimit
+            | ResultCode::ConnectFailed => {
                 self.router.connection_refused(now, &self.target.id);
             }
             _ => {}
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -24,17 +24,16 @@
 use wharfquay_membership::table::MemberTable;
 use wharfquay_protocol::answer::WireAnswer;
 
+use crate::settings::RetryBounds;
+
 /// Executions at a time that an endpoint is taken to bear before it has reported its limit.
 const ASSUMED_SLOTS: u32 = 16;
 /// Time for which an endpoint that refused as leaving gets nothing.
 const LEAVING_HOLD: Duration = Duration::from_millis(700);
-/// Part of the deployment's retry ratio that one hop may use: repeats at each hop of a chain add up
-/// at its end.
-const HOPS_SHARING_RATIO: f64 = 5.0;
-/// Retries per second and sidecar that are allowed at any rate of requests.
-const BUDGET_FLOOR: f64 = 0.02;
-/// Retries that one sidecar may save up towards one service.
-const BUDGET_CAPACITY: u32 = 3;
+/// Hops among which the bound on repeats is divided: repeats at each hop of a chain add up at its end.
+const HOPS: f64 = 5.0;
+/// Most retries that one sidecar may save up towards one service.
+const LARGEST_CAPACITY: f64 = 3.0;
 /// Request kinds whose called services are remembered.
 const REMEMBERED_KINDS: usize = 1_024;
 
@@ -60,6 +59,22 @@
     addresses: HashMap<EndpointId, SocketAddr>,
 }
 
+/// The part of the bounds on repeats that one of `sidecars` sidecars may use towards one service.
+///
+/// The ratio holds in sum whatever the spread of requests, since each sidecar's retries follow its own
+/// successes. What is allowed beside it is divided by the number of sidecars.
+#[must_use]
+pub fn retry_share(bounds: &RetryBounds, sidecars: usize) -> BudgetSettings {
+    let sidecars = sidecars.max(1) as f64;
+    let extra = bounds.extra / sidecars;
+    let window = bounds.window.as_secs_f64().max(1.0);
+    BudgetSettings {
+        ratio: bounds.ratio / HOPS,
+        floor_per_second: extra / window / HOPS / 2.0,
+        capacity: extra.clamp(1.0, LARGEST_CAPACITY) as u32,
+    }
+}
+
 fn router_settings() -> RouterSettings {
     RouterSettings {
         warm_up: Duration::ZERO,
@@ -69,12 +84,7 @@
 }
 
 impl ServiceRouter {
-    fn new(zone: &Zone, ratio: f64, now: Timestamp) -> Self {
-        let budget = BudgetSettings {
-            ratio: ratio / HOPS_SHARING_RATIO,
-            floor_per_second: BUDGET_FLOOR,
-            capacity: BUDGET_CAPACITY,
-        };
+    fn new(zone: &Zone, budget: BudgetSettings, now: Timestamp) -> Self {
         Self {
             state: Mutex::new(RouterState {
                 router: Router::new(router_settings(), zone.clone()),
@@ -84,6 +94,10 @@
         }
     }
 
+    fn set_budget(&self, now: Timestamp, budget: BudgetSettings) {
+        lock(&self.state).budget.reconfigure(budget, now);
+    }
+
     /// Picks an endpoint and counts the attempt there.
     ///
     /// # Errors
@@ -189,7 +203,7 @@
 pub struct Routing {
     clock: Clock,
     zone: Zone,
-    retry_ratio: f64,
+    retries: RetryBounds,
     services: RwLock<HashMap<String, Arc<ServiceRouter>>>,
     levels: Mutex<PathLevels>,
     /// Services that executions of a request kind at the local back end were seen to call.
@@ -199,11 +213,11 @@
 impl Routing {
     /// Routing that knows no service.
     #[must_use]
-    pub fn new(clock: Clock, zone: &str, retry_ratio: f64) -> Arc<Self> {
+    pub fn new(clock: Clock, zone: &str, retries: RetryBounds) -> Arc<Self> {
         Arc::new(Self {
             clock,
             zone: Zone::from(zone),
-            retry_ratio,
+            retries,
             services: RwLock::default(),
             levels: Mutex::default(),
             called: Mutex::default(),
@@ -230,6 +244,8 @@
     /// Takes over the members that are known. Calls go on meanwhile.
     pub fn update(&self, table: &MemberTable) {
         let now = self.clock.now();
+        let sidecars = table.members().filter(|member| member.is_live()).count();
+        let budget = retry_share(&self.retries, sidecars);
         let mut by_service: HashMap<&str, Vec<&Member>> = HashMap::new();
         for member in table.members().filter(|member| member.is_live()) {
             if let Some(service) = &member.profile.service {
@@ -243,7 +259,8 @@
         for (name, members) in &by_service {
             let router = services
                 .entry((*name).to_owned())
-                .or_insert_with(|| Arc::new(ServiceRouter::new(&self.zone, self.retry_ratio, now)));
+                .or_insert_with(|| Arc::new(ServiceRouter::new(&self.zone, budget, now)));
+            router.set_budget(now, budget);
             router.set_members(now, members);
         }
         for (name, router) in services.iter() {
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -29,17 +29,38 @@
 pub struct Bounds {
     /// Time from the signal to stop until the process is killed.
     pub stop_grace: Duration,
-    /// Repeated arrivals per request that a service has to bear, over all sidecars.
-    pub retry_ratio: f64,
+    /// Repeated arrivals that a service has to bear.
+    pub retries: RetryBounds,
     /// Time between two heartbeats of a back end.
     pub heartbeat_interval: Duration,
 }
 
+/// Repeated arrivals that a service has to bear in any window, from all sidecars together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// For each request to the service.
+    pub ratio: f64,
+    /// In addition, in each window.
+    pub extra: f64,
+    /// Length of a window.
+    pub window: Duration,
+}
+
+impl Default for RetryBounds {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            extra: 50.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
             stop_grace: Duration::from_secs(6),
-            retry_ratio: 0.2,
+            retries: RetryBounds::default(),
             heartbeat_interval: Duration::from_millis(1_500),
         }
     }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,5 +1,6 @@
 //! Putting a sidecar together: listeners, control, and the orderly stop.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,7 +24,7 @@
 use wharfquay_membership::member::MemberState;
 use wharfquay_membership::table::MemberTable;
 
-use crate::configuration::{ConnectionLimits, RouteIndex};
+use crate::configuration::{Configuration, ConnectionLimits, RouteIndex};
 use crate::control::{ControlChannels, ControlTask, StreamInbox};
 use crate::dialect::Dialect;
 use crate::events::Event;
@@ -51,6 +52,8 @@
 const NOTICE_SHARE: f64 = 0.43;
 /// Part of the grace that is kept back for the end of the process.
 const RESERVE_SHARE: f64 = 0.1;
+/// Longest wait of a starting sidecar for a sidecar of each service.
+const COMPANY_LIMIT: Duration = Duration::from_millis(2_000);
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -81,6 +84,7 @@
     registry: Arc<Registry<Metered<P>>>,
     metrics: Arc<Metrics>,
     routing: Arc<Routing>,
+    started_at: Instant,
     configured_at: Mutex<Instant>,
     backend: Arc<LocalBackend>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
@@ -148,7 +152,7 @@
         let backend =
             LocalBackend::new(&settings.service, settings.backend, dialect.clone(), clock);
         let registry = Registry::new(platform, Arc::clone(&backend), clock);
-        let routing = Routing::new(clock, &settings.zone, settings.bounds.retry_ratio);
+        let routing = Routing::new(clock, &settings.zone, settings.bounds.retries);
         let scopes = Arc::new(ScopeTable::default());
         let stopping = Arc::new(AtomicBool::new(false));
         let refusing = Arc::new(AtomicBool::new(false));
@@ -191,6 +195,7 @@
             settings,
             metrics,
             routing: Arc::clone(&routing),
+            started_at: Instant::now(),
             configured_at: Mutex::new(Instant::now()),
             registry,
             backend,
@@ -224,11 +229,15 @@
         self.registry.departure(instance).await
     }
 
-    /// Whether clients may be sent here: the configuration is known, and no stop was asked for.
+    /// Whether clients may be sent here: the configuration is known, so is a sidecar of each service or
+    /// the wait for them is over, and no stop was asked for.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_configured = self.configuration.borrow().configuration.version > 0;
-        is_configured && !self.leaving.load(Ordering::Relaxed)
+        let index = self.configuration.borrow();
+        let is_configured = index.configuration.version > 0;
+        let has_company = self.started_at.elapsed() >= COMPANY_LIMIT
+            || knows_services(&self.members.borrow(), &index.configuration);
+        is_configured && has_company && !self.leaving.load(Ordering::Relaxed)
     }
 
     /// The metrics, as a scraper reads them.
@@ -336,6 +345,21 @@
     }
 }
 
+/// Whether a sidecar that takes work is known for each service that routes name.
+fn knows_services(table: &MemberTable, configuration: &Configuration) -> bool {
+    let serving = table
+        .members()
+        .filter(|member| matches!(member.state(), MemberState::Alive | MemberState::Suspect));
+    let known: HashSet<&str> = serving
+        .filter_map(|member| member.profile.service.as_deref())
+        .collect();
+    let mut destinations = configuration
+        .routes
+        .iter()
+        .flat_map(|route| &route.destinations);
+    destinations.all(|destination| known.contains(destination.service.as_str()))
+}
+
 fn count_members(table: &MemberTable) -> Vec<(&'static str, i64)> {
     let count = |state| {
         let found = table.members().filter(|member| member.state() == state);
--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -29,10 +29,26 @@
     for machine in [&first, &second] {
         machine.ready().await;
         serves(machine).await;
+        let both = "wharfquay_members{state=\"alive\"} 2";
+        eventually("they know each other", || {
+            machine.sidecar.metrics_text().contains(both)
+        })
+        .await;
     }
+    reaches(&first, &second).await;
     (platform, first, second)
 }
 
+/// Waits until requests at one machine reach the back end of the other.
+async fn reaches(from: &Machine, to: &Machine) {
+    let before = to.backend.seen().len();
+    let end = Instant::now() + support::PATIENCE;
+    while to.backend.seen().len() == before {
+        call(from.outbound, &request("GET", "/reads/up", "reach", "")).await;
+        assert!(Instant::now() < end, "never reached");
+    }
+}
+
 /// Waits until a machine answers requests.
 async fn serves(machine: &Machine) {
     let end = Instant::now() + support::PATIENCE;
@@ -282,7 +298,11 @@
 }
 
 async fn call_owned(address: std::net::SocketAddr, text: String) -> u16 {
-    call(address, &text).await.status
+    let answer = call(address, &text).await;
+    if answer.status != 200 {
+        println!("{}{}", answer.head, answer.text());
+    }
+    answer.status
 }
 
 #[tokio::test]
@@ -447,3 +467,26 @@
         assert_eq!(call(machine.outbound, &text).await.status, 200);
     }
 }
+
+#[tokio::test]
+async fn a_starting_sidecar_is_ready_once_it_knows_a_sidecar_of_each_service() {
+    let both = configuration(
+        1,
+        vec![route(READS, "shelf", true), route("/desk/", "desk", true)],
+    );
+    let platform = Arc::new(StandInPlatform::new(Some(both)));
+    let first = Machine::start(&platform, "machine-a", "shelf").await;
+    let end = Instant::now() + Duration::from_millis(700);
+    while Instant::now() < end {
+        assert!(
+            !first.sidecar.is_ready(),
+            "no sidecar of the other service is known"
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let second = Machine::start(&platform, "machine-b", "desk").await;
+    second.ready().await;
+    first.ready().await;
+    let answer = call(first.outbound, &request("GET", "/desk/1", "d", "")).await;
+    assert_eq!(answer.status, 200);
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderName;
-use wharfquay_sidecar::Sidecar;
 use wharfquay_sidecar::configuration::{Configuration, Destination, Route, Service};
 use wharfquay_sidecar::dialect::Dialect;
 use wharfquay_sidecar::instance::{Acknowledgement, Heartbeat, InstanceId, ReportedState};
 use wharfquay_sidecar::settings::{Bounds, Settings};
+use wharfquay_sidecar::{Sidecar, StartError};
 
 use backend::StandInBackend;
 use platform::StandInPlatform;
@@ -95,6 +95,22 @@
     }
 }
 
+fn settings(name: &str, service: &str, backend: &StandInBackend) -> Settings {
+    Settings {
+        id: name.to_owned(),
+        zone: "north".to_owned(),
+        service: service.to_owned(),
+        backend: backend.address(),
+        outbound: free_address(),
+        inbound: free_address(),
+        control: free_address(),
+        bounds: Bounds {
+            stop_grace: Duration::from_millis(1_600),
+            ..Bounds::default()
+        },
+    }
+}
+
 /// One sidecar with the back end beside it.
 pub struct Machine {
     pub sidecar: Arc<Sidecar<StandInPlatform>>,
@@ -117,30 +133,26 @@
     /// As [`Self::start`], with a back end that sends no heartbeat.
     pub async fn start_silent(platform: &Arc<StandInPlatform>, name: &str, service: &str) -> Self {
         let backend = StandInBackend::start(&format!("{name}-1")).await;
-        let settings = Settings {
-            id: name.to_owned(),
-            zone: "north".to_owned(),
-            service: service.to_owned(),
-            backend: backend.address(),
-            outbound: free_address(),
-            inbound: free_address(),
-            control: free_address(),
-            bounds: Bounds {
-                stop_grace: Duration::from_millis(1_600),
-                ..Bounds::default()
-            },
-        };
-        let (outbound, inbound) = (settings.outbound, settings.inbound);
-        let control = settings.control;
-        let sidecar = Sidecar::start(settings, dialect(), Arc::clone(platform));
-        let sidecar = sidecar.await.unwrap();
-        Self {
-            sidecar,
-            backend,
-            outbound,
-            inbound,
-            control,
-            sequence: 0,
+        loop {
+            let settings = settings(name, service, &backend);
+            let addresses = (settings.outbound, settings.inbound, settings.control);
+            let started = Sidecar::start(settings, dialect(), Arc::clone(platform)).await;
+            match started {
+                Ok(sidecar) => {
+                    let (outbound, inbound, control) = addresses;
+                    return Self {
+                        sidecar,
+                        backend,
+                        outbound,
+                        inbound,
+                        control,
+                        sequence: 0,
+                    };
+                }
+                // Another test took a port between the search and the use.
+                Err(StartError::Bind { .. }) => {}
+                Err(error) => panic!("{error}"),
+            }
         }
     }
 
