--- a/crates/sidecar/tests/instance_tracker.rs
+++ b/crates/sidecar/tests/instance_tracker.rs
@@ -234,3 +234,23 @@
     world.step(&Step::Wait(10));
     assert_eq!(world.served(), Some(0));
 }
+
+/// The durable marks were asked before the instance said that it leaves, and the answer comes after it.
+#[test]
+fn a_leaving_that_is_told_during_the_lookup_wins_over_its_answer() {
+    let mut tracker = InstanceTracker::default();
+    let beat = Heartbeat {
+        instance: id(0),
+        state: ReportedState::Ready,
+        sequence: 1,
+        slots: 4,
+        cold_left: Duration::ZERO,
+    };
+    let asked = tracker.heartbeat(Timestamp::ZERO, &beat);
+    assert_eq!(asked, TrackerDecision::Verify);
+    let left = tracker.departure(Timestamp::ZERO, &id(0));
+    assert_eq!(left, TrackerDecision::RecordDeparture);
+    assert!(!tracker.verified(Timestamp::ZERO, &id(0)));
+    assert_eq!(tracker.standing(&id(0)), Standing::Leaving);
+    assert_eq!(tracker.current(), None);
+}
--- a/crates/sidecar/tests/retry_share.rs
+++ b/crates/sidecar/tests/retry_share.rs
@@ -67,3 +67,26 @@
         }
     }
 }
+
+/// After a long time without a failure, what all sidecars have saved up is spent at once.
+#[test]
+fn what_all_sidecars_have_saved_up_stays_within_the_extra() {
+    const SUCCESSES: usize = 5_000;
+    let bounds = RetryBounds::default();
+    for sidecars in [1, 2, 12, 17, 50, 100, 300] {
+        let share = retry_share(&bounds, sidecars);
+        let mut spent = 0;
+        for _ in 0..sidecars {
+            let mut budget = DestinationBudget::with_settings(share, Timestamp::ZERO);
+            for _ in 0..SUCCESSES {
+                budget.record_success(Timestamp::ZERO);
+            }
+            while budget.try_withdraw(Timestamp::ZERO) {
+                spent += 1;
+            }
+        }
+        // Where the extra does not give each sidecar one retry, each may still have saved up one.
+        let allowed = (bounds.extra as usize).max(sidecars);
+        assert!(spent <= allowed, "{spent} retries of {sidecars} sidecars");
+    }
+}
