Say in the log and the metrics why a failed attempt is not followed by another

Change: request_ended has gave_up, and wharfquay_retries_given_up_total counts by service and reason. Found with it: BudgetSpent. The bound of the deployment was used to a twentieth (104 repeats of about 2,100 allowed). Test: an_uncertain_request_is_repeated_only_where_that_does_no_harm looks for the counter.

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -15,7 +15,7 @@
 ];
 
 /// Every metric with its meaning; `docs/OPERATIONS.md` lists the same.
-pub const CATALOGUE: [(&str, &str); 18] = [
+pub const CATALOGUE: [(&str, &str); 19] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -32,6 +32,10 @@
         "wharfquay_retries_total",
         "Attempts after the first, by service",
     ),
+    (
+        "wharfquay_retries_given_up_total",
+        "Failed attempts without a further one, by service and reason",
+    ),
     (
         "wharfquay_calls_total",
         "Calls for the local back end that ended, by result",
@@ -107,6 +111,7 @@
     request_seconds: HistogramVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
+    given_up: IntCounterVec,
     calls: IntCounterVec,
     call_seconds: Histogram,
     queue_seconds: Histogram,
@@ -174,6 +179,8 @@
             request_seconds: registrar.histograms("wharfquay_request_seconds", &["route"])?,
             attempts: registrar.counters("wharfquay_attempts_total", &["target", "result"])?,
             retries: registrar.counters("wharfquay_retries_total", &["service"])?,
+            given_up: registrar
+                .counters("wharfquay_retries_given_up_total", &["service", "reason"])?,
             calls: registrar.counters("wharfquay_calls_total", &["result"])?,
             call_seconds: registrar.histogram("wharfquay_call_seconds")?,
             queue_seconds: registrar.histogram("wharfquay_queue_seconds")?,
@@ -218,6 +225,11 @@
         self.retries.with_label_values(&[service]).inc();
     }
 
+    /// Counts a failed attempt that is not followed by another.
+    pub fn gave_up(&self, service: &str, reason: &str) {
+        self.given_up.with_label_values(&[service, reason]).inc();
+    }
+
     /// Counts a call for the local back end that ended.
     pub fn call_ended(&self, result: ResultCode, queued: Duration, took: Duration) {
         self.calls.with_label_values(&[result.name()]).inc();
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -1,5 +1,6 @@
 //! The way of a call to a service: early refusal, choice of an endpoint, attempts and retries.
 
+use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::AdmissionKey;
 use wharfquay_core::retry::{
-    Backoff, FailureLocation, Grant, Ledger, RetryDecision, RetryQuestion,
+    Backoff, FailureLocation, GiveUpReason, Grant, Ledger, RetryDecision, RetryQuestion,
 };
 use wharfquay_core::routing::EndpointId;
 use wharfquay_daemon::answer::Failure;
@@ -134,6 +135,26 @@
     }
 }
 
+/// Why a failed attempt is not followed by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoRetry {
+    /// As many sidecars refused the call as it may be offered to.
+    OffersSpent,
+    /// As many back ends saw the call as its route allows.
+    AttemptsSpent,
+    /// The rule for retries says so.
+    GivenUp(GiveUpReason),
+}
+
+impl fmt::Display for NoRetry {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::GivenUp(reason) => write!(formatter, "{reason:?}"),
+            other => write!(formatter, "{other:?}"),
+        }
+    }
+}
+
 /// The key by which the path below a call's service is asked. For a request of a caller that is the key
 /// which the calls made on its behalf will have, with a margin: what is begun should get through also
 /// when the level falls a little meanwhile.
@@ -194,8 +215,13 @@
             };
             attempts.note(target, failure);
             call.progress.set(attempts.uncertain.is_some());
-            let Some(after) = self.next_after(call, &body, &router, &attempts, failure) else {
-                return Err(attempts.conclude(failure));
+            let after = match self.next_after(call, &body, &router, &attempts, failure) {
+                Ok(after) => after,
+                Err(reason) => {
+                    self.metrics.gave_up(&call.service, &reason.to_string());
+                    call.report.gave_up(reason);
+                    return Err(attempts.conclude(failure));
+                }
             };
             self.metrics.retried(&call.service);
             if !after.is_zero() {
@@ -276,7 +302,10 @@
         }
     }
 
-    /// The wait before the next attempt, or `None` to give up.
+    /// The wait before the next attempt.
+    ///
+    /// # Errors
+    /// Why there is none.
     fn next_after(
         &self,
         call: &OutgoingCall,
@@ -284,19 +313,22 @@
         router: &ServiceRouter,
         attempts: &Attempts,
         failure: Failure,
-    ) -> Option<Duration> {
+    ) -> Result<Duration, NoRetry> {
         let now = self.clock.now();
         let key = call.context.admission_key();
         let sibling_available = body.can_repeat() && router.can_pick(now, key, &attempts.tried);
         if !reached_backend(failure.code) {
-            let may_offer = sibling_available && attempts.offers < MAX_OFFERS;
-            return may_offer.then_some(Duration::ZERO);
+            return match sibling_available {
+                true if attempts.offers < MAX_OFFERS => Ok(Duration::ZERO),
+                true => Err(NoRetry::OffersSpent),
+                false => Err(NoRetry::GivenUp(GiveUpReason::NoSibling)),
+            };
         }
         if attempts.arrivals >= call.max_attempts {
-            return None;
+            return Err(NoRetry::AttemptsSpent);
         }
         if failure.code == ResultCode::RefusedByBackend && !router.charge(now) {
-            return None;
+            return Err(NoRetry::GivenUp(GiveUpReason::BudgetSpent));
         }
         let mut ledger = lock(&call.ledger);
         let question = RetryQuestion {
@@ -312,8 +344,8 @@
             expected_latency: Duration::ZERO,
         };
         match router.authorize(&question, &mut ledger) {
-            RetryDecision::Retry { after } => Some(after),
-            RetryDecision::GiveUp(_) => None,
+            RetryDecision::Retry { after } => Ok(after),
+            RetryDecision::GiveUp(reason) => Err(NoRetry::GivenUp(reason)),
         }
     }
 }
--- a/crates/sidecar/src/outbound/report.rs
+++ b/crates/sidecar/src/outbound/report.rs
@@ -13,6 +13,7 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
 
+use super::forward::NoRetry;
 use crate::events::{Event, is_sampled};
 use crate::log_event;
 
@@ -35,6 +36,7 @@
     version: u64,
     context: CallContext,
     attempts: Mutex<Vec<AttemptNote>>,
+    gave_up: Mutex<Option<NoRetry>>,
     is_ended: bool,
 }
 
@@ -56,6 +58,7 @@
             version,
             context: context.clone(),
             attempts: Mutex::default(),
+            gave_up: Mutex::default(),
             is_ended: false,
         }
     }
@@ -80,6 +83,11 @@
         });
     }
 
+    /// Notes why the last attempt is not followed by another.
+    pub(crate) fn gave_up(&self, reason: NoRetry) {
+        *lock(&self.gave_up) = Some(reason);
+    }
+
     /// The request has the answer of a back end.
     pub(crate) fn answered(mut self, status: StatusCode) {
         self.is_ended = true;
@@ -100,7 +108,7 @@
         log_event!(
             Event::RequestEnded,
             "request={} origin={:032x} route={} service={} version={} depth={} key={} result={} \
-             name={} status={status} retry_after_ms={} took_ms={:.1} left_ms={:.1} attempts={}",
+             name={} status={status} retry_after_ms={} took_ms={:.1} left_ms={:.1} attempts={} gave_up={}",
             self.request_id,
             self.context.origin.as_u128(),
             self.route,
@@ -114,6 +122,7 @@
             millis(self.elapsed()),
             millis(self.context.remaining(now)),
             self.attempts_text(),
+            lock(&self.gave_up).map_or("none".to_owned(), |reason| reason.to_string()),
         );
     }
 
--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -174,6 +174,9 @@
     let before = runs();
     let answer = call(first.outbound, &request("POST", "/writes/1", "w", "")).await;
     assert_eq!((answer.status, runs()), (502, before + 1));
+    let given_up = "wharfquay_retries_given_up_total{reason=\"NotRepeatable\",service=\"shelf\"} 1";
+    let metrics = first.sidecar.metrics_text();
+    assert!(metrics.contains(given_up), "{metrics}");
     let before = runs();
     let answer = call(first.outbound, &request("GET", "/reads/1", "r", "")).await;
     assert!(runs() <= before + 2);
