Send callers away from a sidecar that hears of no other

Change: the control task publishes whether nothing was heard for 1.2 s though others are known (3 s without a neighbour in the zone); readiness takes it in; event isolated.

--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -34,6 +34,8 @@
 const READERS_PER_ZONE: usize = 2;
 /// Silence of all other sidecars after which one reads the platform for itself.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
+/// As [`ISOLATED_AFTER`], for a sidecar without another one in its zone: zones exchange messages once a second.
+const ISOLATED_ALONE_AFTER: Duration = Duration::from_secs(3);
 /// How often it is decided anew whether to read the platform.
 const READING_REVIEW: Duration = Duration::from_millis(300);
 /// First pause between two looks into the directory.
@@ -70,6 +72,8 @@
     pub(crate) configuration: watch::Sender<Arc<RouteIndex>>,
     /// The members.
     pub(crate) members: watch::Sender<MemberTable>,
+    /// Whether no other sidecar is heard of, though others are known.
+    pub(crate) isolated: watch::Sender<bool>,
     /// Whether this sidecar was told to stop.
     pub(crate) stopping: watch::Receiver<bool>,
 }
@@ -179,11 +183,14 @@
         match next {
             Next::Message(received) => {
                 self.heard_at = now;
+                if *self.channels.isolated.borrow() {
+                    self.set_isolated(false, self.count_others().0);
+                }
                 self.node
                     .receive(now, received.source, &received.bytes, random)
             }
             Next::Timer => {
-                self.review_reading(now);
+                self.review_contact(now);
                 self.node.advance(now, random)
             }
             Next::Stopping => self.node.leave(now, random),
@@ -289,14 +296,47 @@
         }
     }
 
-    /// Reads the platform while chosen to, and while no other sidecar is heard of that could pass a
-    /// configuration on.
-    fn review_reading(&mut self, now: Timestamp) {
+    /// Looks whether other sidecars are still heard of.
+    fn review_contact(&mut self, now: Timestamp) {
         if now < self.review_at {
             return;
         }
         self.review_at = now + READING_REVIEW;
-        let is_isolated = now.saturating_since(self.heard_at) >= ISOLATED_AFTER;
+        let silence = now.saturating_since(self.heard_at);
+        self.review_reading(silence >= ISOLATED_AFTER);
+        let (others, neighbours) = self.count_others();
+        let limit = match neighbours {
+            0 => ISOLATED_ALONE_AFTER,
+            _ => ISOLATED_AFTER,
+        };
+        self.set_isolated(others > 0 && silence >= limit, others);
+    }
+
+    /// Numbers of other sidecars that are known, whatever their state: all, and those of the own zone.
+    fn count_others(&self) -> (usize, usize) {
+        let zone = &self.node.me().profile.zone;
+        let others = self.node.table().members();
+        let others = others.filter(|member| member.profile.id != self.node.me().profile.id);
+        others.fold((0, 0), |(all, near), member| {
+            let is_near = member.profile.zone == *zone;
+            (all + 1, near + usize::from(is_near))
+        })
+    }
+
+    fn set_isolated(&self, isolated: bool, members: usize) {
+        let changed = self.channels.isolated.send_if_modified(|current| {
+            let changes = *current != isolated;
+            *current = isolated;
+            changes
+        });
+        if changed {
+            log_event!(Event::Isolated, "isolated={isolated} members={members}");
+        }
+    }
+
+    /// Reads the platform while chosen to, and while no other sidecar is heard of that could pass a
+    /// configuration on.
+    fn review_reading(&mut self, is_isolated: bool) {
         let read = self.chosen_to_read || is_isolated;
         if read != self.reader.is_some() {
             log_event!(Event::StoreReader, "reading={read} isolated={is_isolated}");
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -71,6 +71,8 @@
     StoreLost = "store_lost", Warn, ["error"],
         "The platform can't be read; it is tried again with growing pauses.";
     StoreRegained = "store_regained", Info, ["after_ms"], "The platform can be read again.";
+    Isolated = "isolated", Warn, ["isolated", "members"],
+        "Whether no other sidecar was heard of for a while; meanwhile callers are sent away.";
     MemberDead = "member_dead", Warn, ["id"], "Another sidecar no longer answers gossip.";
     ControlMessageDropped = "control_message_dropped", Debug, ["source", "reason"],
         "A control message can't be used.";
@@ -92,7 +94,7 @@
     AcceptFailed = "accept_failed", Warn, ["listener", "error"], "A connection could not be accepted.";
     RequestEnded = "request_ended", Info,
         ["request", "origin", "route", "service", "version", "depth", "key", "result", "name",
-         "status", "retry_after_ms", "took_ms", "left_ms", "attempts"],
+         "status", "retry_after_ms", "took_ms", "left_ms", "attempts", "gave_up"],
         "A request of a caller or of the local back end has its final answer.";
     CallEnded = "call_ended", Info,
         ["request", "origin", "kind", "instance", "key", "result", "name", "status", "queued_ms",
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -89,6 +89,7 @@
     backend: Arc<LocalBackend>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
     members: watch::Receiver<MemberTable>,
+    isolated: watch::Receiver<bool>,
     scopes: Arc<ScopeTable>,
     /// Whether callers are sent away.
     leaving: AtomicBool,
@@ -133,11 +134,13 @@
         let clock = Clock::start();
         let (configuration_sender, configuration) = watch::channel(Arc::new(RouteIndex::default()));
         let (member_sender, members) = watch::channel(MemberTable::default());
+        let (isolated_sender, isolated) = watch::channel(false);
         let (stop_sender, stopping_receiver) = watch::channel(false);
         let (closing_sender, closing) = watch::channel(false);
         let channels = ControlChannels {
             configuration: configuration_sender,
             members: member_sender,
+            isolated: isolated_sender,
             stopping: stopping_receiver,
         };
         let (control, inbox) = ControlTask::new(
@@ -201,6 +204,7 @@
             backend,
             configuration,
             members,
+            isolated,
             scopes,
             leaving: AtomicBool::new(false),
             stopping,
@@ -230,14 +234,15 @@
     }
 
     /// Whether clients may be sent here: the configuration is known, so is a sidecar of each service or
-    /// the wait for them is over, and no stop was asked for.
+    /// the wait for them is over, other sidecars are heard of, and no stop was asked for.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let index = self.configuration.borrow();
         let is_configured = index.configuration.version > 0;
         let has_company = self.started_at.elapsed() >= COMPANY_LIMIT
             || knows_services(&self.members.borrow(), &index.configuration);
-        is_configured && has_company && !self.leaving.load(Ordering::Relaxed)
+        let is_isolated = *self.isolated.borrow();
+        is_configured && has_company && !is_isolated && !self.leaving.load(Ordering::Relaxed)
     }
 
     /// The metrics, as a scraper reads them.
