Read the configuration once for the metrics, so that a change and a reading can't block each other for good

Cause: metrics_text held a reading of the configuration while is_ready took a second one; where another thread waits to change it in between, both wait for good. Found by the relay test on a runtime of two threads, which hung (threads in futex_wait). The adapter runs on one thread and can't meet it; every other driver of the sidecar can. Ruled out: the isolation flag (its guards end before the change). Change: the version is read before; is_ready holds no reading while it reads the members.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -237,7 +237,7 @@
     /// the wait for them is over, other sidecars are heard of, and no stop was asked for.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let index = self.configuration.borrow();
+        let index = self.configuration.borrow().clone();
         let is_configured = index.configuration.version > 0;
         let has_company = self.started_at.elapsed() >= COMPANY_LIMIT
             || knows_services(&self.members.borrow(), &index.configuration);
@@ -252,10 +252,12 @@
         let level = report.map_or(AdmissionLevel::OPEN, |report| report.level);
         let load = report.map(|report| report.load).unwrap_or_default();
         let lines = &log_output::COUNTERS;
+        // Read before the rest: a reading that is held on to would block a change, and that the next reading.
+        let version = self.configuration.borrow().configuration.version;
         self.metrics.render(&Gauges {
             load: (load.in_flight, load.limit, load.queued),
             level: level.number(),
-            version: self.configuration.borrow().configuration.version,
+            version,
             configuration_age: lock(&self.configured_at).elapsed(),
             members: count_members(&self.members.borrow()),
             is_ready: self.is_ready(),
