Let delegates read the platform in place of readers that it refuses, one after the other

Cause: in a deployment of one zone two sidecars read; while the platform refused just these two and served the others, a change reached nobody (relay test, subset 1100 of four, older version after 2 s). A zone's readers were only replaced by another zone's, and their loss of contact was told every two seconds. Ruled out: the test (all four have version 1 before it begins); a permanent reading by all (calls are priced). Change: a delegate reads when every delegate before it says that it can't; a change of contact is told at once; eight delegates in a zone in place of three.

--- a/crates/membership/src/node/mod.rs
+++ b/crates/membership/src/node/mod.rs
@@ -236,8 +236,16 @@
     }
 
     /// Notes whether this daemon, as a reader, is in contact with the store.
-    pub const fn store_contact(&mut self, contact: bool) {
-        self.relay.reports_mut().store_contact(Some(contact));
+    ///
+    /// A change is told to the zone's other delegates at once, since one of them may have to read instead.
+    pub fn store_contact(&mut self, contact: bool) {
+        let reports = self.relay.reports_mut();
+        if reports.store_contact() == Some(contact) {
+            return;
+        }
+        reports.set_store_contact(Some(contact));
+        self.next_exchange = Timestamp::ZERO;
+        self.next_upkeep = Timestamp::ZERO;
     }
 
     /// Takes a snapshot of the revision in force, as asked for by [`Effect::Compact`].
@@ -334,6 +342,11 @@
         for report in reports {
             let counted_at = now - Duration::from_millis(report.age_ms);
             self.gossip.heard_of_zone(&report.zone, counted_at);
+            let oldest = now - self.settings.zone_silence;
+            let known = self.relay.reports().contact_of(&report.counted_by, oldest);
+            if !report.whole && report.store_contact != known {
+                self.next_upkeep = now;
+            }
             self.relay.reports_mut().received(now, report.clone());
         }
     }
--- a/crates/membership/src/node/upkeep.rs
+++ b/crates/membership/src/node/upkeep.rs
@@ -51,7 +51,7 @@
         let should_read = self.should_read(now);
         if should_read != self.reading {
             self.reading = should_read;
-            self.relay.reports_mut().store_contact(None);
+            self.relay.reports_mut().set_store_contact(None);
             effects.push(Effect::Read(should_read));
         }
         if self.gossip.delegate_rank().is_some() && now >= self.next_exchange {
@@ -166,8 +166,9 @@
 
     /// Whether this daemon is among the readers of the store.
     ///
-    /// The first delegates of the first zones by rendezvous read. A zone whose reader has no
-    /// contact with the store keeps trying, and the next zone in order reads in its place.
+    /// The first delegates of the first zones by rendezvous read. A zone whose readers have no
+    /// contact with the store keeps trying; the next zone in order reads in its place, and so do the
+    /// other delegates of the zone itself: the store may refuse some machines and serve the others.
     fn should_read(&self, now: Timestamp) -> bool {
         let Some(rank) = self.gossip.delegate_rank() else {
             return false;
@@ -187,7 +188,7 @@
         let per_zone = (self.settings.readers / zones.len().max(1))
             .clamp(1, self.settings.readers_per_zone.max(1));
         let zone_count = (self.settings.readers / per_zone).max(1);
-        if rank >= per_zone {
+        if rank >= per_zone && !self.do_delegates_lack_store(now, rank) {
             return false;
         }
         let position = zones.iter().position(|zone| *zone == own_zone);
@@ -197,6 +198,16 @@
         chosen(position) || chosen(among_working)
     }
 
+    /// Whether the first `count` delegates of the own zone all say that they can't read the store.
+    fn do_delegates_lack_store(&self, now: Timestamp, count: usize) -> bool {
+        let Some(table) = self.table().zone(&self.me().profile.zone) else {
+            return false;
+        };
+        let oldest = now - self.settings.zone_silence;
+        let mut before = table.delegates().iter().take(count);
+        before.all(|id| self.relay.reports().contact_of(id, oldest) == Some(false))
+    }
+
     fn lacks_store(&self, now: Timestamp, zone: &ZoneName) -> bool {
         let silence = self.settings.zone_silence;
         self.relay.reports().zone(now, zone).is_some_and(|report| {
--- a/crates/membership/src/relay/report.rs
+++ b/crates/membership/src/relay/report.rs
@@ -55,10 +55,25 @@
     }
 
     /// Notes whether this daemon, as a reader, is in contact with the store.
-    pub const fn store_contact(&mut self, contact: Option<bool>) {
+    pub const fn set_store_contact(&mut self, contact: Option<bool>) {
         self.store_contact = contact;
     }
 
+    /// Whether this daemon, as a reader, is in contact with the store; `None` when it does not read.
+    #[must_use]
+    pub const fn store_contact(&self) -> Option<bool> {
+        self.store_contact
+    }
+
+    /// What another delegate of the own zone said since `oldest` about its contact with the store.
+    #[must_use]
+    pub fn contact_of(&self, delegate: &MemberId, oldest: Timestamp) -> Option<bool> {
+        let part = self.parts.get(delegate)?;
+        part.report
+            .store_contact
+            .filter(|_| part.counted_at >= oldest)
+    }
+
     /// Notes a report of another delegate.
     pub fn received(&mut self, now: Timestamp, report: ZoneReport) {
         let counted_at = now - Duration::from_millis(report.age_ms);
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -32,6 +32,8 @@
 const READERS: usize = 8;
 /// Readers of the platform in one zone.
 const READERS_PER_ZONE: usize = 2;
+/// Delegates in a zone: those that can read the platform in place of readers that it refuses.
+const DELEGATES: usize = 8;
 /// Silence of all other sidecars after which one reads the platform for itself.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 /// As [`ISOLATED_AFTER`], for a sidecar without another one in its zone: zones exchange messages once a second.
@@ -57,6 +59,7 @@
         table_sync_interval: Duration::from_secs(3),
         settle_time: Duration::from_millis(300),
         readiness_limit: Duration::from_millis(2_000),
+        delegates: DELEGATES,
         readers: READERS,
         readers_per_zone: READERS_PER_ZONE,
         announce_after: Duration::from_millis(50),
--- a/crates/sidecar/tests/support/platform.rs
+++ b/crates/sidecar/tests/support/platform.rs
@@ -1,8 +1,8 @@
 //! A platform in memory, with faults.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -15,20 +15,31 @@
 /// How long a watch waits for a change.
 const WATCH_TIME: Duration = Duration::from_millis(500);
 
+/// The platform as one machine reaches it.
 #[derive(Debug)]
 pub struct StandInPlatform {
-    configuration: watch::Sender<Option<Configuration>>,
-    directory: Mutex<BTreeMap<String, DirectoryEntry>>,
-    departures: Mutex<BTreeSet<String>>,
+    configuration: Arc<watch::Sender<Option<Configuration>>>,
+    directory: Arc<Mutex<BTreeMap<String, DirectoryEntry>>>,
+    departures: Arc<Mutex<BTreeSet<String>>>,
     is_down: AtomicBool,
 }
 
 impl StandInPlatform {
     pub fn new(configuration: Option<Configuration>) -> Self {
         Self {
-            configuration: watch::channel(configuration).0,
-            directory: Mutex::default(),
-            departures: Mutex::default(),
+            configuration: Arc::new(watch::channel(configuration).0),
+            directory: Arc::default(),
+            departures: Arc::default(),
+            is_down: AtomicBool::new(false),
+        }
+    }
+
+    /// The same platform as another machine reaches it: it may refuse one and serve the other.
+    pub fn for_another_machine(&self) -> Self {
+        Self {
+            configuration: Arc::clone(&self.configuration),
+            directory: Arc::clone(&self.directory),
+            departures: Arc::clone(&self.departures),
             is_down: AtomicBool::new(false),
         }
     }
