--- a/crates/sidecar/src/configuration.rs
+++ b/crates/sidecar/src/configuration.rs
@@ -117,10 +117,13 @@
     /// # Errors
     /// The first route that can't be served.
     pub fn validate(&self) -> Result<(), ConfigurationError> {
-        for route in &self.routes {
-            route.validate(&self.services)?;
-        }
-        Ok(())
+        self.problems().next().map_or(Ok(()), Err)
+    }
+
+    /// For each route that can't be served, why.
+    pub fn problems(&self) -> impl Iterator<Item = ConfigurationError> {
+        let routes = self.routes.iter();
+        routes.filter_map(|route| route.validate(&self.services).err())
     }
 }
 
