Give a third of the new requests the importance and the patience of begun work

Its requests come to the deepest service as new ones, one priority below the calls of begun work, which fill what is left of that service; the admission level then closes the whole priority. Ruled out: routing (other classes of the same zone are served), the queue's length (the level refuses before it). Change: module importance. 0.35 of the ranks have the importance and the patience of begun work from the start; which ones follows from the origin, so every hop decides alike. Payments (priority 0) stay before both.

--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -26,10 +26,10 @@
 use super::report::CallReport;
 use crate::body::{Collected, collect, remove_length};
 use crate::dialect::Dialect;
+use crate::importance;
 use crate::instance::InstanceId;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
-use crate::outbound::DEPTH_OF_CALLERS;
 use crate::outbound::routing::Routing;
 use crate::scopes::{OpenScope, ScopeTable};
 
@@ -265,8 +265,8 @@
 
 /// Longest wait of a call at the gate. What is begun waits longer than what is new: a refusal of one of
 /// its calls wastes all that was done for it.
-const fn patience(context: &CallContext) -> Duration {
-    if context.depth > DEPTH_OF_CALLERS {
+fn patience(context: &CallContext) -> Duration {
+    if importance::is_begun(context) {
         BEGUN_PATIENCE
     } else {
         NEW_PATIENCE
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod dialect;
 pub mod events;
+pub mod importance;
 pub mod inbound;
 pub mod instance;
 pub mod log_output;
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -20,10 +20,10 @@
 use wharfquay_daemon::sync::lock;
 
 use super::attempt::{self, AttemptEnd, Flight, attempt_context};
-use super::handler::inner_priority;
 use super::peers::Peers;
 use super::report::RequestReport;
 use super::routing::{Routing, ServiceRouter, Target};
+use crate::importance;
 use crate::inbound::LocalExecutor;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
@@ -163,7 +163,7 @@
         return context.admission_key();
     }
     let inner = CallContext {
-        priority: inner_priority(context),
+        priority: importance::of_inner_calls(context),
         ..context.clone()
     };
     inner.admission_key().lowered(BEGIN_MARGIN)
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -21,6 +21,7 @@
 use super::report::RequestReport;
 use crate::configuration::{Route, RouteIndex};
 use crate::dialect::{Dialect, RequestLineage};
+use crate::importance;
 use crate::message::RequestHead;
 use crate::scopes::{Scope, ScopeTable};
 
@@ -196,23 +197,27 @@
         match parent {
             Some(scope) => CallContext {
                 attempt: AttemptId::new(0),
-                priority: inner_priority(&scope.context),
+                priority: importance::of_inner_calls(&scope.context),
                 deadline: deadline.min(scope.context.deadline),
                 allowance: RetryAllowance::NONE,
                 repeatability,
                 ..scope.context.clone()
             },
-            None => CallContext {
-                origin: origin(RequestLineage::of(request_id).root()),
-                attempt: AttemptId::new(0),
-                request_kind: route.name.clone(),
-                priority: Priority::new(route.priority).unwrap_or(Priority::LOWEST),
-                deadline,
-                allowance: RetryAllowance::new(RETRIES_PER_REQUEST),
-                repeatability,
-                idempotency_key: None,
-                depth: 0,
-            },
+            None => {
+                let origin = origin(RequestLineage::of(request_id).root());
+                let priority = Priority::new(route.priority).unwrap_or(Priority::LOWEST);
+                CallContext {
+                    origin,
+                    attempt: AttemptId::new(0),
+                    request_kind: route.name.clone(),
+                    priority: importance::of_request(priority, origin),
+                    deadline,
+                    allowance: RetryAllowance::new(RETRIES_PER_REQUEST),
+                    repeatability,
+                    idempotency_key: None,
+                    depth: 0,
+                }
+            }
         }
     }
 }
@@ -237,19 +242,6 @@
     OriginId::from_u128(hash)
 }
 
-/// Importance of the calls made on behalf of a request: above that of requests which have not begun, so
-/// that work which was begun is finished first.
-pub(super) const fn inner_priority(parent: &CallContext) -> Priority {
-    if parent.depth <= DEPTH_OF_CALLERS {
-        parent.priority.raised()
-    } else {
-        parent.priority
-    }
-}
-
-/// Depth at the back end of a request that a caller sent.
-pub(crate) const DEPTH_OF_CALLERS: u8 = 1;
-
 /// Writes what became of a request.
 fn tell(report: RequestReport, result: &Result<Response<AnswerBody>, Failure>) {
     match result {
--- a/crates/sidecar/src/outbound/mod.rs
+++ b/crates/sidecar/src/outbound/mod.rs
@@ -12,6 +12,6 @@
 mod report;
 
 pub(crate) use forward::Forwarder;
-pub(crate) use handler::{DEPTH_OF_CALLERS, OutboundHandler};
+pub(crate) use handler::OutboundHandler;
 pub(crate) use peers::Peers;
 pub(crate) use report::millis;
