Take the options of accepted connections from the listener

Cause: two thirds of the large site's clients open a connection for each request; each accept cost six setsockopt calls, and each end a shutdown before the close. Ruled out by strace on a pair of sidecars: kept connections need no more than one read, one write and one wait for each message. Change: keep-alive and the limit of unacknowledged bytes are set on the listener, whose accepted sockets take them over; the halves of a caller's connection are borrowed, so that dropping them sends nothing.

--- a/crates/daemon/src/connect.rs
+++ b/crates/daemon/src/connect.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -26,15 +27,16 @@
     Ok(stream)
 }
 
-/// Lets the operating system end a connection whose peer went silent.
+/// Lets the operating system end a connection whose peer went silent. Connections that a listener accepts
+/// take the options over from it.
 ///
 /// A socket that takes these options not works all the same, only slower to notice.
-pub fn notice_silence(stream: &TcpStream) {
+pub fn notice_silence(socket: &impl AsFd) {
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_INTERVAL)
         .with_interval(KEEP_ALIVE_INTERVAL)
         .with_retries(KEEP_ALIVE_PROBES);
-    let socket = SockRef::from(stream);
+    let socket = SockRef::from(socket);
     let _ = socket.set_tcp_keepalive(&keep_alive);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
 }
--- a/crates/sidecar/src/outbound/connection.rs
+++ b/crates/sidecar/src/outbound/connection.rs
@@ -17,7 +17,7 @@
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::AbortOnDropHandle;
 use wharfquay_daemon::answer::Failure;
@@ -74,11 +74,11 @@
 
 /// Serves one connection until it ends.
 pub async fn serve<H: RequestHandler>(
-    stream: TcpStream,
+    mut stream: TcpStream,
     handler: Arc<H>,
     settings: &ConnectionSettings,
 ) {
-    let (read_half, write_half) = stream.into_split();
+    let (read_half, write_half) = stream.split();
     let (sender, receiver) = mpsc::channel(MAX_PIPELINED);
     let in_progress = Arc::new(AtomicUsize::new(0));
     let mut reader = Reader {
@@ -93,13 +93,13 @@
         _ = reader.run(sender) => None,
         written = writer => Some(written),
     };
-    if let Some(Ok(_half)) = closed {
+    if matches!(closed, Some(Ok(()))) {
         let _ = tokio::time::timeout(LINGER, reader.discard()).await;
     }
 }
 
-struct Reader<H> {
-    half: OwnedReadHalf,
+struct Reader<'stream, H> {
+    half: ReadHalf<'stream>,
     buffer: BytesMut,
     handler: Arc<H>,
     in_progress: Arc<AtomicUsize>,
@@ -119,7 +119,7 @@
     }
 }
 
-impl<H: RequestHandler> Reader<H> {
+impl<H: RequestHandler> Reader<'_, H> {
     /// Reads requests until the caller is gone; returns then, so that everything in progress is
     /// dropped.
     async fn run(&mut self, answers: mpsc::Sender<PendingAnswer>) -> ReadEnd {
@@ -335,13 +335,13 @@
     }
 }
 
-/// Writes the answers in order; gives the half back once the connection is to be closed.
+/// Writes the answers in order; ends once the connection is to be closed.
 async fn write_answers(
-    mut half: OwnedWriteHalf,
+    mut half: WriteHalf<'_>,
     mut answers: mpsc::Receiver<PendingAnswer>,
     in_progress: &AtomicUsize,
     closing: watch::Receiver<bool>,
-) -> io::Result<OwnedWriteHalf> {
+) -> io::Result<()> {
     while let Some(pending) = answers.recv().await {
         let response = match pending.answer.await {
             Ok(response) => response,
@@ -354,12 +354,11 @@
             break;
         }
     }
-    half.shutdown().await?;
-    Ok(half)
+    half.shutdown().await
 }
 
 async fn write_answer(
-    half: &mut OwnedWriteHalf,
+    half: &mut WriteHalf<'_>,
     method: &Method,
     response: Response<AnswerBody>,
     keep_alive: bool,
@@ -402,7 +401,7 @@
 }
 
 /// Writes bytes as long as the caller goes on taking some.
-async fn write_all(half: &mut OwnedWriteHalf, mut bytes: &[u8]) -> io::Result<()> {
+async fn write_all(half: &mut WriteHalf<'_>, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
         let written = tokio::time::timeout(WRITE_LIMIT, half.write(bytes)).await??;
         if written == 0 {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -390,13 +390,14 @@
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self, StartError> {
         let listen = async |side, address| {
-            TcpListener::bind(address)
-                .await
-                .map_err(|error| StartError::Bind {
-                    side,
-                    address,
-                    error,
-                })
+            let bound = TcpListener::bind(address).await;
+            let listener = bound.map_err(|error| StartError::Bind {
+                side,
+                address,
+                error,
+            })?;
+            notice_silence(&listener);
+            Ok(listener)
         };
         let datagrams =
             UdpSocket::bind(settings.control)
@@ -415,13 +416,13 @@
     }
 }
 
-/// Accepts connections for ever; failed accepts end nothing.
+/// Accepts connections for ever; failed accepts end nothing. Options other than the delay of small writes
+/// come from the listener: most connections carry one request, and each option is a system call.
 async fn accept(listener: TcpListener, serve: impl Fn(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                notice_silence(&stream);
                 serve(stream);
             }
             Err(error) => {
