Rebuild the router of one service when one member changes

Cause: each change of the member table rebuilt the endpoints and addresses of every service and compared every connection pool with every member (295 x 295), in each of 295 sidecars, for hundreds of changes in a rolling stop. Change: a router keeps what it was built from and is left alone when that is the same; pools are matched by a set; changes within 20 ms cost one update; without a subset no ids are copied and sorted.

--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -17,7 +17,7 @@
 use super::pick::{Pick, PickRequest};
 use super::reference::Reference;
 use super::settings::RouterSettings;
-use super::subset;
+use super::subset::{self, SubsetSettings};
 
 /// Retry-After is stretched by a random share up to this, so that callers don't return together.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
@@ -252,22 +252,16 @@
 
     /// Chooses the live endpoints that this daemon uses.
     fn select_members(&mut self) {
-        let live: Vec<&Endpoint> = self
-            .entries
-            .iter()
-            .map(|entry| &entry.endpoint)
-            .filter(|endpoint| endpoint.state == EndpointState::Live)
-            .collect();
-        let mut chosen: Vec<EndpointId> = match &self.settings.subset {
-            Some(settings) => {
-                subset::select(settings, &live, |endpoint| endpoint.zone == self.local_zone)
-            }
-            None => live.iter().map(|endpoint| endpoint.id.clone()).collect(),
+        let subset = self.settings.subset.as_ref();
+        let chosen = subset.map(|settings| self.select_subset(settings));
+        let is_chosen = |id: &EndpointId| match &chosen {
+            Some(chosen) => chosen.binary_search(id).is_ok(),
+            None => true,
         };
-        chosen.sort_unstable();
         let mut members = Members::default();
         for (index, entry) in (0_u32..).zip(&self.entries) {
-            if chosen.binary_search(&entry.endpoint.id).is_err() {
+            let endpoint = &entry.endpoint;
+            if endpoint.state != EndpointState::Live || !is_chosen(&endpoint.id) {
                 continue;
             }
             if entry.local {
@@ -279,6 +273,18 @@
         self.members = members;
     }
 
+    /// The endpoints of this caller's subset, in order.
+    fn select_subset(&self, settings: &SubsetSettings) -> Vec<EndpointId> {
+        let endpoints = self.entries.iter().map(|entry| &entry.endpoint);
+        let live: Vec<&Endpoint> = endpoints
+            .filter(|endpoint| endpoint.state == EndpointState::Live)
+            .collect();
+        let mut chosen =
+            subset::select(settings, &live, |endpoint| endpoint.zone == self.local_zone);
+        chosen.sort_unstable();
+        chosen
+    }
+
     fn refresh_reference(&mut self, now: Timestamp) {
         let latencies = self.entries.iter().filter_map(Entry::latency_micros);
         let utilisations = self.entries.iter().filter_map(Entry::reported_utilisation);
--- a/crates/sidecar/src/outbound/peers.rs
+++ b/crates/sidecar/src/outbound/peers.rs
@@ -1,6 +1,6 @@
 //! Connections to other sidecars: HTTP/1.1, so that one lost packet holds up one call only.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -31,8 +31,8 @@
         Arc::clone(pool)
     }
 
-    /// Forgets the sidecars that `keep` does not name.
-    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        lock(&self.pools).retain(|address, _| keep(address));
+    /// Forgets the sidecars that `listed` does not name.
+    pub(crate) fn retain(&self, listed: &HashSet<SocketAddr>) {
+        lock(&self.pools).retain(|address, _| listed.contains(address));
     }
 }
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -20,7 +20,7 @@
 use wharfquay_daemon::answer::Failure;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
-use wharfquay_membership::member::{Member, MemberState};
+use wharfquay_membership::member::{Member, MemberProfile, MemberState};
 use wharfquay_membership::table::MemberTable;
 use wharfquay_protocol::answer::WireAnswer;
 
@@ -57,6 +57,38 @@
     router: Router,
     budget: DestinationBudget,
     addresses: HashMap<EndpointId, SocketAddr>,
+    /// What the router was built from.
+    listed: Vec<ListedMember>,
+}
+
+/// What a router needs to know of a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ListedMember {
+    profile: Arc<MemberProfile>,
+    process: u64,
+    state: EndpointState,
+}
+
+impl ListedMember {
+    fn of(member: &Member) -> Self {
+        Self {
+            profile: Arc::clone(&member.profile),
+            process: member.incarnation.process(),
+            state: endpoint_state(member.state()),
+        }
+    }
+
+    fn to_endpoint(&self) -> Endpoint {
+        Endpoint {
+            id: EndpointId::from(self.profile.id.as_str()),
+            zone: Zone::from(self.profile.zone.as_str()),
+            incarnation: self.process,
+            state: self.state,
+            started_at: None,
+            slots: ASSUMED_SLOTS,
+            connections: u32::MAX,
+        }
+    }
 }
 
 /// The part of the bounds on repeats that one of `sidecars` sidecars may use towards one service.
@@ -90,6 +122,7 @@
                 router: Router::new(router_settings(), zone.clone()),
                 budget: DestinationBudget::with_settings(budget, now),
                 addresses: HashMap::new(),
+                listed: Vec::new(),
             }),
         }
     }
@@ -169,25 +202,22 @@
         authorize(question, ledger, &mut lock(&self.state).budget)
     }
 
+    /// Takes over the members of the service; does nothing when none of them changed.
     fn set_members(&self, now: Timestamp, members: &[&Member]) {
+        let listed = members.iter().map(|member| ListedMember::of(member));
+        let listed: Vec<ListedMember> = listed.collect();
         let mut state = lock(&self.state);
-        let mut addresses = HashMap::with_capacity(members.len());
-        let mut endpoints = Vec::with_capacity(members.len());
-        for member in members {
-            let id = EndpointId::from(member.profile.id.as_str());
-            addresses.insert(id.clone(), member.profile.call_address);
-            endpoints.push(Endpoint {
-                id,
-                zone: Zone::from(member.profile.zone.as_str()),
-                incarnation: member.incarnation.process(),
-                state: endpoint_state(member.state()),
-                started_at: None,
-                slots: ASSUMED_SLOTS,
-                connections: u32::MAX,
-            });
+        if listed == state.listed {
+            return;
         }
-        state.addresses = addresses;
+        let addresses = listed.iter().map(|member| {
+            let id = EndpointId::from(member.profile.id.as_str());
+            (id, member.profile.call_address)
+        });
+        state.addresses = addresses.collect();
+        let endpoints = listed.iter().map(ListedMember::to_endpoint).collect();
         state.router.set_endpoints(now, endpoints);
+        state.listed = listed;
     }
 }
 
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -54,6 +54,8 @@
 const RESERVE_SHARE: f64 = 0.1;
 /// Longest wait of a starting sidecar for a sidecar of each service.
 const COMPANY_LIMIT: Duration = Duration::from_millis(2_000);
+/// Pause between two updates of the routers, so that changes which come together cost one update.
+const MEMBER_UPDATE_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -321,10 +323,9 @@
             loop {
                 let table = members.borrow_and_update().clone();
                 routing.update(&table);
-                forwarder.peers.retain(|address| {
-                    let mut listed = table.members();
-                    listed.any(|member| member.profile.call_address == *address)
-                });
+                let listed = table.members().map(|member| member.profile.call_address);
+                forwarder.peers.retain(&listed.collect());
+                tokio::time::sleep(MEMBER_UPDATE_PAUSE).await;
                 if members.changed().await.is_err() {
                     return;
                 }
