Close connections to other sidecars after a rest of five seconds

Change: a pool closes what rested too long whenever a connection comes to rest, and every second; the longest rest is 5 s, over twice the time between two calls of a pair in a zone of 50. Test: connections_that_rested_too_long_are_closed.

--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -140,8 +140,7 @@
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         while let Some(resting) = idle.pop() {
-            let rested = resting.since.elapsed();
-            if !resting.connection.sender.is_closed() && rested < resting.longest_rest {
+            if resting.is_usable() {
                 return Some(resting.connection);
             }
         }
@@ -197,12 +196,20 @@
         });
     }
 
+    /// Closes connections that have rested longer than they may.
+    pub fn close_rested(&self) {
+        close_rested(&mut lock(&self.idle));
+    }
+
     fn push_idle(&self, connection: Connection, longest_rest: Duration) {
-        lock(&self.idle).push(Resting {
+        let mut idle = lock(&self.idle);
+        close_rested(&mut idle);
+        idle.push(Resting {
             connection,
             since: Instant::now(),
             longest_rest,
         });
+        drop(idle);
         self.freed.notify_one();
     }
 
@@ -226,6 +233,20 @@
     longest_rest: Duration,
 }
 
+impl Resting {
+    fn is_usable(&self) -> bool {
+        !self.connection.sender.is_closed() && self.since.elapsed() < self.longest_rest
+    }
+}
+
+/// Closes the connections at rest for too long. The last one to rest is the first to be used, so that after
+/// a surge the ones that rested longest are not needed any more.
+fn close_rested(idle: &mut Vec<Resting>) {
+    let unusable = idle.iter().take_while(|resting| !resting.is_usable());
+    let count = unusable.count();
+    idle.drain(..count);
+}
+
 /// What a request can be sent on.
 enum Reserved {
     Idle(Connection),
--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Request;
 use http_body_util::BodyExt;
@@ -12,6 +12,8 @@
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(10);
 
 fn request(path: &str) -> Request<RequestBody> {
     Request::builder()
@@ -44,6 +46,28 @@
     assert_eq!(backend.connections(), 1);
 }
 
+/// After a surge the connections that only it needed must not stay open.
+#[tokio::test]
+async fn connections_that_rested_too_long_are_closed() {
+    let backend = BackendStub::start().await;
+    let longest_rest = Duration::from_millis(40);
+    let pool = BackendPool::with_longest_rest(backend.address, 8, CONNECT_TIMEOUT, longest_rest);
+    let mut leases = Vec::new();
+    for _ in 0..3 {
+        leases.push(pool.checkout().await.unwrap());
+    }
+    for lease in leases {
+        exchange(&backend, lease, "/echo", BodyEnd::Complete).await;
+    }
+    assert_eq!(pool.open_connections(), 3);
+    let end = Instant::now() + PATIENCE;
+    while pool.open_connections() > 0 {
+        assert!(Instant::now() < end, "{} open", pool.open_connections());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        pool.close_rested();
+    }
+}
+
 #[tokio::test]
 async fn a_connection_is_closed_after_any_other_end() {
     let backend = BackendStub::start().await;
--- a/crates/sidecar/src/outbound/peers.rs
+++ b/crates/sidecar/src/outbound/peers.rs
@@ -13,7 +13,7 @@
 /// Most connections to one other sidecar.
 const CONNECTIONS: usize = 256;
 /// Longest rest of a connection that is used again.
-const LONGEST_REST: Duration = Duration::from_secs(20);
+const LONGEST_REST: Duration = Duration::from_secs(5);
 
 /// Connections to every sidecar that was called.
 #[derive(Debug, Default)]
@@ -31,6 +31,14 @@
         Arc::clone(pool)
     }
 
+    /// Closes connections that have rested longer than they may.
+    pub(crate) fn close_rested(&self) {
+        let pools: Vec<Arc<BackendPool>> = lock(&self.pools).values().cloned().collect();
+        for pool in pools {
+            pool.close_rested();
+        }
+    }
+
     /// Forgets the sidecars that `listed` does not name.
     pub(crate) fn retain(&self, listed: &HashSet<SocketAddr>) {
         lock(&self.pools).retain(|address, _| listed.contains(address));
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -56,6 +56,8 @@
 const COMPANY_LIMIT: Duration = Duration::from_millis(2_000);
 /// Pause between two updates of the routers, so that changes which come together cost one update.
 const MEMBER_UPDATE_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two searches for connections that have rested too long.
+const REST_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -319,18 +321,20 @@
     ) -> watch::Receiver<ConnectionLimits> {
         let (limit_sender, limits) = watch::channel(ConnectionLimits::default());
         let mut members = self.members.clone();
+        let callers = Arc::clone(&forwarder);
         tokio::spawn(async move {
             loop {
                 let table = members.borrow_and_update().clone();
                 routing.update(&table);
                 let listed = table.members().map(|member| member.profile.call_address);
-                forwarder.peers.retain(&listed.collect());
+                callers.peers.retain(&listed.collect());
                 tokio::time::sleep(MEMBER_UPDATE_PAUSE).await;
                 if members.changed().await.is_err() {
                     return;
                 }
             }
         });
+        tokio::spawn(close_rested_connections(Arc::clone(&forwarder)));
         let mut configuration = self.configuration.clone();
         let sidecar = Arc::clone(self);
         tokio::spawn(async move {
@@ -353,6 +357,14 @@
     }
 }
 
+/// Closes connections to other sidecars that are not needed any more; never ends.
+async fn close_rested_connections(forwarder: Arc<Forwarder>) {
+    loop {
+        tokio::time::sleep(REST_CHECK_INTERVAL).await;
+        forwarder.peers.close_rested();
+    }
+}
+
 /// Whether a sidecar that takes work is known for each service that routes name.
 fn knows_services(table: &MemberTable, configuration: &Configuration) -> bool {
     let serving = table
