Ask the store for less when a sidecar starts

Cause, from the log of a start of 295: each sidecar knows nobody for its first 300 ms, takes itself for a reader of its zone and reads and watches the configuration (590 calls); each lists the directory before it writes its entry, lists it again, and looks for the durable mark of an instance that no earlier process can have made. Change: listings may be stale (a tenth of the price) until two of them led nowhere; in its first 1.5 s a sidecar reads the configuration once, which may be stale too, at once in place of after 300 ms, and follows it only after that time if it is still chosen; on the first start of the whole deployment (Bootstrap) no marks are looked for. The test of the metrics waits for the entry in the directory now: the sidecar is ready sooner than it is listed.

--- a/crates/sidecar/src/control/mod.rs
+++ b/crates/sidecar/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control plane of a sidecar: membership by gossip, and the configuration, which a few sidecars
 //! read from the platform and all pass on.
 
+mod directory;
 mod reader;
 mod task;
 mod transport;
--- a/crates/sidecar/src/control/reader.rs
+++ b/crates/sidecar/src/control/reader.rs
@@ -1,5 +1,6 @@
 //! Reading the configuration from the platform while this sidecar is one of the readers.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use crate::configuration::Configuration;
 use crate::events::Event;
 use crate::log_event;
-use crate::platform::{ConfigurationReading, Platform, PlatformError, Position};
+use crate::platform::{ConfigurationReading, Freshness, Platform, PlatformError, Position};
 
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -19,6 +20,8 @@
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
 /// Longest wait for the answer to one watch; the platform answers sooner when nothing changes.
 const WATCH_LIMIT: Duration = Duration::from_millis(4_000);
+/// Longest pause between two searches for a first configuration.
+const SEARCH_PAUSE: Duration = Duration::from_millis(300);
 /// Events that wait for the control task.
 const WAITING_EVENTS: usize = 8;
 
@@ -33,30 +36,82 @@
     NoContact,
 }
 
+/// How the platform is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadingMode {
+    /// Until there is a configuration, which may be seconds old: for a starting sidecar that knows nobody yet.
+    Once,
+    /// The newest configuration and all that follow.
+    Follow,
+}
+
+impl fmt::Display for ReadingMode {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Once => "once",
+            Self::Follow => "follow",
+        })
+    }
+}
+
 /// A running reader; dropping it ends it.
 #[derive(Debug)]
 pub(super) struct Reader {
+    mode: ReadingMode,
     events: mpsc::Receiver<ReaderEvent>,
     _task: AbortOnDropHandle<()>,
 }
 
 impl Reader {
     /// Starts to read.
-    pub(super) fn start<P: Platform>(platform: Arc<P>) -> Self {
+    pub(super) fn start<P: Platform>(platform: Arc<P>, mode: ReadingMode) -> Self {
         let (sender, events) = mpsc::channel(WAITING_EVENTS);
-        let task = tokio::spawn(read_for_ever(platform, sender));
+        let task = match mode {
+            ReadingMode::Once => tokio::spawn(read_until_found(platform, sender)),
+            ReadingMode::Follow => tokio::spawn(read_for_ever(platform, sender)),
+        };
         Self {
+            mode,
             events,
             _task: AbortOnDropHandle::new(task),
         }
     }
 
+    /// How it reads.
+    pub(super) const fn mode(&self) -> ReadingMode {
+        self.mode
+    }
+
     /// The next event. Cancel safe.
     pub(super) async fn next(&mut self) -> Option<ReaderEvent> {
         self.events.recv().await
     }
 }
 
+/// Asks for the configuration until there is one, then waits to be ended.
+async fn read_until_found<P: Platform>(platform: Arc<P>, events: mpsc::Sender<ReaderEvent>) {
+    loop {
+        let reading = platform.read_configuration(Freshness::MayBeStale);
+        let event = match tokio::time::timeout(READ_LIMIT, reading).await {
+            Ok(Ok(reading)) => reading
+                .configuration
+                .map(|found| ReaderEvent::Configuration(Box::new(found))),
+            Ok(Err(_)) | Err(_) => Some(ReaderEvent::NoContact),
+        };
+        let is_found = matches!(event, Some(ReaderEvent::Configuration(_)));
+        if let Some(event) = event
+            && events.send(event).await.is_err()
+        {
+            return;
+        }
+        if is_found {
+            return events.closed().await;
+        }
+        let jitter = rand::random_range(0.5..=1.0);
+        tokio::time::sleep(SEARCH_PAUSE.mul_f64(jitter)).await;
+    }
+}
+
 async fn read_for_ever<P: Platform>(platform: Arc<P>, events: mpsc::Sender<ReaderEvent>) {
     let mut position = None;
     let mut pause = FIRST_PAUSE;
@@ -112,7 +167,7 @@
             read.map_err(timed_out)?
         }
         None => {
-            let reading = platform.read_configuration();
+            let reading = platform.read_configuration(Freshness::Latest);
             let read = tokio::time::timeout(READ_LIMIT, reading).await;
             read.map_err(timed_out)?
         }
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -17,7 +17,8 @@
 use wharfquay_membership::settings::Settings as MembershipSettings;
 use wharfquay_membership::table::MemberTable;
 
-use super::reader::{Reader, ReaderEvent};
+use super::directory::find_others;
+use super::reader::{Reader, ReaderEvent, ReadingMode};
 use super::transport::{Datagrams, Received, StreamInbox, inbox, send_stream};
 use super::{decode, encode};
 use crate::configuration::RouteIndex;
@@ -38,14 +39,10 @@
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 /// As [`ISOLATED_AFTER`], for a sidecar without another one in its zone: zones exchange messages once a second.
 const ISOLATED_ALONE_AFTER: Duration = Duration::from_secs(3);
+/// Time in which a starting sidecar may not have met all others yet.
+const MEETING_TIME: Duration = Duration::from_millis(1_500);
 /// How often it is decided anew whether to read the platform.
 const READING_REVIEW: Duration = Duration::from_millis(300);
-/// First pause between two looks into the directory.
-const FIRST_DIRECTORY_PAUSE: Duration = Duration::from_millis(250);
-/// Longest pause between two looks into the directory while no other sidecar answers.
-const LONGEST_DIRECTORY_PAUSE: Duration = Duration::from_secs(2);
-/// Longest wait for the directory's answer.
-const DIRECTORY_LIMIT: Duration = Duration::from_millis(1_500);
 /// Entries of the directory that are used as seeds.
 const MAX_SEEDS: usize = 64;
 
@@ -94,6 +91,7 @@
     reader: Option<Reader>,
     /// Whether the node counts this sidecar among the readers of the deployment.
     chosen_to_read: bool,
+    started_at: Timestamp,
     heard_at: Timestamp,
     review_at: Timestamp,
     channels: ControlChannels,
@@ -140,7 +138,12 @@
             control_address: settings.control,
         };
         let members = channels.members.subscribe();
-        tokio::spawn(look_up(Arc::clone(&platform), entry, members, seed_sender));
+        tokio::spawn(find_others(
+            Arc::clone(&platform),
+            entry,
+            members,
+            seed_sender,
+        ));
         let task = Self {
             clock,
             own_address: settings.control,
@@ -152,6 +155,7 @@
             platform,
             reader: None,
             chosen_to_read: false,
+            started_at: now,
             heard_at: now,
             review_at: now,
             channels,
@@ -279,7 +283,10 @@
                 }
                 Effect::AdoptDelta(delta) => self.adopt(delta.revision, &delta.payload),
                 Effect::Ready(revision) => log_event!(Event::Ready, "version={revision}"),
-                Effect::Read(read) => self.chosen_to_read = read,
+                Effect::Read(read) => {
+                    self.chosen_to_read = read;
+                    self.review_at = self.clock.now();
+                }
                 Effect::ReadSnapshot => self.reader = None,
                 Effect::StoreOlder { store, held } => {
                     log_event!(
@@ -306,7 +313,7 @@
         }
         self.review_at = now + READING_REVIEW;
         let silence = now.saturating_since(self.heard_at);
-        self.review_reading(silence >= ISOLATED_AFTER);
+        self.review_reading(now, silence >= ISOLATED_AFTER);
         let (others, neighbours) = self.count_others();
         let limit = match neighbours {
             0 => ISOLATED_ALONE_AFTER,
@@ -339,12 +346,28 @@
 
     /// Reads the platform while chosen to, and while no other sidecar is heard of that could pass a
     /// configuration on.
-    fn review_reading(&mut self, is_isolated: bool) {
-        let read = self.chosen_to_read || is_isolated;
-        if read != self.reader.is_some() {
-            log_event!(Event::StoreReader, "reading={read} isolated={is_isolated}");
-            self.reader = read.then(|| Reader::start(Arc::clone(&self.platform)));
+    fn review_reading(&mut self, now: Timestamp, is_isolated: bool) {
+        let wanted = self.wanted_reading(now, is_isolated);
+        if wanted == self.reader.as_ref().map(Reader::mode) {
+            return;
+        }
+        let mode = wanted.map_or("none".to_owned(), |mode| mode.to_string());
+        log_event!(Event::StoreReader, "reading={mode} isolated={is_isolated}");
+        self.reader = wanted.map(|mode| Reader::start(Arc::clone(&self.platform), mode));
+    }
+
+    /// A starting sidecar may be one of hundreds that start together: each takes itself for a reader of its zone
+    /// until it has met the others.
+    fn wanted_reading(&self, now: Timestamp, is_isolated: bool) -> Option<ReadingMode> {
+        if !self.chosen_to_read && !is_isolated {
+            return None;
         }
+        let is_meeting = now.saturating_since(self.started_at) < MEETING_TIME;
+        Some(if is_meeting {
+            ReadingMode::Once
+        } else {
+            ReadingMode::Follow
+        })
     }
 
     fn adopt(&mut self, revision: u64, payload: &wharfquay_membership::message::Payload) {
@@ -385,34 +408,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Enters this sidecar in the directory, and looks there for others until gossip has found some.
-async fn look_up<P: Platform>(
-    platform: Arc<P>,
-    entry: DirectoryEntry,
-    members: watch::Receiver<MemberTable>,
-    seeds: mpsc::Sender<Vec<DirectoryEntry>>,
-) {
-    let mut is_registered = false;
-    let mut has_company = false;
-    let mut pause = FIRST_DIRECTORY_PAUSE;
-    tokio::time::sleep(pause.mul_f64(rand::random_range(0.0..=0.5))).await;
-    while !is_registered || !has_company {
-        let listing = platform.directory();
-        if let Ok(Ok(entries)) = tokio::time::timeout(DIRECTORY_LIMIT, listing).await {
-            is_registered = entries.contains(&entry);
-            if seeds.send(entries).await.is_err() {
-                return;
-            }
-        }
-        if !is_registered {
-            let registering = platform.register(&entry);
-            let registered = tokio::time::timeout(DIRECTORY_LIMIT, registering).await;
-            is_registered = matches!(registered, Ok(Ok(())));
-        }
-        has_company = members.borrow().members().count() > 1;
-        let jitter = rand::random_range(0.5..=1.0);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(LONGEST_DIRECTORY_PAUSE);
-    }
-}
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -40,17 +40,25 @@
     platform: Arc<P>,
     backend: Arc<LocalBackend>,
     clock: Clock,
+    /// Whether no earlier process can have acknowledged that an instance leaves.
+    is_first_start: bool,
     tracker: Mutex<InstanceTracker>,
     verifying: Mutex<Option<InstanceId>>,
 }
 
 impl<P: Platform> Registry<P> {
     /// A registry that has heard of nothing.
-    pub fn new(platform: Arc<P>, backend: Arc<LocalBackend>, clock: Clock) -> Arc<Self> {
+    pub fn new(
+        platform: Arc<P>,
+        backend: Arc<LocalBackend>,
+        clock: Clock,
+        is_first_start: bool,
+    ) -> Arc<Self> {
         Arc::new(Self {
             platform,
             backend,
             clock,
+            is_first_start,
             tracker: Mutex::default(),
             verifying: Mutex::default(),
         })
@@ -153,8 +161,13 @@
         });
     }
 
-    /// Tries until it is known whether the instance may get work.
+    /// Tries until it is known whether the instance may get work. What this process acknowledged itself the
+    /// tracker knows; the durable marks are those of earlier processes.
     async fn verify(&self, instance: &InstanceId) {
+        if self.is_first_start {
+            self.conclude(instance, false);
+            return;
+        }
         let mut pause = VERIFY_PAUSE;
         let mut lookups = 0;
         loop {
--- a/crates/sidecar/src/metered.rs
+++ b/crates/sidecar/src/metered.rs
@@ -4,7 +4,9 @@
 
 use crate::instance::InstanceId;
 use crate::metrics::Metrics;
-use crate::platform::{ConfigurationReading, DirectoryEntry, Platform, PlatformError, Position};
+use crate::platform::{
+    ConfigurationReading, DirectoryEntry, Freshness, Platform, PlatformError, Position,
+};
 
 /// A platform whose calls are counted.
 #[derive(Debug)]
@@ -32,8 +34,11 @@
 }
 
 impl<P: Platform> Platform for Metered<P> {
-    async fn read_configuration(&self) -> Result<ConfigurationReading, PlatformError> {
-        let result = self.inner.read_configuration().await;
+    async fn read_configuration(
+        &self,
+        freshness: Freshness,
+    ) -> Result<ConfigurationReading, PlatformError> {
+        let result = self.inner.read_configuration(freshness).await;
         self.count("read_configuration", &result);
         result
     }
@@ -53,8 +58,8 @@
         result
     }
 
-    async fn directory(&self) -> Result<Vec<DirectoryEntry>, PlatformError> {
-        let result = self.inner.directory().await;
+    async fn directory(&self, freshness: Freshness) -> Result<Vec<DirectoryEntry>, PlatformError> {
+        let result = self.inner.directory(freshness).await;
         self.count("directory", &result);
         result
     }
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -39,6 +39,15 @@
 
 impl std::error::Error for PlatformError {}
 
+/// How new an answer of the platform has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Everything that was acknowledged before the question.
+    Latest,
+    /// It may be seconds old, and costs the platform a fraction.
+    MayBeStale,
+}
+
 /// How a starting sidecar finds another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryEntry {
@@ -51,9 +60,10 @@
 /// What a sidecar needs of its platform. Implementations translate and keep nothing: retries,
 /// backoff and timeouts of the whole belong to the caller.
 pub trait Platform: fmt::Debug + Send + Sync + 'static {
-    /// Reads the newest configuration.
+    /// Reads the configuration.
     fn read_configuration(
         &self,
+        freshness: Freshness,
     ) -> impl Future<Output = Result<ConfigurationReading, PlatformError>> + Send;
 
     /// Waits a bounded time for a configuration after `position`.
@@ -68,8 +78,11 @@
         entry: &DirectoryEntry,
     ) -> impl Future<Output = Result<(), PlatformError>> + Send;
 
-    /// The entries of the directory; some may be stale.
-    fn directory(&self) -> impl Future<Output = Result<Vec<DirectoryEntry>, PlatformError>> + Send;
+    /// The entries of the directory; some may belong to sidecars that are gone.
+    fn directory(
+        &self,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<Vec<DirectoryEntry>, PlatformError>> + Send;
 
     /// Makes it durable that an instance leaves. Repeating it changes nothing.
     fn record_departure(
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -20,6 +20,9 @@
     pub inbound: SocketAddr,
     /// Address for gossip and configuration messages, datagrams and streams.
     pub control: SocketAddr,
+    /// Whether the whole deployment starts for the first time, so that no earlier process can have left anything
+    /// at the platform.
+    pub is_first_start: bool,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -158,7 +158,12 @@
 
         let backend =
             LocalBackend::new(&settings.service, settings.backend, dialect.clone(), clock);
-        let registry = Registry::new(platform, Arc::clone(&backend), clock);
+        let registry = Registry::new(
+            platform,
+            Arc::clone(&backend),
+            clock,
+            settings.is_first_start,
+        );
         let routing = Routing::new(clock, &settings.zone, settings.bounds.retries);
         let scopes = Arc::new(ScopeTable::default());
         let stopping = Arc::new(AtomicBool::new(false));
@@ -302,7 +307,7 @@
         let settings = &self.settings;
         log_event!(
             Event::Started,
-            "id={} zone={} service={} outbound={} inbound={} control={} backend={}",
+            "id={} zone={} service={} outbound={} inbound={} control={} backend={} first_start={}",
             settings.id,
             settings.zone,
             settings.service,
@@ -310,6 +315,7 @@
             settings.inbound,
             settings.control,
             settings.backend,
+            settings.is_first_start,
         );
     }
 
--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -414,6 +414,11 @@
     let (_platform, machine) = single().await;
     machine.backend.expect(&[Behaviour::Refuse]);
     call(machine.outbound, &request("POST", "/writes/1", "w", "")).await;
+    let registered = "wharfquay_platform_calls_total{operation=\"register\",result=\"ok\"} 1";
+    eventually("the sidecar is in the directory", || {
+        machine.sidecar.metrics_text().contains(registered)
+    })
+    .await;
     let text = machine.sidecar.metrics_text();
     let expected = [
         "wharfquay_requests_total{result=\"Answered\",route=\"route-reads-\"}",
@@ -423,7 +428,7 @@
         "wharfquay_level 32768",
         "wharfquay_configuration_version 1",
         "wharfquay_members{state=\"alive\"} 1",
-        "wharfquay_platform_calls_total{operation=\"register\",result=\"ok\"} 1",
+        registered,
         "wharfquay_request_seconds_bucket",
         "wharfquay_retry_budget_tokens{service=\"shelf\"}",
     ];
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -104,6 +104,7 @@
         outbound: free_address(),
         inbound: free_address(),
         control: free_address(),
+        is_first_start: false,
         bounds: Bounds {
             stop_grace: Duration::from_millis(1_600),
             ..Bounds::default()
@@ -132,9 +133,20 @@
 
     /// As [`Self::start`], with a back end that sends no heartbeat.
     pub async fn start_silent(platform: &Arc<StandInPlatform>, name: &str, service: &str) -> Self {
+        Self::start_adjusted(platform, name, service, |_| {}).await
+    }
+
+    /// As [`Self::start_silent`], with other settings.
+    pub async fn start_adjusted(
+        platform: &Arc<StandInPlatform>,
+        name: &str,
+        service: &str,
+        adjust: impl Fn(&mut Settings),
+    ) -> Self {
         let backend = StandInBackend::start(&format!("{name}-1")).await;
         loop {
-            let settings = settings(name, service, &backend);
+            let mut settings = settings(name, service, &backend);
+            adjust(&mut settings);
             let addresses = (settings.outbound, settings.inbound, settings.control);
             let started = Sidecar::start(settings, dialect(), Arc::clone(platform)).await;
             match started {
--- a/crates/sidecar/tests/support/platform.rs
+++ b/crates/sidecar/tests/support/platform.rs
@@ -1,7 +1,7 @@
 //! A platform in memory, with faults.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 use wharfquay_sidecar::configuration::Configuration;
 use wharfquay_sidecar::instance::InstanceId;
 use wharfquay_sidecar::platform::{
-    ConfigurationReading, DirectoryEntry, Platform, PlatformError, Position,
+    ConfigurationReading, DirectoryEntry, Freshness, Platform, PlatformError, Position,
 };
 
 /// How long a watch waits for a change.
@@ -22,6 +22,10 @@
     directory: Arc<Mutex<BTreeMap<String, DirectoryEntry>>>,
     departures: Arc<Mutex<BTreeSet<String>>>,
     is_down: AtomicBool,
+    listings: Mutex<Vec<Freshness>>,
+    readings: Mutex<Vec<Freshness>>,
+    registrations: AtomicUsize,
+    lookups: AtomicUsize,
 }
 
 impl StandInPlatform {
@@ -31,6 +35,10 @@
             directory: Arc::default(),
             departures: Arc::default(),
             is_down: AtomicBool::new(false),
+            listings: Mutex::default(),
+            readings: Mutex::default(),
+            registrations: AtomicUsize::new(0),
+            lookups: AtomicUsize::new(0),
         }
     }
 
@@ -41,6 +49,10 @@
             directory: Arc::clone(&self.directory),
             departures: Arc::clone(&self.departures),
             is_down: AtomicBool::new(false),
+            listings: Mutex::default(),
+            readings: Mutex::default(),
+            registrations: AtomicUsize::new(0),
+            lookups: AtomicUsize::new(0),
         }
     }
 
@@ -54,6 +66,26 @@
         self.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// The listings of the directory that were asked for here.
+    pub fn listings(&self) -> Vec<Freshness> {
+        self.listings.lock().unwrap().clone()
+    }
+
+    /// The readings of the configuration that were asked for here.
+    pub fn readings(&self) -> Vec<Freshness> {
+        self.readings.lock().unwrap().clone()
+    }
+
+    /// Entries of the directory that were written from here.
+    pub fn registrations(&self) -> usize {
+        self.registrations.load(Ordering::Relaxed)
+    }
+
+    /// Questions about departures that were asked from here.
+    pub fn lookups(&self) -> usize {
+        self.lookups.load(Ordering::Relaxed)
+    }
+
     /// Marks an instance as an earlier process would have.
     pub fn mark_departed(&self, instance: &str) {
         self.departures.lock().unwrap().insert(instance.to_owned());
@@ -72,8 +104,12 @@
 }
 
 impl Platform for StandInPlatform {
-    async fn read_configuration(&self) -> Result<ConfigurationReading, PlatformError> {
+    async fn read_configuration(
+        &self,
+        freshness: Freshness,
+    ) -> Result<ConfigurationReading, PlatformError> {
         self.check()?;
+        self.readings.lock().unwrap().push(freshness);
         let configuration = self.configuration.borrow().clone();
         Ok(ConfigurationReading {
             position: Self::position(configuration.as_ref()),
@@ -102,13 +138,15 @@
 
     async fn register(&self, entry: &DirectoryEntry) -> Result<(), PlatformError> {
         self.check()?;
+        self.registrations.fetch_add(1, Ordering::Relaxed);
         let mut directory = self.directory.lock().unwrap();
         directory.insert(entry.id.clone(), entry.clone());
         Ok(())
     }
 
-    async fn directory(&self) -> Result<Vec<DirectoryEntry>, PlatformError> {
+    async fn directory(&self, freshness: Freshness) -> Result<Vec<DirectoryEntry>, PlatformError> {
         self.check()?;
+        self.listings.lock().unwrap().push(freshness);
         Ok(self.directory.lock().unwrap().values().cloned().collect())
     }
 
@@ -120,6 +158,7 @@
 
     async fn has_departed(&self, instance: &InstanceId) -> Result<bool, PlatformError> {
         self.check()?;
+        self.lookups.fetch_add(1, Ordering::Relaxed);
         Ok(self.departures.lock().unwrap().contains(instance.as_str()))
     }
 }
