--- a/crates/emulator/src/command/mod.rs
+++ b/crates/emulator/src/command/mod.rs
@@ -1,6 +1,5 @@
 //! The commands of `wharfquay-emulator`.
 
-mod hollow;
 mod layout;
 mod platform;
 mod wait;
@@ -15,7 +14,6 @@
 
 use crate::arguments::{ArgumentError, BAD_USE, Command};
 use crate::backend::{self, BackendSettings, RunningBackend};
-use crate::hollow::arguments as hollow_arguments;
 use crate::latency;
 use crate::latency::arguments::LatencyArguments;
 use crate::load::arguments::LoadArguments;
@@ -28,7 +26,6 @@
 
 Commands:
   backend    stand-in for a back end
-  hollow     many daemons without a call path, in one process
   latency    what the daemons add to a call
   layout     files from which a deployment is started as separate processes
   load       stand-in for callers
@@ -68,10 +65,6 @@
             Ok(arguments) => run_latency(arguments).await,
             Err(status) => status,
         },
-        "hollow" => match settle(hollow_arguments::parse(parser), hollow_arguments::USAGE) {
-            Ok(settings) => hollow::run(settings).await,
-            Err(status) => status,
-        },
         "layout" => match settle(layout::parse_arguments(parser), layout::USAGE) {
             Ok(arguments) => layout::run(&arguments),
             Err(status) => status,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod command;
 pub mod demo;
 pub mod experiment;
-pub mod hollow;
 pub mod latency;
 pub mod load;
 pub mod platform;
--- a/crates/emulator/src/simulator/control/measure.rs
+++ b/crates/emulator/src/simulator/control/measure.rs
@@ -126,7 +126,7 @@
     pub processor_micros_per_daemon_second: f64,
     /// Most memory that the process held, in bytes.
     pub peak_resident_bytes: u64,
-    /// The same divided by the number of daemons; parts that hollow daemons share count once.
+    /// The same divided by the number of daemons; parts that the daemons share count once.
     pub peak_resident_bytes_per_daemon: u64,
 }
 
