--- a/crates/sidecar/src/control/reader.rs
+++ b/crates/sidecar/src/control/reader.rs
@@ -39,7 +39,7 @@
 /// How the platform is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReadingMode {
-    /// Until there is a configuration, which may be seconds old: for a starting sidecar that knows nobody yet.
+    /// Until there is a configuration, which may be seconds old: for a sidecar that has just started.
     Once,
     /// The newest configuration and all that follow.
     Follow,
