--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -47,7 +47,7 @@
 
 events! {
     Started = "started", Info,
-        ["id", "zone", "service", "outbound", "inbound", "control", "backend"],
+        ["id", "zone", "service", "outbound", "inbound", "control", "backend", "first_start"],
         "The listeners are bound.";
     Ready = "ready", Info, ["version"], "The first configuration is in force and confirmed by peers.";
     Stopping = "stopping", Info, ["calls_in_flight"],
@@ -67,7 +67,7 @@
     ConfigurationOlderIgnored = "configuration_older_ignored", Debug, ["found", "in_force"],
         "The platform named a configuration that is older than the one in force.";
     StoreReader = "store_reader", Info, ["reading", "isolated"],
-        "This sidecar began or ceased to read the configuration from the platform.";
+        "How this sidecar reads the configuration from the platform from now on: `once` (until it has one, in its first 1.5 s), `follow`, `none`.";
     StoreLost = "store_lost", Warn, ["error"],
         "The platform can't be read; it is tried again with growing pauses.";
     StoreRegained = "store_regained", Info, ["after_ms"], "The platform can be read again.";
