Refuse calls that are meant for another sidecar

Between sidecars a call named its request kind only; a caller whose member list was seconds old sent it to an address that the sidecar of another service had taken over, and that gate handed it to its back end.

Change: the call context names the service and the sidecar that the caller means; the receiver compares both before anything else and answers Misaddressed (3014, not run). The caller leaves that endpoint alone for the hold of a leaving one and offers the call to another sidecar at once, without spending a retry. A context without the name is taken, so old and new processes work side by side.

Tests, both seen red with the comparison switched off: a_call_that_is_meant_for_another_is_refused_as_not_run, an_address_that_another_service_took_over_gets_no_call_of_the_earlier_one (1 call in place of 0).

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -125,6 +125,8 @@
     CancelledBeforeDispatch = 3012, NotRun, 499;
     /// The back end itself refused the call before it executed anything of it.
     RefusedByBackend = 3013, NotRun, 503;
+    /// The call reached another sidecar than the one that its caller meant: the address was taken over.
+    Misaddressed = 3014, NotRun, 503;
 
     /// The deadline passed after dispatch and before a whole answer.
     DeadlineAfterDispatch = 4001, Unknown, 504;
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -154,7 +154,8 @@
         | ResultCode::ConnectFailed
         | ResultCode::ClaimUnavailable
         | ResultCode::NotReady
-        | ResultCode::RefusedByBackend => Ok(Kind::Offer),
+        | ResultCode::RefusedByBackend
+        | ResultCode::Misaddressed => Ok(Kind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
         ResultCode::ConnectionLost | ResultCode::MalformedAnswer => repeat(question),
         ResultCode::ClaimUncertain | ResultCode::ClaimUndetermined => {
--- a/crates/protocol/src/context.rs
+++ b/crates/protocol/src/context.rs
@@ -37,6 +37,20 @@
 
 impl std::error::Error for DecodeError {}
 
+/// The sidecar that a call was sent to, as its sender knows it.
+///
+/// Addresses are used again: by the time a call arrives, another process may have the address. The
+/// receiver compares before it hands the call on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Callee {
+    /// Name of the service whose back end is to execute the call.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Identity of the sidecar beside that back end.
+    #[serde(rename = "n")]
+    pub sidecar: String,
+}
+
 /// A [`CallContext`] as it crosses a hop: the deadline is the time that remains, since clocks of two
 /// machines can't be compared.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +73,9 @@
     idempotency_key: Option<IdempotencyKey>,
     #[serde(rename = "d")]
     depth: u8,
+    /// Absent in calls of processes that don't name it.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    callee: Option<Callee>,
 }
 
 impl WireContext {
@@ -76,9 +93,23 @@
             repeatability: context.repeatability,
             idempotency_key: context.idempotency_key,
             depth: context.depth,
+            callee: None,
         }
     }
 
+    /// The same context, addressed to one sidecar.
+    #[must_use]
+    pub fn addressed_to(mut self, callee: Callee) -> Self {
+        self.callee = Some(callee);
+        self
+    }
+
+    /// The sidecar that the call was sent to, where the sender named it.
+    #[must_use]
+    pub const fn callee(&self) -> Option<&Callee> {
+        self.callee.as_ref()
+    }
+
     /// The context as the receiver holds it from `now` on.
     ///
     /// # Errors
--- a/crates/sidecar/src/inbound/handler.rs
+++ b/crates/sidecar/src/inbound/handler.rs
@@ -9,7 +9,7 @@
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_daemon::answer::{Failure, set_metadata, set_result};
 use wharfquay_daemon::body::AnswerBody;
-use wharfquay_protocol::context::WireContext;
+use wharfquay_protocol::context::{Callee, WireContext};
 use wharfquay_protocol::headers as names;
 
 use super::execution::{LocalExecutor, body_of};
@@ -19,11 +19,13 @@
 #[derive(Clone, Debug)]
 pub(crate) struct InboundHandler {
     executor: Arc<LocalExecutor>,
+    /// Identity of this sidecar.
+    own_id: String,
 }
 
 impl InboundHandler {
-    pub(crate) const fn new(executor: Arc<LocalExecutor>) -> Self {
-        Self { executor }
+    pub(crate) const fn new(executor: Arc<LocalExecutor>, own_id: String) -> Self {
+        Self { executor, own_id }
     }
 
     pub(crate) async fn handle(
@@ -31,16 +33,30 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Infallible> {
         let response = match self.read_context(&request) {
-            Some(context) => self.execute(context, request).await,
-            None => Failure::new(ResultCode::InvalidContext).into_response(),
+            Ok(context) => self.execute(context, request).await,
+            Err(code) => Failure::new(code).into_response(),
         };
         Ok(response)
     }
 
-    fn read_context(&self, request: &Request<Incoming>) -> Option<CallContext> {
-        let value = request.headers().get(names::CONTEXT)?;
-        let wire = WireContext::decode(value.as_bytes()).ok()?;
-        wire.into_context(self.executor.clock.now()).ok()
+    /// Reads the context of a call that is meant for this sidecar.
+    ///
+    /// # Errors
+    /// Why the call is refused; it was not run.
+    fn read_context(&self, request: &Request<Incoming>) -> Result<CallContext, ResultCode> {
+        let value = request.headers().get(names::CONTEXT);
+        let value = value.ok_or(ResultCode::InvalidContext)?;
+        let wire = WireContext::decode(value.as_bytes()).map_err(|_| ResultCode::InvalidContext)?;
+        if wire.callee().is_some_and(|callee| !self.is_meant(callee)) {
+            return Err(ResultCode::Misaddressed);
+        }
+        wire.into_context(self.executor.clock.now())
+            .map_err(|_| ResultCode::InvalidContext)
+    }
+
+    /// Whether a call was sent to this sidecar and its back end, not to an earlier owner of the address.
+    fn is_meant(&self, callee: &Callee) -> bool {
+        callee.service == self.executor.backend.service() && callee.sidecar == self.own_id
     }
 
     async fn execute(
--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -16,7 +16,7 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_answer};
 use wharfquay_protocol::answer::WireAnswer;
-use wharfquay_protocol::context::WireContext;
+use wharfquay_protocol::context::{Callee, WireContext};
 use wharfquay_protocol::headers as names;
 
 use crate::body::{Collected, collect, remove_length};
@@ -85,6 +85,7 @@
     clock: &Clock,
     head: &RequestHead,
     context: &CallContext,
+    callee: &Callee,
     body: RequestBody,
 ) -> AttemptEnd {
     let allowance = context.allowance;
@@ -93,7 +94,7 @@
         let Ok(mut lease) = pool.checkout().await else {
             return AttemptEnd::not_sent(allowance, Some(request.into_body()));
         };
-        if !write_context(&mut request, context, clock.now()) {
+        if !write_context(&mut request, context, callee, clock.now()) {
             return AttemptEnd::lost(ResultCode::MalformedRequest);
         }
         match lease.send(request).await {
@@ -111,9 +112,11 @@
 fn write_context(
     request: &mut Request<RequestBody>,
     context: &CallContext,
+    callee: &Callee,
     now: Timestamp,
 ) -> bool {
-    let encoded = WireContext::from_context(context, now).encode();
+    let wire = WireContext::from_context(context, now).addressed_to(callee.clone());
+    let encoded = wire.encode();
     let Ok(value) = HeaderValue::from_str(&encoded) else {
         return false;
     };
@@ -212,7 +215,10 @@
 
     fn note_unavailable(&self, now: Timestamp, code: ResultCode) {
         match code {
-            ResultCode::Draining => self.router.refused_as_leaving(now, &self.target.id),
+            // The member list still has to catch up with what the refusal says.
+            ResultCode::Draining | ResultCode::Misaddressed => {
+                self.router.refused_as_leaving(now, &self.target.id);
+            }
             // These may be over in a moment, as when a sidecar has just started.
             ResultCode::NoBackend
             | ResultCode::NotReady
@@ -273,5 +279,6 @@
             | ResultCode::NotReady
             | ResultCode::NoBackend
             | ResultCode::RefusedByBackend
+            | ResultCode::Misaddressed
     )
 }
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -18,6 +18,7 @@
 use wharfquay_daemon::body::{AnswerBody, RequestBody};
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
+use wharfquay_protocol::context::Callee;
 
 use super::attempt::{self, AttemptEnd, Flight, attempt_context};
 use super::peers::Peers;
@@ -267,8 +268,12 @@
         let end = if target.id == self.own_id {
             self.execute_locally(call, context, sent).await
         } else {
+            let callee = Callee {
+                service: call.service.clone(),
+                sidecar: target.id.as_str().to_owned(),
+            };
             let pool = self.peers.pool(target.address);
-            attempt::send(&pool, &self.clock, &call.head, &context, sent).await
+            attempt::send(&pool, &self.clock, &call.head, &context, &callee, sent).await
         };
         settle(&call.ledger, grant, &end);
         if let Some(metadata) = &end.metadata {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -190,6 +190,7 @@
             local: Arc::clone(&local),
             metrics: Arc::clone(&metrics),
         });
+        let inbound = InboundHandler::new(local, settings.id.clone());
         let handler = OutboundHandler {
             dialect,
             clock,
@@ -226,7 +227,7 @@
         let limits = sidecar.spawn_updates(routing, forwarder);
         let connection_settings = ConnectionSettings { limits, closing };
         spawn_outbound(listeners.outbound, counted, connection_settings);
-        spawn_inbound(listeners.inbound, InboundHandler::new(local));
+        spawn_inbound(listeners.inbound, inbound);
         spawn_control(listeners.control, inbox);
         sidecar.log_start();
         Ok(sidecar)
--- /dev/null
+++ b/crates/sidecar/tests/addressed_calls.rs
@@ -0,0 +1,122 @@
+//! A call is executed only by the sidecar that its caller meant, also where another one has its address now.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use support::client::{call, request};
+use support::platform::StandInPlatform;
+use support::{Machine, configuration, eventually, route};
+use wharfquay_core::call::{AttemptId, CallContext, OriginId, Repeatability, RetryAllowance};
+use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
+use wharfquay_core::time::Timestamp;
+use wharfquay_protocol::context::{Callee, WireContext};
+use wharfquay_sidecar::instance::{Acknowledgement, ReportedState};
+
+const DESK: &str = "/desk/";
+const SHELF: &str = "/shelf/";
+
+fn routes() -> wharfquay_sidecar::configuration::Configuration {
+    let routes = vec![route(DESK, "desk", false), route(SHELF, "shelf", false)];
+    configuration(1, routes)
+}
+
+/// A call between sidecars, addressed to `callee`.
+fn addressed_call(callee: Option<Callee>) -> String {
+    let context = CallContext {
+        origin: OriginId::from_u128(7),
+        attempt: AttemptId::new(1),
+        request_kind: "kind".to_owned(),
+        priority: Priority::HIGHEST,
+        deadline: Timestamp::ZERO + Duration::from_secs(2),
+        allowance: RetryAllowance::NONE,
+        repeatability: Repeatability::AtMostOnce,
+        idempotency_key: None,
+        depth: 1,
+    };
+    let wire = WireContext::from_context(&context, Timestamp::ZERO);
+    let wire = match callee {
+        Some(callee) => wire.addressed_to(callee),
+        None => wire,
+    };
+    let header = format!("wharfquay-context: {}\r\n", wire.encode());
+    request("POST", "/desk/1", "id-1", &header)
+}
+
+fn callee(service: &str, sidecar: &str) -> Option<Callee> {
+    Some(Callee {
+        service: service.to_owned(),
+        sidecar: sidecar.to_owned(),
+    })
+}
+
+#[tokio::test]
+async fn a_call_that_is_meant_for_another_is_refused_as_not_run() {
+    let platform = Arc::new(StandInPlatform::new(Some(routes())));
+    let machine = Machine::start(&platform, "machine-a", "desk").await;
+    machine.ready().await;
+    let misaddressed = ResultCode::Misaddressed.number().to_string();
+    let answered = ResultCode::Answered.number().to_string();
+    let cases = [
+        ("another service", callee("shelf", "machine-a"), &misaddressed),
+        ("another sidecar", callee("desk", "machine-z"), &misaddressed),
+        ("this one", callee("desk", "machine-a"), &answered),
+        ("a caller that names none", None, &answered),
+    ];
+    for (name, callee, expected) in cases {
+        let before = machine.backend.seen().len();
+        let answer = call(machine.inbound, &addressed_call(callee)).await;
+        let result = answer.header("wharfquay-result");
+        assert_eq!(result, Some(expected.as_str()), "{name}");
+        let ran = machine.backend.seen().len() > before;
+        assert_eq!(ran, *expected == answered, "{name}");
+    }
+}
+
+/// A sidecar ends without a word, and one of another service starts at its address while the callers' member
+/// lists still name the earlier owner.
+#[tokio::test]
+async fn an_address_that_another_service_took_over_gets_no_call_of_the_earlier_one() {
+    let platform = Arc::new(StandInPlatform::new(Some(routes())));
+    let caller = Machine::start(&platform, "machine-a", "shelf").await;
+    let stays = Machine::start(&platform, "machine-b", "desk").await;
+    let doomed = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let own_platform = Arc::clone(&platform);
+    let start = async move { Machine::start(&own_platform, "machine-c", "desk").await };
+    let ends = doomed.spawn(start).await.unwrap();
+    caller.ready().await;
+    eventually("all know each other", || {
+        let metrics = caller.sidecar.metrics_text();
+        metrics.contains("wharfquay_members{state=\"alive\"} 3")
+    })
+    .await;
+    let end = Instant::now() + support::PATIENCE;
+    while ends.backend.seen().is_empty() {
+        call(caller.outbound, &request("POST", "/desk/1", "before", "")).await;
+        assert!(Instant::now() < end, "machine-c never got a call");
+    }
+
+    let address = ends.inbound;
+    doomed.shutdown_background();
+    drop(ends);
+    let mut successor = Machine::start_adjusted(&platform, "machine-d", "shelf", |settings| {
+        settings.inbound = address;
+    })
+    .await;
+    let given = successor.beat(ReportedState::Ready).await;
+    assert_eq!(given, Acknowledgement::Given);
+    for number in 0..40 {
+        let id = format!("after-{number}");
+        let answer = call(caller.outbound, &request("POST", "/desk/2", &id, "")).await;
+        assert!([200, 502, 503].contains(&answer.status), "{}", answer.head);
+    }
+    assert_eq!(successor.backend.seen().len(), 0);
+    let served = stays.backend.seen().len();
+    assert!(served > 0, "the other sidecar of the service got nothing");
+}
