Decide at the edge for whole call trees, and count demand from what edges admitted

The level moves since a gate divides what arrives by the share that it admits now, though the edge decided 0.1 to 0.3 s earlier under another level.

Change: a call on behalf of a request in execution is no longer refused by any level (gate, router, path); the level that the edge applied travels in the context (absent while open), and a gate counts each arrival with the inverse of the share that was admitted then, so its estimate of the demand does not depend on the delay. Reported levels of a path count for 0.5 s, reopen over 4 s and the middle one decides, not the most open. Four calls may wait for each slot in place of two.

--- a/crates/core/src/admission/controller.rs
+++ b/crates/core/src/admission/controller.rs
@@ -31,6 +31,20 @@
     pub key: AdmissionKey,
     /// When its answer becomes worthless.
     pub deadline: Timestamp,
+    /// Whether work was spent on its originating request before.
+    pub standing: Standing,
+    /// Level that the originating request passed at its edge.
+    pub admitted_below: AdmissionLevel,
+}
+
+/// Whether refusing a call would waste work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// Nothing was done for the request yet; the admission level applies.
+    New,
+    /// The call is made on behalf of a request in execution. The admission level does not apply: the edge
+    /// has decided for the whole call tree.
+    InProgress,
 }
 
 /// How an execution ended.
@@ -148,11 +162,11 @@
             effects.push(self.refuse(now, &call, ResultCode::DeadlineUnreachable));
             return effects;
         }
-        if !self.level().admits(call.key) {
+        if call.standing == Standing::New && !self.level().admits(call.key) {
             effects.push(self.refuse(now, &call, ResultCode::RefusedByLevel));
             return effects;
         }
-        self.level.arrived(call.key);
+        self.level.arrived(&call);
         self.reserve.arrived(call.key);
         self.enqueue(now, call, patience, &mut effects);
         self.dispatch_waiting(now, &mut effects);
--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use crate::admission::controller::{OfferedCall, Standing};
 use crate::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use crate::time::Timestamp;
 
@@ -37,7 +38,8 @@
     next_adjustment: Timestamp,
     /// The level with a fraction, so that small steps add up.
     level: f64,
-    /// Calls that arrived below the level in this interval, by priority.
+    /// Calls that arrived in this interval by priority, each counted together with those like it that were
+    /// turned away on the path.
     arrived: [f64; Priority::COUNT],
     /// Calls per interval of each priority, those included that callers refuse early.
     offered: [f64; Priority::COUNT],
@@ -78,9 +80,18 @@
         self.next_adjustment
     }
 
-    /// Counts an arrival that the level admits.
-    pub fn arrived(&mut self, key: AdmissionKey) {
-        self.arrived[key.priority().index()] += 1.0;
+    /// Counts a call that passed the level, or that it does not apply to.
+    ///
+    /// Where a share of the requests like it was turned away, at its edge or here, it stands for those too:
+    /// so the estimate of the demand does not depend on how long ago the edge decided.
+    pub fn arrived(&mut self, call: &OfferedCall) {
+        let priority = call.key.priority();
+        let admitted_below = match call.standing {
+            Standing::New => call.admitted_below.fold(self.level()),
+            Standing::InProgress => call.admitted_below,
+        };
+        let share = admitted_below.admitted_share(priority);
+        self.arrived[priority.index()] += 1.0 / share.max(SMALLEST_SEEN_SHARE);
     }
 
     /// Counts a dispatched call.
@@ -118,26 +129,20 @@
         self.fade();
     }
 
-    /// Derives the calls of each priority from those below the level.
+    /// Takes the calls of this interval into the rate of each priority.
     fn estimate_offered(&mut self) {
-        for priority in 0..Priority::COUNT {
-            let share = self.admitted_share(priority);
-            let offered = &mut self.offered[priority];
-            if share < SMALLEST_SEEN_SHARE {
+        let level = self.level();
+        let priorities = (0..).map_while(Priority::new);
+        for ((offered, &seen), priority) in self.offered.iter_mut().zip(&self.arrived).zip(priorities) {
+            let is_shut_out = level.admitted_share(priority) < SMALLEST_SEEN_SHARE;
+            if is_shut_out && seen == 0.0 {
                 *offered *= UNSEEN_MEMORY;
             } else {
-                let seen = self.arrived[priority] / share;
                 *offered = *offered * MEMORY + seen * (1.0 - MEMORY);
             }
         }
     }
 
-    /// Share of a priority's keys that lies below the level.
-    fn admitted_share(&self, priority: usize) -> f64 {
-        let width = f64::from(Rank::COUNT);
-        ((self.level - priority as f64 * width) / width).clamp(0.0, 1.0)
-    }
-
     /// Calls per interval that the back end can take.
     fn capacity(&self) -> f64 {
         let dispatched = self.dispatched * (1.0 - MEMORY);
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,7 +15,7 @@
 mod reserve;
 
 pub use controller::{
-    AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall,
+    AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall, Standing,
 };
 pub use limit::LimitAlgorithm;
 pub use path::{PathLevels, Refusal, level_below};
--- a/crates/core/src/admission/path.rs
+++ b/crates/core/src/admission/path.rs
@@ -8,9 +8,9 @@
 use crate::time::Timestamp;
 
 /// Time for which a level that was heard stays in force as it is.
-const FRESH_FOR: Duration = Duration::from_millis(100);
+const FRESH_FOR: Duration = Duration::from_millis(500);
 /// Time after which a level that is not heard again has reopened fully.
-const REOPENED_AFTER: Duration = Duration::from_millis(1_100);
+const REOPENED_AFTER: Duration = Duration::from_millis(4_500);
 /// Shortest Retry-After of an early refusal.
 const MINIMUM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -52,16 +52,17 @@
             .retain(|_, other| heard.at.saturating_since(other.at) <= REOPENED_AFTER);
     }
 
-    /// The most open of the fresh levels; without any, the latest one, as far as it has reopened.
+    /// The middle one of the fresh levels; without any, the latest one, as far as it has reopened.
     fn level(&self, now: Timestamp) -> AdmissionLevel {
         let fresh = self
             .by_endpoint
             .values()
-            .filter(|heard| now.saturating_since(heard.at) <= FRESH_FOR)
-            .map(|heard| heard.level)
-            .max();
+            .filter(|heard| now.saturating_since(heard.at) <= FRESH_FOR);
+        let mut fresh: Vec<AdmissionLevel> = fresh.map(|heard| heard.level).collect();
+        fresh.sort_unstable();
+        let middle = fresh.get(fresh.len() / 2).copied();
         let latest = || self.latest.map(|heard| heard.level(now));
-        fresh.or_else(latest).unwrap_or(AdmissionLevel::OPEN)
+        middle.or_else(latest).unwrap_or(AdmissionLevel::OPEN)
     }
 }
 
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::priority::{AdmissionKey, Priority, Rank};
+use crate::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use crate::time::Timestamp;
 
 /// Identity of one originating request; every call of its tree carries it. A version 7 UUID.
@@ -130,6 +130,10 @@
     pub idempotency_key: Option<IdempotencyKey>,
     /// How many daemons the originating request crossed before this one; zero at the edge.
     pub depth: u8,
+    /// Level below which requests were admitted at the edge when the originating request came there;
+    /// open where its edge did not apply one. Callees learn from it how many requests like this one
+    /// were turned away.
+    pub admitted_below: AdmissionLevel,
 }
 
 impl CallContext {
--- a/crates/core/src/priority.rs
+++ b/crates/core/src/priority.rs
@@ -94,6 +94,8 @@
 pub struct AdmissionKey(u16);
 
 impl AdmissionKey {
+    /// The key that is refused last.
+    pub const FIRST: Self = Self(0);
     /// One more than the largest key.
     pub const COUNT: u16 = Priority::COUNT as u16 * Rank::COUNT;
 
@@ -155,6 +157,14 @@
         key.0 < self.0
     }
 
+    /// Share of the ranks of a priority that the level admits, 0.0 to 1.0.
+    #[must_use]
+    pub fn admitted_share(self, priority: Priority) -> f64 {
+        let width = f64::from(Rank::COUNT);
+        let first = f64::from(priority.0) * width;
+        ((f64::from(self.0) - first) / width).clamp(0.0, 1.0)
+    }
+
     /// The stricter of two levels: what a path through both admits.
     #[must_use]
     pub fn fold(self, other: Self) -> Self {
--- a/crates/core/tests/admission_controller.rs
+++ b/crates/core/tests/admission_controller.rs
@@ -109,6 +109,8 @@
             ticket: CallTicket(ticket),
             key: AdmissionKey::new(priority, Rank::from_number(rank)),
             deadline: self.now + Duration::from_micros(patience),
+            standing: Standing::New,
+            admitted_below: AdmissionLevel::OPEN,
         };
         let effects = self.controller.offer(self.now, call);
         self.take(&effects);
--- a/crates/core/tests/admission_decisions.rs
+++ b/crates/core/tests/admission_decisions.rs
@@ -22,6 +22,8 @@
         ticket: CallTicket(ticket),
         key: AdmissionKey::new(priority, rank),
         deadline,
+        standing: Standing::New,
+        admitted_below: AdmissionLevel::OPEN,
     }
 }
 
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -45,6 +45,8 @@
         ticket: CallTicket(ticket),
         key: AdmissionKey::new(priority, Rank::from_number(rank)),
         deadline: Timestamp::from_millis(1_000_000),
+        standing: Standing::New,
+        admitted_below: AdmissionLevel::OPEN,
     }
 }
 
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -12,7 +12,7 @@
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
-use wharfquay_core::priority::{Priority, Rank};
+use wharfquay_core::priority::{AdmissionLevel, Priority, Rank};
 use wharfquay_core::retry::Ledger;
 use wharfquay_protocol::headers as names;
 use wharfquay_resources::decision::{RequestFacts, Treatment};
@@ -178,6 +178,7 @@
             },
             idempotency_key,
             depth: 0,
+            admitted_below: AdmissionLevel::OPEN,
         })
     }
 }
--- a/crates/daemon/src/inbound/gate.rs
+++ b/crates/daemon/src/inbound/gate.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, oneshot};
 use wharfquay_core::admission::{
     AdmissionController, AdmissionEffect, AdmissionSettings, CallTicket, Cancellation, Completion,
-    Load, OfferedCall,
+    Load, OfferedCall, Standing,
 };
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
@@ -54,6 +54,35 @@
     }
 }
 
+/// A call that asks for admission.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Its position in the order of refusal.
+    pub key: AdmissionKey,
+    /// When its answer becomes worthless.
+    pub deadline: Timestamp,
+    /// Longest wait, in place of the settings' time.
+    pub patience: Option<Duration>,
+    /// Whether work was spent on its originating request before.
+    pub standing: Standing,
+    /// Level that the originating request passed at its edge.
+    pub admitted_below: AdmissionLevel,
+}
+
+impl Entry {
+    /// A call of a request of which nothing else is known.
+    #[must_use]
+    pub const fn new(key: AdmissionKey, deadline: Timestamp) -> Self {
+        Self {
+            key,
+            deadline,
+            patience: None,
+            standing: Standing::New,
+            admitted_below: AdmissionLevel::OPEN,
+        }
+    }
+}
+
 /// Load and level of the local back end.
 #[derive(Clone, Copy, Debug)]
 pub struct GateReport {
@@ -88,19 +117,14 @@
         key: AdmissionKey,
         deadline: Timestamp,
     ) -> Result<Permit, Failure> {
-        self.enter_within(key, deadline, None).await
+        self.enter_as(Entry::new(key, deadline)).await
     }
 
-    /// As [`Self::enter`], for a call that may wait for `patience` in place of the settings' time.
+    /// As [`Self::enter`], with what is known of the call's originating request.
     ///
     /// # Errors
     /// The refusal, in which case the call was not run.
-    pub async fn enter_within(
-        self: &Arc<Self>,
-        key: AdmissionKey,
-        deadline: Timestamp,
-        patience: Option<Duration>,
-    ) -> Result<Permit, Failure> {
+    pub async fn enter_as(self: &Arc<Self>, entry: Entry) -> Result<Permit, Failure> {
         let ticket = CallTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (sender, verdict) = oneshot::channel();
         let mut permit = Permit {
@@ -112,10 +136,12 @@
             state.waiting.insert(ticket, sender);
             let call = OfferedCall {
                 ticket,
-                key,
-                deadline,
+                key: entry.key,
+                deadline: entry.deadline,
+                standing: entry.standing,
+                admitted_below: entry.admitted_below,
             };
-            match patience {
+            match entry.patience {
                 Some(patience) => state.controller.offer_within(now, call, patience),
                 None => state.controller.offer(now, call),
             }
--- a/crates/daemon/src/outbound/handler.rs
+++ b/crates/daemon/src/outbound/handler.rs
@@ -9,7 +9,7 @@
 use wharfquay_core::admission::CallTicket;
 use wharfquay_core::call::{AttemptId, CallContext, OriginId, Repeatability, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
-use wharfquay_core::priority::Priority;
+use wharfquay_core::priority::{AdmissionLevel, Priority};
 use wharfquay_core::retry::Ledger;
 use wharfquay_protocol::headers as names;
 use wharfquay_resources::snapshot::Snapshot;
@@ -138,6 +138,7 @@
             },
             idempotency_key: None,
             depth: 0,
+            admitted_below: AdmissionLevel::OPEN,
         }
     }
 }
--- a/crates/emulator/src/simulator/call_path/engine/inbound.rs
+++ b/crates/emulator/src/simulator/call_path/engine/inbound.rs
@@ -89,6 +89,8 @@
             ticket: CallTicket(id.as_u64()),
             key: self.key_at(request, execution.service),
             deadline,
+            standing: Standing::New,
+            admitted_below: AdmissionLevel::OPEN,
         })
     }
 
--- a/crates/protocol/src/context.rs
+++ b/crates/protocol/src/context.rs
@@ -9,7 +9,7 @@
 use wharfquay_core::call::{
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
-use wharfquay_core::priority::Priority;
+use wharfquay_core::priority::{AdmissionLevel, Priority};
 use wharfquay_core::time::Timestamp;
 
 /// Longest header value that is decoded, in bytes.
@@ -73,6 +73,9 @@
     idempotency_key: Option<IdempotencyKey>,
     #[serde(rename = "d")]
     depth: u8,
+    /// Absent while nothing is turned away, and in calls of processes that don't tell it.
+    #[serde(rename = "l", default, skip_serializing_if = "is_open")]
+    admitted_below: AdmissionLevel,
     /// Absent in calls of processes that don't name it.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     callee: Option<Callee>,
@@ -93,6 +96,7 @@
             repeatability: context.repeatability,
             idempotency_key: context.idempotency_key,
             depth: context.depth,
+            admitted_below: context.admitted_below,
             callee: None,
         }
     }
@@ -126,6 +130,7 @@
             repeatability: self.repeatability,
             idempotency_key: self.idempotency_key,
             depth: self.depth,
+            admitted_below: self.admitted_below,
         })
     }
 
@@ -144,6 +149,11 @@
     }
 }
 
+/// Whether a level turns nothing away.
+fn is_open(level: &AdmissionLevel) -> bool {
+    *level == AdmissionLevel::OPEN
+}
+
 /// Encodes a small message as a header value: base64url of CBOR.
 pub(crate) fn encode_header<T: Serialize>(message: &T) -> String {
     let mut bytes = Vec::with_capacity(128);
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -23,9 +23,10 @@
         any::<bool>(),
         any::<Option<u128>>(),
         any::<u8>(),
+        any::<u16>(),
     )
         .prop_map(
-            |(origin, attempt, kind, priority, deadline, allowance, repeatable, key, depth)| {
+            |(origin, attempt, kind, priority, deadline, allowance, repeatable, key, depth, level)| {
                 CallContext {
                     origin: OriginId::from_u128(origin),
                     attempt: AttemptId::new(attempt),
@@ -40,6 +41,7 @@
                     },
                     idempotency_key: key.map(IdempotencyKey::from_u128),
                     depth,
+                    admitted_below: AdmissionLevel::new(level),
                 }
             },
         )
@@ -79,6 +81,7 @@
         repeatability: Repeatability::AtMostOnce,
         idempotency_key: Some(IdempotencyKey::from_u128(u128::MAX)),
         depth: u8::MAX,
+        admitted_below: AdmissionLevel::CLOSED,
     };
     let value = WireContext::from_context(&context, Timestamp::ZERO).encode();
     assert!(value.len() <= MAX_ENCODED_LENGTH, "{} bytes", value.len());
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -34,7 +34,10 @@
 /// Time for which a back end that accepts no connection gets no calls.
 const UNREACHABLE_HOLD: Duration = Duration::from_millis(100);
 /// Calls that may wait at the gate for each slot.
-const QUEUE_PER_SLOT: u32 = 2;
+const QUEUE_PER_SLOT: u32 = 4;
+/// Time between two adjustments of the admission level. What an edge admits arrives at the end of its call tree
+/// some 0.1 to 0.3 s later; the level is averaged over about three intervals, longer than that.
+const LEVEL_INTERVAL: Duration = Duration::from_millis(150);
 /// Longest wait at the gate.
 const LONGEST_QUEUE_WAIT: Duration = Duration::from_millis(100);
 
@@ -46,6 +49,7 @@
         maximum_limit: limit,
         queue_capacity: (limit * QUEUE_PER_SLOT) as usize,
         maximum_queue_wait: LONGEST_QUEUE_WAIT,
+        level_interval: LEVEL_INTERVAL,
         ..AdmissionSettings::default()
     }
 }
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use wharfquay_core::admission::{Completion, Load};
+use wharfquay_core::admission::{Completion, Load, Standing};
 use wharfquay_core::call::{CallContext, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::AdmissionLevel;
@@ -18,7 +18,7 @@
 use wharfquay_daemon::body::{AnswerBody, BodyEnd, BodyObserver, RequestBody};
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_answer};
-use wharfquay_daemon::inbound::gate::Permit;
+use wharfquay_daemon::inbound::gate::{Entry, Permit};
 use wharfquay_protocol::answer::WireAnswer;
 
 use super::answer::{Verdict, judge};
@@ -26,17 +26,18 @@
 use super::report::CallReport;
 use crate::body::{Collected, collect, remove_length};
 use crate::dialect::Dialect;
-use crate::importance;
 use crate::instance::InstanceId;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
 use crate::outbound::routing::Routing;
 use crate::scopes::{OpenScope, ScopeTable};
 
+/// Depth of a request at the back end that its caller sent it to.
+const DEPTH_OF_CALLERS: u8 = 1;
 /// Longest wait at the gate of a request that a caller sent.
 const NEW_PATIENCE: Duration = Duration::from_millis(100);
 /// Longest wait at the gate of a call on behalf of a request in execution.
-const BEGUN_PATIENCE: Duration = Duration::from_millis(400);
+const IN_PROGRESS_PATIENCE: Duration = Duration::from_millis(400);
 /// Connections that may prove closed before a byte was written, for one call.
 const CONNECTION_TRIES: usize = 3;
 /// Retry-After of a refusal because no instance can take work.
@@ -129,9 +130,7 @@
         report: &mut CallReport,
     ) -> (Result<Response<AnswerBody>, Failure>, RetryAllowance) {
         let allowance = context.allowance;
-        let patience = patience(&context);
-        let (key, deadline) = (context.admission_key(), context.deadline);
-        let entering = instance.gate.enter_within(key, deadline, Some(patience));
+        let entering = instance.gate.enter_as(entry(&context));
         let permit = match entering.await {
             Ok(permit) => permit,
             Err(failure) => return (Err(failure), allowance),
@@ -263,13 +262,20 @@
     }
 }
 
-/// Longest wait of a call at the gate. What is begun waits longer than what is new: a refusal of one of
-/// its calls wastes all that was done for it.
-fn patience(context: &CallContext) -> Duration {
-    if importance::is_begun(context) {
-        BEGUN_PATIENCE
+/// How a call asks for admission. One on behalf of a request in execution waits longer than a new one: a refusal
+/// would waste all that was done for the request.
+fn entry(context: &CallContext) -> Entry {
+    let (standing, patience) = if context.depth > DEPTH_OF_CALLERS {
+        (Standing::InProgress, IN_PROGRESS_PATIENCE)
     } else {
-        NEW_PATIENCE
+        (Standing::New, NEW_PATIENCE)
+    };
+    Entry {
+        key: context.admission_key(),
+        deadline: context.deadline,
+        patience: Some(patience),
+        standing,
+        admitted_below: context.admitted_below,
     }
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod control;
 pub mod dialect;
 pub mod events;
-pub mod importance;
 pub mod inbound;
 pub mod instance;
 pub mod log_output;
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -9,7 +9,7 @@
 use http::Response;
 use wharfquay_core::call::{CallContext, Repeatability};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
-use wharfquay_core::priority::AdmissionKey;
+use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
     Backoff, FailureLocation, GiveUpReason, Grant, Ledger, RetryDecision, RetryQuestion,
 };
@@ -24,7 +24,6 @@
 use super::peers::Peers;
 use super::report::RequestReport;
 use super::routing::{Routing, ServiceRouter, Target};
-use crate::importance;
 use crate::inbound::LocalExecutor;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
@@ -156,23 +155,16 @@
     }
 }
 
-/// The key by which the path below a call's service is asked. For a request of a caller that is the key
-/// which the calls made on its behalf will have, with a margin: what is begun should get through also
-/// when the level falls a little meanwhile.
-fn path_key(context: &CallContext) -> AdmissionKey {
+/// The key by which an endpoint's level is asked. A call on behalf of a request in execution goes to any endpoint
+/// that is not closed: the edge has decided for the whole call tree.
+fn routing_key(context: &CallContext) -> AdmissionKey {
     if context.depth > 0 {
-        return context.admission_key();
+        AdmissionKey::FIRST
+    } else {
+        context.admission_key()
     }
-    let inner = CallContext {
-        priority: importance::of_inner_calls(context),
-        ..context.clone()
-    };
-    inner.admission_key().lowered(BEGIN_MARGIN)
 }
 
-/// Keys below the level of the path that are kept free for work which has begun.
-const BEGIN_MARGIN: u16 = 256;
-
 /// Whether a failed attempt arrived at a back end, which counts it against the retry budget.
 fn reached_backend(code: ResultCode) -> bool {
     code == ResultCode::RefusedByBackend || code.outcome() != OutcomeClass::NotRun
@@ -202,15 +194,13 @@
         let router = self.routing.service(&call.service).ok_or_else(|| {
             Failure::with_retry_after(ResultCode::NoBackend, NO_ENDPOINT_RETRY_AFTER)
         })?;
-        let kind = &call.context.request_kind;
-        self.routing
-            .check_path(&call.service, kind, path_key(&call.context))?;
+        let admitted_below = self.admit_at_edge(call, &router)?;
         let mut attempts = Attempts::default();
         loop {
             let target = self
                 .pick(call, &router, &attempts)
                 .map_err(|failure| attempts.conclude(failure))?;
-            let failure = match self.attempt(call, &mut body, &router, &target).await {
+            let failure = match self.attempt(call, &mut body, &router, &target, admitted_below).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
@@ -231,6 +221,27 @@
         }
     }
 
+    /// Decides at the edge whether the whole call tree of a request is admitted, and gives the level that it
+    /// passed. Calls on behalf of a request in execution are not asked again.
+    ///
+    /// # Errors
+    /// The refusal of a request that the path would not serve.
+    fn admit_at_edge(
+        &self,
+        call: &OutgoingCall,
+        router: &ServiceRouter,
+    ) -> Result<AdmissionLevel, Failure> {
+        let context = &call.context;
+        if context.depth > 0 {
+            return Ok(context.admitted_below);
+        }
+        let key = context.admission_key();
+        let below = self
+            .routing
+            .check_path(&call.service, &context.request_kind, key)?;
+        Ok(below.fold(router.level(self.clock.now())))
+    }
+
     /// Picks an endpoint that was not tried; after an uncertain attempt also one that was.
     fn pick(
         &self,
@@ -242,7 +253,7 @@
         if call.context.remaining(now).is_zero() {
             return Err(Failure::new(ResultCode::DeadlineUnreachable));
         }
-        let key = call.context.admission_key();
+        let key = routing_key(&call.context);
         let picked = router.pick(now, key, &attempts.tried);
         if picked.is_err() && attempts.uncertain.is_some() {
             return router.pick(now, key, &[]);
@@ -256,6 +267,7 @@
         body: &mut CallBody,
         router: &Arc<ServiceRouter>,
         target: &Target,
+        admitted_below: AdmissionLevel,
     ) -> Result<Response<AnswerBody>, Failure> {
         let flight = Flight::new(router, target, self.clock);
         let started = self.clock.now();
@@ -263,7 +275,10 @@
             .for_attempt()
             .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
         let grant = lock(&call.ledger).grant(call.children);
-        let context = attempt_context(&call.context, self.clock.now(), grant.allowance());
+        let context = CallContext {
+            admitted_below,
+            ..attempt_context(&call.context, self.clock.now(), grant.allowance())
+        };
         call.progress.set(true);
         let end = if target.id == self.own_id {
             self.execute_locally(call, context, sent).await
@@ -320,7 +335,7 @@
         failure: Failure,
     ) -> Result<Duration, NoRetry> {
         let now = self.clock.now();
-        let key = call.context.admission_key();
+        let key = routing_key(&call.context);
         let sibling_available = body.can_repeat() && router.can_pick(now, key, &attempts.tried);
         if !reached_backend(failure.code) {
             return match sibling_available {
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use wharfquay_core::call::{AttemptId, CallContext, OriginId, Repeatability, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
-use wharfquay_core::priority::Priority;
+use wharfquay_core::priority::{AdmissionLevel, Priority};
 use wharfquay_core::retry::Ledger;
 use wharfquay_daemon::answer::Failure;
 use wharfquay_daemon::body::{AnswerBody, RequestBody};
@@ -21,7 +21,6 @@
 use super::report::RequestReport;
 use crate::configuration::{Route, RouteIndex};
 use crate::dialect::{Dialect, RequestLineage};
-use crate::importance;
 use crate::message::RequestHead;
 use crate::scopes::{Scope, ScopeTable};
 
@@ -179,8 +178,8 @@
         Ok((Admitted { call, parent }, body))
     }
 
-    /// What the call carries: a call of the back end has the rank of the request that it was made for and
-    /// the importance that follows from it, so that every hop decides alike about the whole chain.
+    /// What the call carries: a call of the back end has the priority and the rank of the request that it was
+    /// made for, so that every hop decides alike about the whole call tree.
     fn context(
         &self,
         route: &Route,
@@ -197,7 +196,6 @@
         match parent {
             Some(scope) => CallContext {
                 attempt: AttemptId::new(0),
-                priority: importance::of_inner_calls(&scope.context),
                 deadline: deadline.min(scope.context.deadline),
                 allowance: RetryAllowance::NONE,
                 repeatability,
@@ -210,12 +208,13 @@
                     origin,
                     attempt: AttemptId::new(0),
                     request_kind: route.name.clone(),
-                    priority: importance::of_request(priority, origin),
+                    priority,
                     deadline,
                     allowance: RetryAllowance::new(RETRIES_PER_REQUEST),
                     repeatability,
                     idempotency_key: None,
                     depth: 0,
+                    admitted_below: AdmissionLevel::OPEN,
                 }
             }
         }
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -300,21 +300,26 @@
         }
     }
 
-    /// Refuses a call that the path below its service would refuse.
+    /// Refuses a request that the path below its service is short of room for; else gives the level that it
+    /// passed.
     ///
     /// # Errors
-    /// The refusal, with the time after which the path may admit the call.
+    /// The refusal, with the time after which the path may admit the request.
     pub fn check_path(
         &self,
         service: &str,
         request_kind: &str,
         key: AdmissionKey,
-    ) -> Result<(), Failure> {
+    ) -> Result<AdmissionLevel, Failure> {
         let now = self.clock.now();
-        let admitted = lock(&self.levels).admits(now, service, request_kind, key);
-        admitted.map_err(|refusal| {
-            Failure::with_retry_after(ResultCode::RefusedByLevel, refusal.retry_after)
-        })
+        let levels = lock(&self.levels);
+        match levels.admits(now, service, request_kind, key) {
+            Ok(()) => Ok(levels.level(now, service, request_kind)),
+            Err(refusal) => {
+                let code = ResultCode::RefusedByLevel;
+                Err(Failure::with_retry_after(code, refusal.retry_after))
+            }
+        }
     }
 
     /// Notes what an answer says about the path below its endpoint.
--- a/crates/sidecar/tests/addressed_calls.rs
+++ b/crates/sidecar/tests/addressed_calls.rs
@@ -10,7 +10,7 @@
 use support::{Machine, configuration, eventually, route};
 use wharfquay_core::call::{AttemptId, CallContext, OriginId, Repeatability, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
-use wharfquay_core::priority::Priority;
+use wharfquay_core::priority::{AdmissionLevel, Priority};
 use wharfquay_core::time::Timestamp;
 use wharfquay_protocol::context::{Callee, WireContext};
 use wharfquay_sidecar::instance::{Acknowledgement, ReportedState};
@@ -35,6 +35,7 @@
         repeatability: Repeatability::AtMostOnce,
         idempotency_key: None,
         depth: 1,
+        admitted_below: AdmissionLevel::OPEN,
     };
     let wire = WireContext::from_context(&context, Timestamp::ZERO);
     let wire = match callee {
