Keep the bound on repeats where repeats arrive

Change: callers have no budget any more. The context says whether a call is a repeat, or made within one; the sidecar beside the back end counts first arrivals and repeats in a sliding window and admits a repeat only while repeats are below 0.85 of the ratio of first arrivals (RepeatRefused 3015, not run). The sum over all gates is the bound, for any spread, any number of callers and restarts, without a message. Calls below the highest priority use up to 0.6 of it. A call that the back end refused unexecuted is sent to it again, up to 8 times after pauses of 1 to 20 ms, out of the same window. retry_share and its test go; the metric wharfquay_retry_budget_tokens becomes wharfquay_repeats_left.

--- a/crates/core/src/admission/level.rs
+++ b/crates/core/src/admission/level.rs
@@ -139,7 +139,9 @@
     fn estimate_offered(&mut self) {
         let level = self.level();
         let priorities = (0..).map_while(Priority::new);
-        for ((offered, &seen), priority) in self.offered.iter_mut().zip(&self.arrived).zip(priorities) {
+        for ((offered, &seen), priority) in
+            self.offered.iter_mut().zip(&self.arrived).zip(priorities)
+        {
             let is_shut_out = level.admitted_share(priority) < SMALLEST_SEEN_SHARE;
             if is_shut_out && seen == 0.0 {
                 *offered *= UNSEEN_MEMORY;
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,7 +15,8 @@
 mod reserve;
 
 pub use controller::{
-    AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall, Standing,
+    AdmissionController, AdmissionEffect, CallTicket, Cancellation, Completion, Load, OfferedCall,
+    Standing,
 };
 pub use limit::LimitAlgorithm;
 pub use path::{PathLevels, Refusal, level_below};
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -134,6 +134,9 @@
     /// open where its edge did not apply one. Callees learn from it how many requests like this one
     /// were turned away.
     pub admitted_below: AdmissionLevel,
+    /// Whether an earlier attempt of this call, or of one that it is made for, may have arrived at a back
+    /// end. The called service's bound on repeats applies to it.
+    pub is_repeat: bool,
 }
 
 impl CallContext {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -127,6 +127,8 @@
     RefusedByBackend = 3013, NotRun, 503;
     /// The call reached another sidecar than the one that its caller meant: the address was taken over.
     Misaddressed = 3014, NotRun, 503;
+    /// The bound on repeats at the called service leaves no room for this one.
+    RepeatRefused = 3015, NotRun, 503;
 
     /// The deadline passed after dispatch and before a whole answer.
     DeadlineAfterDispatch = 4001, Unknown, 504;
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -155,7 +155,8 @@
         | ResultCode::ClaimUnavailable
         | ResultCode::NotReady
         | ResultCode::RefusedByBackend
-        | ResultCode::Misaddressed => Ok(Kind::Offer),
+        | ResultCode::Misaddressed
+        | ResultCode::RepeatRefused => Ok(Kind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
         ResultCode::ConnectionLost | ResultCode::MalformedAnswer => repeat(question),
         ResultCode::ClaimUncertain | ResultCode::ClaimUndetermined => {
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -6,6 +6,7 @@
 mod decide;
 mod ledger;
 mod split;
+mod window;
 
 pub use authorize::authorize;
 pub use backoff::Backoff;
@@ -13,3 +14,4 @@
 pub use decide::{FailureLocation, GiveUpReason, RetryDecision, RetryQuestion, decide};
 pub use ledger::{Grant, Ledger, Settlement};
 pub use split::AllowanceSplit;
+pub use window::RepeatWindow;
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -179,6 +179,7 @@
             idempotency_key,
             depth: 0,
             admitted_below: AdmissionLevel::OPEN,
+            is_repeat: false,
         })
     }
 }
--- a/crates/protocol/src/context.rs
+++ b/crates/protocol/src/context.rs
@@ -76,6 +76,9 @@
     /// Absent while nothing is turned away, and in calls of processes that don't tell it.
     #[serde(rename = "l", default, skip_serializing_if = "is_open")]
     admitted_below: AdmissionLevel,
+    /// Absent in first attempts, and in calls of processes that don't tell it.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    is_repeat: bool,
     /// Absent in calls of processes that don't name it.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     callee: Option<Callee>,
@@ -97,6 +100,7 @@
             idempotency_key: context.idempotency_key,
             depth: context.depth,
             admitted_below: context.admitted_below,
+            is_repeat: context.is_repeat,
             callee: None,
         }
     }
@@ -131,6 +135,7 @@
             idempotency_key: self.idempotency_key,
             depth: self.depth,
             admitted_below: self.admitted_below,
+            is_repeat: self.is_repeat,
         })
     }
 
@@ -154,6 +159,11 @@
     *level == AdmissionLevel::OPEN
 }
 
+/// Whether a mark can be left out.
+fn is_false(mark: &bool) -> bool {
+    !*mark
+}
+
 /// Encodes a small message as a header value: base64url of CBOR.
 pub(crate) fn encode_header<T: Serialize>(message: &T) -> String {
     let mut bytes = Vec::with_capacity(128);
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -26,7 +26,18 @@
         any::<u16>(),
     )
         .prop_map(
-            |(origin, attempt, kind, priority, deadline, allowance, repeatable, key, depth, level)| {
+            |(
+                origin,
+                attempt,
+                kind,
+                priority,
+                deadline,
+                allowance,
+                repeatable,
+                key,
+                depth,
+                level,
+            )| {
                 CallContext {
                     origin: OriginId::from_u128(origin),
                     attempt: AttemptId::new(attempt),
@@ -42,6 +53,7 @@
                     idempotency_key: key.map(IdempotencyKey::from_u128),
                     depth,
                     admitted_below: AdmissionLevel::new(level),
+                    is_repeat: level.is_multiple_of(2),
                 }
             },
         )
@@ -82,6 +94,7 @@
         idempotency_key: Some(IdempotencyKey::from_u128(u128::MAX)),
         depth: u8::MAX,
         admitted_below: AdmissionLevel::CLOSED,
+        is_repeat: true,
     };
     let value = WireContext::from_context(&context, Timestamp::ZERO).encode();
     assert!(value.len() <= MAX_ENCODED_LENGTH, "{} bytes", value.len());
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -8,6 +8,8 @@
 use http::{Request, StatusCode};
 use tokio_util::task::AbortOnDropHandle;
 use wharfquay_core::admission::AdmissionSettings;
+use wharfquay_core::priority::Priority;
+use wharfquay_core::retry::RepeatWindow;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::backend_pool::BackendPool;
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
@@ -18,6 +20,7 @@
 use crate::configuration::Service;
 use crate::dialect::{Dialect, text};
 use crate::instance::InstanceId;
+use crate::settings::RetryBounds;
 
 /// Executions at a time before an instance has said how many slots it has.
 const FIRST_SLOTS: u32 = 12;
@@ -70,6 +73,7 @@
     clock: Clock,
     configured: Mutex<Configured>,
     instance: Mutex<Option<Arc<OpenInstance>>>,
+    repeats: Mutex<RepeatWindow>,
 }
 
 /// The instance that gets work, with its gate and connections.
@@ -117,12 +121,19 @@
 impl LocalBackend {
     /// A back end of which no instance is known.
     #[must_use]
-    pub fn new(service: &str, address: SocketAddr, dialect: Dialect, clock: Clock) -> Arc<Self> {
+    pub fn new(
+        service: &str,
+        address: SocketAddr,
+        dialect: Dialect,
+        clock: Clock,
+        retries: RetryBounds,
+    ) -> Arc<Self> {
         Arc::new(Self {
             service: service.to_owned(),
             address,
             dialect,
             clock,
+            repeats: Mutex::new(RepeatWindow::new(retries.ratio, retries.window)),
             configured: Mutex::new(Configured {
                 health_path: None,
                 connections: FIRST_CONNECTIONS,
@@ -137,6 +148,23 @@
         &self.service
     }
 
+    /// Counts a call that is sent to the back end for the first time.
+    pub fn first_arrival(&self) {
+        lock(&self.repeats).first_arrival(self.clock.now());
+    }
+
+    /// Counts a repeated call and lets it pass, if the bound on repeats leaves room for it.
+    #[must_use]
+    pub fn admit_repeat(&self, priority: Priority) -> bool {
+        lock(&self.repeats).admit_repeat(self.clock.now(), priority)
+    }
+
+    /// Repeats that the back end may still get now.
+    #[must_use]
+    pub fn repeats_left(&self) -> u64 {
+        lock(&self.repeats).left(self.clock.now())
+    }
+
     /// Takes over what the configuration says of the service.
     pub fn configure(&self, service: &Service) {
         let connections = usable_connections(service.connections);
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -13,6 +13,7 @@
 use wharfquay_core::call::{CallContext, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::AdmissionLevel;
+use wharfquay_core::retry::Backoff;
 use wharfquay_daemon::answer::Failure;
 use wharfquay_daemon::backend_pool::{BackendError, Lease, SendError};
 use wharfquay_daemon::body::{AnswerBody, BodyEnd, BodyObserver, RequestBody};
@@ -40,6 +41,13 @@
 const IN_PROGRESS_PATIENCE: Duration = Duration::from_millis(400);
 /// Connections that may prove closed before a byte was written, for one call.
 const CONNECTION_TRIES: usize = 3;
+/// Times that a call which the back end refused unexecuted is sent to it again at most.
+const MOST_REPEATED_SENDS: u32 = 8;
+/// Pauses before these: short, since the call holds its slot meanwhile.
+const SEND_BACKOFF: Backoff = Backoff {
+    base: Duration::from_millis(1),
+    maximum: Duration::from_millis(20),
+};
 /// Retry-After of a refusal because no instance can take work.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-After of a call that the back end itself refused.
@@ -163,6 +171,45 @@
         request_id: &str,
         head: &RequestHead,
         body: RequestBody,
+    ) -> Result<Answered, Failure> {
+        if context.is_repeat {
+            if !self.backend.admit_repeat(context.priority) {
+                let code = ResultCode::RepeatRefused;
+                return Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER));
+            }
+        } else {
+            self.backend.first_arrival();
+        }
+        let is_empty = matches!(body, RequestBody::Held(None));
+        let mut body = Some(body);
+        let mut sends = 0;
+        loop {
+            let sent = body.take().unwrap_or(RequestBody::Held(None));
+            let result = self.send(instance, context, request_id, head, sent).await;
+            let was_refused =
+                matches!(&result, Err(failure) if failure.code == ResultCode::RefusedByBackend);
+            if !was_refused || !is_empty || instance.is_leaving() || sends >= MOST_REPEATED_SENDS {
+                return result;
+            }
+            let wait = SEND_BACKOFF.delay(sends, &mut rand::rng());
+            if context.remaining(self.clock.now()) <= wait
+                || !self.backend.admit_repeat(context.priority)
+            {
+                return result;
+            }
+            sends += 1;
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Sends the call to the back end once and reads its answer.
+    async fn send(
+        &self,
+        instance: &OpenInstance,
+        context: &CallContext,
+        request_id: &str,
+        head: &RequestHead,
+        body: RequestBody,
     ) -> Result<Answered, Failure> {
         let mut request = head.to_request(body);
         self.address_to(instance, request.headers_mut());
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -77,8 +77,8 @@
         "Log lines, by whether they were written or dropped",
     ),
     (
-        "wharfquay_retry_budget_tokens",
-        "Retries that the budget towards a service bears now, by service",
+        "wharfquay_repeats_left",
+        "Repeated calls that the local back end may still get now under the bound on repeats",
     ),
 ];
 
@@ -99,8 +99,8 @@
     pub is_ready: bool,
     /// Lines written and dropped.
     pub log_lines: (u64, u64),
-    /// Whole retries left, by service.
-    pub retry_budgets: Vec<(String, i64)>,
+    /// Repeated calls that the local back end may still get.
+    pub repeats_left: u64,
 }
 
 /// The metrics of one sidecar.
@@ -121,7 +121,7 @@
     members: IntGaugeVec,
     ready: IntGauge,
     log_lines: IntGaugeVec,
-    retry_budgets: IntGaugeVec,
+    repeats_left: IntGauge,
 }
 
 /// Registers metrics that the catalogue describes.
@@ -199,7 +199,7 @@
             members: registrar.gauges("wharfquay_members", &["state"])?,
             ready: registrar.gauge("wharfquay_ready")?,
             log_lines: registrar.gauges("wharfquay_log_lines_total", &["fate"])?,
-            retry_budgets: registrar.gauges("wharfquay_retry_budget_tokens", &["service"])?,
+            repeats_left: registrar.gauge("wharfquay_repeats_left")?,
             registry: registrar.0,
         })
     }
@@ -274,10 +274,7 @@
         for (fate, lines) in [("written", written), ("dropped", dropped)] {
             self.log_lines.with_label_values(&[fate]).set(signed(lines));
         }
-        for (service, tokens) in &gauges.retry_budgets {
-            let gauge = self.retry_budgets.with_label_values(&[service.as_str()]);
-            gauge.set(*tokens);
-        }
+        self.repeats_left.set(signed(gauges.repeats_left));
     }
 }
 
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -11,7 +11,7 @@
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
-    Backoff, FailureLocation, GiveUpReason, Grant, Ledger, RetryDecision, RetryQuestion,
+    Backoff, FailureLocation, GiveUpReason, Grant, Ledger, RetryDecision, RetryQuestion, decide,
 };
 use wharfquay_core::routing::EndpointId;
 use wharfquay_daemon::answer::Failure;
@@ -200,7 +200,17 @@
             let target = self
                 .pick(call, &router, &attempts)
                 .map_err(|failure| attempts.conclude(failure))?;
-            let failure = match self.attempt(call, &mut body, &router, &target, admitted_below).await {
+            let failure = match self
+                .attempt(
+                    call,
+                    &mut body,
+                    &router,
+                    &target,
+                    admitted_below,
+                    attempts.arrivals > 0,
+                )
+                .await
+            {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
@@ -268,6 +278,7 @@
         router: &Arc<ServiceRouter>,
         target: &Target,
         admitted_below: AdmissionLevel,
+        is_repeat: bool,
     ) -> Result<Response<AnswerBody>, Failure> {
         let flight = Flight::new(router, target, self.clock);
         let started = self.clock.now();
@@ -277,6 +288,7 @@
         let grant = lock(&call.ledger).grant(call.children);
         let context = CallContext {
             admitted_below,
+            is_repeat: call.context.is_repeat || is_repeat,
             ..attempt_context(&call.context, self.clock.now(), grant.allowance())
         };
         call.progress.set(true);
@@ -347,9 +359,6 @@
         if attempts.arrivals >= call.max_attempts {
             return Err(NoRetry::AttemptsSpent);
         }
-        if failure.code == ResultCode::RefusedByBackend && !router.charge(now) {
-            return Err(NoRetry::GivenUp(GiveUpReason::BudgetSpent));
-        }
         let mut ledger = lock(&call.ledger);
         let question = RetryQuestion {
             now,
@@ -359,12 +368,14 @@
             repeatability: effective_repeatability(call, body),
             sibling_available,
             allowance: ledger.remaining(),
+            // The called service keeps the bound on repeats where they arrive.
             budget_available: true,
             backoff: Backoff::default().delay(attempts.arrivals, &mut rand::rng()),
             expected_latency: Duration::ZERO,
         };
-        match router.authorize(&question, &mut ledger) {
-            RetryDecision::Retry { after } => Ok(after),
+        match decide(&question) {
+            RetryDecision::Retry { after } if ledger.try_spend_retry() => Ok(after),
+            RetryDecision::Retry { .. } => Err(NoRetry::GivenUp(GiveUpReason::AllowanceSpent)),
             RetryDecision::GiveUp(reason) => Err(NoRetry::GivenUp(reason)),
         }
     }
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -215,6 +215,7 @@
                     idempotency_key: None,
                     depth: 0,
                     admitted_below: AdmissionLevel::OPEN,
+                    is_repeat: false,
                 }
             }
         }
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -7,11 +7,8 @@
 use std::time::Duration;
 
 use wharfquay_core::admission::{PathLevels, level_below};
-use wharfquay_core::outcome::{OutcomeClass, ResultCode};
+use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
-use wharfquay_core::retry::{
-    BudgetSettings, DestinationBudget, Ledger, RetryDecision, RetryQuestion, authorize,
-};
 use wharfquay_core::routing::{
     Endpoint, EndpointId, EndpointState, Observation, Pick, PickRequest, Router, RouterSettings,
     Zone,
@@ -24,16 +21,10 @@
 use wharfquay_membership::table::MemberTable;
 use wharfquay_protocol::answer::WireAnswer;
 
-use crate::settings::RetryBounds;
-
 /// Executions at a time that an endpoint is taken to bear before it has reported its limit.
 const ASSUMED_SLOTS: u32 = 16;
 /// Time for which an endpoint that refused as leaving gets nothing.
 const LEAVING_HOLD: Duration = Duration::from_millis(700);
-/// Hops among which the bound on repeats is divided: repeats at each hop of a chain add up at its end.
-const HOPS: f64 = 5.0;
-/// Most retries that one sidecar may save up towards one service.
-const LARGEST_CAPACITY: f64 = 3.0;
 /// Request kinds whose called services are remembered.
 const REMEMBERED_KINDS: usize = 1_024;
 
@@ -55,7 +46,6 @@
 #[derive(Debug)]
 struct RouterState {
     router: Router,
-    budget: DestinationBudget,
     addresses: HashMap<EndpointId, SocketAddr>,
     /// What the router was built from.
     listed: Vec<ListedMember>,
@@ -91,22 +81,6 @@
     }
 }
 
-/// The part of the bounds on repeats that one of `sidecars` sidecars may use towards one service.
-///
-/// The ratio holds in sum whatever the spread of requests, since each sidecar's retries follow its own
-/// successes. What is allowed beside it is divided by the number of sidecars.
-#[must_use]
-pub fn retry_share(bounds: &RetryBounds, sidecars: usize) -> BudgetSettings {
-    let sidecars = sidecars.max(1) as f64;
-    let extra = bounds.extra / sidecars;
-    let window = bounds.window.as_secs_f64().max(1.0);
-    BudgetSettings {
-        ratio: bounds.ratio / HOPS,
-        floor_per_second: extra / window / HOPS / 2.0,
-        capacity: extra.clamp(1.0, LARGEST_CAPACITY) as u32,
-    }
-}
-
 fn router_settings() -> RouterSettings {
     RouterSettings {
         warm_up: Duration::ZERO,
@@ -116,21 +90,16 @@
 }
 
 impl ServiceRouter {
-    fn new(zone: &Zone, budget: BudgetSettings, now: Timestamp) -> Self {
+    fn new(zone: &Zone) -> Self {
         Self {
             state: Mutex::new(RouterState {
                 router: Router::new(router_settings(), zone.clone()),
-                budget: DestinationBudget::with_settings(budget, now),
                 addresses: HashMap::new(),
                 listed: Vec::new(),
             }),
         }
     }
 
-    fn set_budget(&self, now: Timestamp, budget: BudgetSettings) {
-        lock(&self.state).budget.reconfigure(budget, now);
-    }
-
     /// Picks an endpoint and counts the attempt there.
     ///
     /// # Errors
@@ -169,11 +138,7 @@
 
     /// Takes in the end of an attempt.
     pub fn observe(&self, now: Timestamp, endpoint: &EndpointId, seen: Observation) {
-        let mut state = lock(&self.state);
-        if seen.outcome == OutcomeClass::Run {
-            state.budget.record_success(now);
-        }
-        state.router.observe(now, endpoint, seen);
+        lock(&self.state).router.observe(now, endpoint, seen);
     }
 
     /// Takes in the end of an attempt that says nothing about the endpoint.
@@ -191,17 +156,6 @@
         lock(&self.state).router.connection_refused(now, endpoint);
     }
 
-    /// Pays for an arrival at another back end after one that was refused; false when the budget is
-    /// exhausted.
-    pub fn charge(&self, now: Timestamp) -> bool {
-        lock(&self.state).budget.try_withdraw(now)
-    }
-
-    /// Decides on a retry and pays for it.
-    pub fn authorize(&self, question: &RetryQuestion, ledger: &mut Ledger) -> RetryDecision {
-        authorize(question, ledger, &mut lock(&self.state).budget)
-    }
-
     /// Takes over the members of the service; does nothing when none of them changed.
     fn set_members(&self, now: Timestamp, members: &[&Member]) {
         let listed = members.iter().map(|member| ListedMember::of(member));
@@ -233,7 +187,6 @@
 pub struct Routing {
     clock: Clock,
     zone: Zone,
-    retries: RetryBounds,
     services: RwLock<HashMap<String, Arc<ServiceRouter>>>,
     levels: Mutex<PathLevels>,
     /// Services that executions of a request kind at the local back end were seen to call.
@@ -243,11 +196,10 @@
 impl Routing {
     /// Routing that knows no service.
     #[must_use]
-    pub fn new(clock: Clock, zone: &str, retries: RetryBounds) -> Arc<Self> {
+    pub fn new(clock: Clock, zone: &str) -> Arc<Self> {
         Arc::new(Self {
             clock,
             zone: Zone::from(zone),
-            retries,
             services: RwLock::default(),
             levels: Mutex::default(),
             called: Mutex::default(),
@@ -260,22 +212,9 @@
         services.get(name).cloned()
     }
 
-    /// Whole retries that the budget towards each service bears now.
-    pub fn retry_budgets(&self) -> Vec<(String, i64)> {
-        let now = self.clock.now();
-        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
-        let budgets = services.iter().map(|(name, router)| {
-            let tokens = lock(&router.state).budget.tokens(now);
-            (name.clone(), i64::try_from(tokens).unwrap_or(i64::MAX))
-        });
-        budgets.collect()
-    }
-
     /// Takes over the members that are known. Calls go on meanwhile.
     pub fn update(&self, table: &MemberTable) {
         let now = self.clock.now();
-        let sidecars = table.members().filter(|member| member.is_live()).count();
-        let budget = retry_share(&self.retries, sidecars);
         let mut by_service: HashMap<&str, Vec<&Member>> = HashMap::new();
         for member in table.members().filter(|member| member.is_live()) {
             if let Some(service) = &member.profile.service {
@@ -289,8 +228,7 @@
         for (name, members) in &by_service {
             let router = services
                 .entry((*name).to_owned())
-                .or_insert_with(|| Arc::new(ServiceRouter::new(&self.zone, budget, now)));
-            router.set_budget(now, budget);
+                .or_insert_with(|| Arc::new(ServiceRouter::new(&self.zone)));
             router.set_members(now, members);
         }
         for (name, router) in services.iter() {
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -87,7 +87,6 @@
     settings: Settings,
     registry: Arc<Registry<Metered<P>>>,
     metrics: Arc<Metrics>,
-    routing: Arc<Routing>,
     started_at: Instant,
     configured_at: Mutex<Instant>,
     backend: Arc<LocalBackend>,
@@ -156,15 +155,20 @@
         );
         tokio::spawn(control.run());
 
-        let backend =
-            LocalBackend::new(&settings.service, settings.backend, dialect.clone(), clock);
+        let backend = LocalBackend::new(
+            &settings.service,
+            settings.backend,
+            dialect.clone(),
+            clock,
+            settings.bounds.retries,
+        );
         let registry = Registry::new(
             platform,
             Arc::clone(&backend),
             clock,
             settings.is_first_start,
         );
-        let routing = Routing::new(clock, &settings.zone, settings.bounds.retries);
+        let routing = Routing::new(clock, &settings.zone);
         let scopes = Arc::new(ScopeTable::default());
         let stopping = Arc::new(AtomicBool::new(false));
         let refusing = Arc::new(AtomicBool::new(false));
@@ -207,7 +211,6 @@
         let sidecar = Arc::new(Self {
             settings,
             metrics,
-            routing: Arc::clone(&routing),
             started_at: Instant::now(),
             configured_at: Mutex::new(Instant::now()),
             registry,
@@ -272,7 +275,7 @@
             members: count_members(&self.members.borrow()),
             is_ready: self.is_ready(),
             log_lines: (lines.written(), lines.dropped()),
-            retry_budgets: self.routing.retry_budgets(),
+            repeats_left: self.backend.repeats_left(),
         })
     }
 
--- a/crates/sidecar/tests/addressed_calls.rs
+++ b/crates/sidecar/tests/addressed_calls.rs
@@ -36,6 +36,7 @@
         idempotency_key: None,
         depth: 1,
         admitted_below: AdmissionLevel::OPEN,
+        is_repeat: false,
     };
     let wire = WireContext::from_context(&context, Timestamp::ZERO);
     let wire = match callee {
@@ -61,8 +62,16 @@
     let misaddressed = ResultCode::Misaddressed.number().to_string();
     let answered = ResultCode::Answered.number().to_string();
     let cases = [
-        ("another service", callee("shelf", "machine-a"), &misaddressed),
-        ("another sidecar", callee("desk", "machine-z"), &misaddressed),
+        (
+            "another service",
+            callee("shelf", "machine-a"),
+            &misaddressed,
+        ),
+        (
+            "another sidecar",
+            callee("desk", "machine-z"),
+            &misaddressed,
+        ),
         ("this one", callee("desk", "machine-a"), &answered),
         ("a caller that names none", None, &answered),
     ];
--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -430,7 +430,7 @@
         "wharfquay_members{state=\"alive\"} 1",
         registered,
         "wharfquay_request_seconds_bucket",
-        "wharfquay_retry_budget_tokens{service=\"shelf\"}",
+        "wharfquay_repeats_left",
     ];
     for line in expected {
         assert!(text.contains(line), "{line} is missing in:\n{text}");
