Let each user of path levels say how long they count

Cause: goodput_and_recovery_hold of the surge experiment was red (lagos, factor 8: no recovery found): the product's own daemon took the slower reopening of path levels that was chosen for the sidecar. After: the seven tests of surge_experiment and those of the core pass.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -19,6 +19,6 @@
     Standing,
 };
 pub use limit::LimitAlgorithm;
-pub use path::{PathLevels, Refusal, level_below};
+pub use path::{PathLevels, PathTiming, Refusal, level_below};
 pub use queue::QueueDiscipline;
 pub use settings::AdmissionSettings;
--- a/crates/core/src/admission/path.rs
+++ b/crates/core/src/admission/path.rs
@@ -7,10 +7,6 @@
 use crate::priority::{AdmissionKey, AdmissionLevel};
 use crate::time::Timestamp;
 
-/// Time for which a level that was heard stays in force as it is.
-const FRESH_FOR: Duration = Duration::from_millis(500);
-/// Time after which a level that is not heard again has reopened fully.
-const REOPENED_AFTER: Duration = Duration::from_millis(4_500);
 /// Shortest Retry-After of an early refusal.
 const MINIMUM_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -30,10 +26,29 @@
     pub retry_after: Duration,
 }
 
+/// How long reported levels count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PathTiming {
+    /// Time for which a level that was reported stays in force as it is.
+    pub fresh_for: Duration,
+    /// Time after which a level that is not reported again has reopened fully.
+    pub reopened_after: Duration,
+}
+
+impl Default for PathTiming {
+    fn default() -> Self {
+        Self {
+            fresh_for: Duration::from_millis(100),
+            reopened_after: Duration::from_millis(1_100),
+        }
+    }
+}
+
 /// Folded levels heard from callees, per service and request kind. A level that isn't heard again
 /// reopens with time, so that an idle path is tried again.
 #[derive(Clone, Debug, Default)]
 pub struct PathLevels {
+    timing: PathTiming,
     heard: HashMap<String, HashMap<String, HeardLevels>>,
 }
 
@@ -45,23 +60,23 @@
 }
 
 impl HeardLevels {
-    fn observe(&mut self, endpoint: &str, heard: Heard) {
+    fn observe(&mut self, timing: PathTiming, endpoint: &str, heard: Heard) {
         self.latest = Some(heard);
         *entry(&mut self.by_endpoint, endpoint) = heard;
         self.by_endpoint
-            .retain(|_, other| heard.at.saturating_since(other.at) <= REOPENED_AFTER);
+            .retain(|_, other| heard.at.saturating_since(other.at) <= timing.reopened_after);
     }
 
     /// The middle one of the fresh levels; without any, the latest one, as far as it has reopened.
-    fn level(&self, now: Timestamp) -> AdmissionLevel {
+    fn level(&self, timing: PathTiming, now: Timestamp) -> AdmissionLevel {
         let fresh = self
             .by_endpoint
             .values()
-            .filter(|heard| now.saturating_since(heard.at) <= FRESH_FOR);
+            .filter(|heard| now.saturating_since(heard.at) <= timing.fresh_for);
         let mut fresh: Vec<AdmissionLevel> = fresh.map(|heard| heard.level).collect();
         fresh.sort_unstable();
         let middle = fresh.get(fresh.len() / 2).copied();
-        let latest = || self.latest.map(|heard| heard.level(now));
+        let latest = || self.latest.map(|heard| heard.level(timing, now));
         middle.or_else(latest).unwrap_or(AdmissionLevel::OPEN)
     }
 }
@@ -79,13 +94,13 @@
 
 impl Heard {
     /// The level at `now`: as heard while fresh, then rising in proportion to time.
-    fn level(&self, now: Timestamp) -> AdmissionLevel {
+    fn level(&self, timing: PathTiming, now: Timestamp) -> AdmissionLevel {
         let age = now.saturating_since(self.at);
-        if age <= FRESH_FOR {
+        if age <= timing.fresh_for {
             return self.level;
         }
-        let reopening =
-            (age - FRESH_FOR).as_secs_f64() / (REOPENED_AFTER - FRESH_FOR).as_secs_f64();
+        let whole = timing.reopened_after.saturating_sub(timing.fresh_for);
+        let reopening = (age - timing.fresh_for).as_secs_f64() / whole.as_secs_f64();
         let closed = f64::from(AdmissionLevel::OPEN.number() - self.level.number());
         let opened = closed * reopening.min(1.0);
         AdmissionLevel::new(self.level.number() + opened as u16)
@@ -99,6 +114,15 @@
         Self::default()
     }
 
+    /// As [`Self::new`], with other times for which reported levels count.
+    #[must_use]
+    pub fn with_timing(timing: PathTiming) -> Self {
+        Self {
+            timing,
+            ..Self::default()
+        }
+    }
+
     /// Takes in the folded level that an answer of `service` carried for a request kind, without
     /// regard to which of its back ends gave it.
     pub fn observe(
@@ -125,9 +149,10 @@
             level: folded,
             at: now,
         };
+        let timing = self.timing;
         let kinds = entry(&mut self.heard, service);
         let endpoints = entry(kinds, request_kind);
-        endpoints.observe(endpoint, heard);
+        endpoints.observe(timing, endpoint, heard);
     }
 
     /// The level in force for a request kind towards `service`.
@@ -136,7 +161,9 @@
         self.heard
             .get(service)
             .and_then(|kinds| kinds.get(request_kind))
-            .map_or(AdmissionLevel::OPEN, |endpoints| endpoints.level(now))
+            .map_or(AdmissionLevel::OPEN, |endpoints| {
+                endpoints.level(self.timing, now)
+            })
     }
 
     /// Whether a call with this key would pass.
@@ -154,7 +181,7 @@
             return Ok(());
         }
         let jitter = unit_hash(now.as_micros() ^ (u64::from(key.number()) << 40));
-        let spread = REOPENED_AFTER.mul_f64(jitter);
+        let spread = self.timing.reopened_after.mul_f64(jitter);
         Err(Refusal {
             retry_after: MINIMUM_RETRY_AFTER + spread,
         })
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
-use wharfquay_core::admission::{PathLevels, level_below};
+use wharfquay_core::admission::{PathLevels, PathTiming, level_below};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::routing::{
@@ -25,6 +25,12 @@
 const ASSUMED_SLOTS: u32 = 16;
 /// Time for which an endpoint that refused as leaving gets nothing.
 const LEAVING_HOLD: Duration = Duration::from_millis(700);
+/// How long reported levels of a path count. An edge that admits few requests of a kind gets few answers that could
+/// report anew: a level that reopened between two answers would let in a burst.
+const PATH_TIMING: PathTiming = PathTiming {
+    fresh_for: Duration::from_millis(500),
+    reopened_after: Duration::from_millis(4_500),
+};
 /// Request kinds whose called services are remembered.
 const REMEMBERED_KINDS: usize = 1_024;
 
@@ -201,7 +207,7 @@
             clock,
             zone: Zone::from(zone),
             services: RwLock::default(),
-            levels: Mutex::default(),
+            levels: Mutex::new(PathLevels::with_timing(PATH_TIMING)),
             called: Mutex::default(),
         })
     }
