--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -165,7 +165,7 @@
     }
 }
 
-/// Whether a failed attempt arrived at a back end, which counts it against the retry budget.
+/// Whether a failed attempt arrived at a back end, so that a further one is a repeat.
 fn reached_backend(code: ResultCode) -> bool {
     code == ResultCode::RefusedByBackend || code.outcome() != OutcomeClass::NotRun
 }
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -1,4 +1,4 @@
-//! For each service a router, a retry budget and the addresses of its sidecars; and what is known of
+//! For each service a router and the addresses of its sidecars; and what is known of
 //! the admission levels on the paths below.
 
 use std::collections::{BTreeSet, HashMap};
