--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -31,6 +31,10 @@
     fresh_for: Duration::from_millis(500),
     reopened_after: Duration::from_millis(4_500),
 };
+/// Cost of the best endpoint of the own zone from which other zones are considered: as many calls wait there as are
+/// executed. Bytes between zones are priced, and a wait of one execution is shorter than what deadlines leave
+/// (docs/design/decisions.md).
+const SPILL_THRESHOLD: f64 = 2.0;
 /// Request kinds whose called services are remembered.
 const REMEMBERED_KINDS: usize = 1_024;
 
@@ -91,6 +95,7 @@
     RouterSettings {
         warm_up: Duration::ZERO,
         leaving_hold: LEAVING_HOLD,
+        spill_threshold: SPILL_THRESHOLD,
         ..RouterSettings::default()
     }
 }
