--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -35,10 +35,9 @@
 
 /// Depth of a request at the back end that its caller sent it to.
 const DEPTH_OF_CALLERS: u8 = 1;
-/// Longest wait at the gate of a request that a caller sent.
-const NEW_PATIENCE: Duration = Duration::from_millis(100);
-/// Longest wait at the gate of a call on behalf of a request in execution.
-const IN_PROGRESS_PATIENCE: Duration = Duration::from_millis(400);
+/// Longest wait at the gate. A longer one for calls of requests in execution was worth nothing
+/// (docs/design/decisions.md).
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
 /// Connections that may prove closed before a byte was written, for one call.
 const CONNECTION_TRIES: usize = 3;
 /// Times that a call which the back end refused unexecuted is sent to it again at most.
@@ -309,18 +308,17 @@
     }
 }
 
-/// How a call asks for admission. One on behalf of a request in execution waits longer than a new one: a refusal
-/// would waste all that was done for the request.
+/// How a call asks for admission.
 fn entry(context: &CallContext) -> Entry {
-    let (standing, patience) = if context.depth > DEPTH_OF_CALLERS {
-        (Standing::InProgress, IN_PROGRESS_PATIENCE)
+    let standing = if context.depth > DEPTH_OF_CALLERS {
+        Standing::InProgress
     } else {
-        (Standing::New, NEW_PATIENCE)
+        Standing::New
     };
     Entry {
         key: context.admission_key(),
         deadline: context.deadline,
-        patience: Some(patience),
+        patience: Some(LONGEST_WAIT),
         standing,
         admitted_below: context.admitted_below,
     }
