--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -162,7 +162,8 @@
         (settle(result, scope, permit, deadline), returned)
     }
 
-    /// Hands the call to the back end and reads its answer.
+    /// Hands the call to the back end and reads its answer; hands it over again where the back end refused it
+    /// unexecuted and the bound on repeats leaves room.
     async fn dispatch(
         &self,
         instance: &OpenInstance,
@@ -171,34 +172,39 @@
         head: &RequestHead,
         body: RequestBody,
     ) -> Result<Answered, Failure> {
-        if context.is_repeat {
-            if !self.backend.admit_repeat(context.priority) {
-                let code = ResultCode::RepeatRefused;
-                return Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER));
-            }
-        } else {
-            self.backend.first_arrival();
-        }
-        let is_empty = matches!(body, RequestBody::Held(None));
-        let mut body = Some(body);
-        let mut sends = 0;
-        loop {
-            let sent = body.take().unwrap_or(RequestBody::Held(None));
-            let result = self.send(instance, context, request_id, head, sent).await;
-            let was_refused =
-                matches!(&result, Err(failure) if failure.code == ResultCode::RefusedByBackend);
-            if !was_refused || !is_empty || instance.is_leaving() || sends >= MOST_REPEATED_SENDS {
-                return result;
+        self.count_arrival(context)?;
+        let can_repeat = matches!(body, RequestBody::Held(None));
+        let mut result = self.send(instance, context, request_id, head, body).await;
+        for repeat in 0..MOST_REPEATED_SENDS {
+            if !can_repeat || !is_refused(&result) || instance.is_leaving() {
+                break;
             }
-            let wait = SEND_BACKOFF.delay(sends, &mut rand::rng());
-            if context.remaining(self.clock.now()) <= wait
-                || !self.backend.admit_repeat(context.priority)
-            {
-                return result;
+            let wait = SEND_BACKOFF.delay(repeat, &mut rand::rng());
+            let is_too_late = context.remaining(self.clock.now()) <= wait;
+            if is_too_late || !self.backend.admit_repeat(context.priority) {
+                break;
             }
-            sends += 1;
             tokio::time::sleep(wait).await;
+            let body = RequestBody::Held(None);
+            result = self.send(instance, context, request_id, head, body).await;
         }
+        result
+    }
+
+    /// Counts a call that is about to be sent to the back end.
+    ///
+    /// # Errors
+    /// The refusal of a repeat for which the bound on repeats leaves no room.
+    fn count_arrival(&self, context: &CallContext) -> Result<(), Failure> {
+        if !context.is_repeat {
+            self.backend.first_arrival();
+            return Ok(());
+        }
+        if self.backend.admit_repeat(context.priority) {
+            return Ok(());
+        }
+        let code = ResultCode::RepeatRefused;
+        Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER))
     }
 
     /// Sends the call to the back end once and reads its answer.
@@ -308,6 +314,11 @@
     }
 }
 
+/// Whether the back end proved that it did not execute the call.
+fn is_refused(result: &Result<Answered, Failure>) -> bool {
+    matches!(result, Err(failure) if failure.code == ResultCode::RefusedByBackend)
+}
+
 /// How a call asks for admission.
 fn entry(context: &CallContext) -> Entry {
     let standing = if context.depth > DEPTH_OF_CALLERS {
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -7,13 +7,14 @@
 
 use bytes::Bytes;
 use http::Response;
-use wharfquay_core::call::{CallContext, Repeatability};
+use wharfquay_core::call::{CallContext, Repeatability, RetryAllowance};
 use wharfquay_core::outcome::{OutcomeClass, ResultCode};
 use wharfquay_core::priority::{AdmissionKey, AdmissionLevel};
 use wharfquay_core::retry::{
     Backoff, FailureLocation, GiveUpReason, Grant, Ledger, RetryDecision, RetryQuestion, decide,
 };
 use wharfquay_core::routing::EndpointId;
+use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::answer::Failure;
 use wharfquay_daemon::body::{AnswerBody, RequestBody};
 use wharfquay_daemon::clock::Clock;
@@ -102,8 +103,10 @@
 }
 
 /// What the attempts of one call have shown so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Attempts {
+    /// Level that the originating request passed at its edge.
+    admitted_below: AdmissionLevel,
     tried: Vec<EndpointId>,
     offers: usize,
     arrivals: u32,
@@ -112,6 +115,30 @@
 }
 
 impl Attempts {
+    const fn new(admitted_below: AdmissionLevel) -> Self {
+        Self {
+            admitted_below,
+            tried: Vec::new(),
+            offers: 0,
+            arrivals: 0,
+            uncertain: None,
+        }
+    }
+
+    /// The context of the next attempt, which takes this allowance along.
+    fn next_context(
+        &self,
+        call: &CallContext,
+        now: Timestamp,
+        allowance: RetryAllowance,
+    ) -> CallContext {
+        CallContext {
+            admitted_below: self.admitted_below,
+            is_repeat: call.is_repeat || self.arrivals > 0,
+            ..attempt_context(call, now, allowance)
+        }
+    }
+
     fn note(&mut self, target: Target, failure: Failure) {
         self.tried.push(target.id);
         if failure.code.outcome() == OutcomeClass::Unknown {
@@ -195,20 +222,13 @@
             Failure::with_retry_after(ResultCode::NoBackend, NO_ENDPOINT_RETRY_AFTER)
         })?;
         let admitted_below = self.admit_at_edge(call, &router)?;
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::new(admitted_below);
         loop {
             let target = self
                 .pick(call, &router, &attempts)
                 .map_err(|failure| attempts.conclude(failure))?;
             let failure = match self
-                .attempt(
-                    call,
-                    &mut body,
-                    &router,
-                    &target,
-                    admitted_below,
-                    attempts.arrivals > 0,
-                )
+                .attempt(call, &mut body, &router, &target, &attempts)
                 .await
             {
                 Ok(response) => return Ok(response),
@@ -277,8 +297,7 @@
         body: &mut CallBody,
         router: &Arc<ServiceRouter>,
         target: &Target,
-        admitted_below: AdmissionLevel,
-        is_repeat: bool,
+        attempts: &Attempts,
     ) -> Result<Response<AnswerBody>, Failure> {
         let flight = Flight::new(router, target, self.clock);
         let started = self.clock.now();
@@ -286,11 +305,7 @@
             .for_attempt()
             .ok_or_else(|| Failure::new(ResultCode::RequestTooLarge))?;
         let grant = lock(&call.ledger).grant(call.children);
-        let context = CallContext {
-            admitted_below,
-            is_repeat: call.context.is_repeat || is_repeat,
-            ..attempt_context(&call.context, self.clock.now(), grant.allowance())
-        };
+        let context = attempts.next_context(&call.context, self.clock.now(), grant.allowance());
         call.progress.set(true);
         let end = if target.id == self.own_id {
             self.execute_locally(call, context, sent).await
