--- a/crates/sidecar/src/configuration.rs
+++ b/crates/sidecar/src/configuration.rs
@@ -5,7 +5,9 @@
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
+use wharfquay_core::priority::Priority;
 
+use crate::importance::ImportanceOrder;
 use crate::tenant::{KeyDigest, Tenant};
 
 /// One version of the whole configuration.
@@ -235,6 +237,7 @@
     by_host: HashMap<String, HashMap<String, usize>>,
     by_key: HashMap<KeyDigest, usize>,
     by_tenant: HashMap<String, usize>,
+    importance: ImportanceOrder,
 }
 
 impl RouteIndex {
@@ -250,14 +253,22 @@
         let tenants = configuration.tenants.iter().enumerate();
         let by_tenant = tenants.map(|(position, tenant)| (tenant.name.clone(), position));
         let by_tenant = by_tenant.collect();
+        let importance = ImportanceOrder::new(&configuration.routes, &configuration.tenants);
         Self {
             configuration,
             by_host,
             by_key,
             by_tenant,
+            importance,
         }
     }
 
+    /// Importance of a request of a tenant on a route.
+    #[must_use]
+    pub fn priority(&self, tenant: Option<&Tenant>, route: &Route) -> Priority {
+        self.importance.priority(tenant, route)
+    }
+
     /// The tenant of this name.
     #[must_use]
     pub fn tenant_named(&self, name: &str) -> Option<&Tenant> {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 mod body;
 mod confirmation;
 mod exchange;
+mod importance;
 mod message;
 mod metered;
 mod quota;
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -149,7 +149,8 @@
             .request_id(&head.headers)
             .ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
         let given = self.dialect.deadline(&head.headers);
-        let context = self.context(route, tenant, request_id, given, parent.as_deref());
+        let priority = index.priority(tenant, route);
+        let context = self.context(route, priority, request_id, given, parent.as_deref());
         if parent.is_some() {
             self.forwarder.routing.calls(&context.request_kind, service);
         }
@@ -240,7 +241,7 @@
     fn context(
         &self,
         route: &Route,
-        tenant: Option<&Tenant>,
+        priority: Priority,
         request_id: &str,
         given: Option<Duration>,
         parent: Option<&Scope>,
@@ -261,9 +262,6 @@
             },
             None => {
                 let origin = origin(RequestLineage::of(request_id).root());
-                let priority = tenant.and_then(|tenant| tenant.priority);
-                let priority = priority.unwrap_or(route.priority);
-                let priority = Priority::new(priority).unwrap_or(Priority::LOWEST);
                 CallContext {
                     origin,
                     attempt: AttemptId::new(0),
--- a/crates/sidecar/src/quota/mod.rs
+++ b/crates/sidecar/src/quota/mod.rs
@@ -7,6 +7,8 @@
 mod client;
 mod owner;
 mod ring;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use client::{QuotaClient, Token};
 pub(crate) use owner::QuotaOwner;
--- a/crates/sidecar/tests/configuration.rs
+++ b/crates/sidecar/tests/configuration.rs
@@ -6,6 +6,7 @@
 use wharfquay_sidecar::configuration::{
     Configuration, ConfigurationError, Destination, Route, RouteIndex, Service,
 };
+use wharfquay_sidecar::tenant::Tenant;
 
 fn route(name: &str, host: &str, prefix: &str, destinations: &[(&str, u32)]) -> Route {
     let destinations = destinations.iter().map(|(service, weight)| Destination {
@@ -111,3 +112,75 @@
         assert_eq!(configuration(vec![route]).validate(), Err(expected));
     }
 }
+
+fn of_tenant(priority: Option<u8>) -> Tenant {
+    Tenant {
+        name: format!("tenant-{priority:?}"),
+        keys: Vec::new(),
+        priority,
+        quota: None,
+    }
+}
+
+fn routes_of_priorities(priorities: &[u8]) -> Vec<Route> {
+    let routes = priorities.iter().map(|priority| Route {
+        priority: *priority,
+        ..route("r", "shop.example", "/", &[("a", 1)])
+    });
+    routes.collect()
+}
+
+#[test]
+fn a_tenants_importance_comes_first_and_the_routes_second() {
+    let mut configuration = configuration(routes_of_priorities(&[0, 1, 2]));
+    configuration.tenants = vec![of_tenant(Some(1)), of_tenant(Some(0)), of_tenant(None)];
+    let index = RouteIndex::new(configuration.clone());
+    let place = |tenant: Option<&Tenant>, route: usize| {
+        index
+            .priority(tenant, &configuration.routes[route])
+            .number()
+    };
+    let [ordinary, important, unranked] = configuration.tenants.as_slice() else {
+        panic!("three tenants");
+    };
+    let order = [
+        place(Some(important), 0),
+        place(Some(important), 1),
+        place(Some(important), 2),
+        place(Some(ordinary), 0),
+        place(Some(ordinary), 1),
+        place(Some(ordinary), 2),
+        place(None, 2),
+    ];
+    assert!(
+        order.is_sorted_by(|first, second| first < second),
+        "{order:?}"
+    );
+    assert_eq!(place(Some(unranked), 0), place(Some(important), 0));
+    assert_eq!(place(Some(unranked), 1), place(Some(ordinary), 1));
+}
+
+#[test]
+fn without_tenants_the_routes_importance_stands_as_it_is() {
+    let configuration = configuration(routes_of_priorities(&[0, 2, 5, 200]));
+    let index = RouteIndex::new(configuration.clone());
+    let numbers = configuration
+        .routes
+        .iter()
+        .map(|route| index.priority(None, route).number());
+    assert_eq!(numbers.collect::<Vec<_>>(), [0, 2, 5, 7]);
+}
+
+#[test]
+fn more_importances_than_priorities_keep_their_order() {
+    let mut configuration = configuration(routes_of_priorities(&[0, 1, 2, 3, 4]));
+    configuration.tenants = (0..6).map(|priority| of_tenant(Some(priority))).collect();
+    let index = RouteIndex::new(configuration.clone());
+    let places = configuration.tenants.iter().flat_map(|tenant| {
+        let routes = configuration.routes.iter();
+        routes.map(|route| index.priority(Some(tenant), route).number())
+    });
+    let places: Vec<u8> = places.collect();
+    assert!(places.is_sorted(), "{places:?}");
+    assert_eq!((places[0], places[29]), (0, 7));
+}
