Count requests by tenant and show the age of the confirmation

Cause: a 429 or a refusal for want of a fresh configuration could be traced by log lines only. The number of labels is bounded (128 tenants, the rest together); keys appear nowhere. No decision changes.

--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and latency histograms of one sidecar, in the text format of Prometheus.
 
+use std::collections::HashSet;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use prometheus::core::Collector;
@@ -8,6 +10,7 @@
     Registry, TextEncoder,
 };
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_daemon::sync::lock;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -15,7 +18,7 @@
 ];
 
 /// Every metric with its meaning; `docs/OPERATIONS.md` lists the same.
-pub const CATALOGUE: [(&str, &str); 19] = [
+pub const CATALOGUE: [(&str, &str); 21] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -80,8 +83,22 @@
         "wharfquay_repeats_left",
         "Repeated calls that the local back end may still get now under the bound on repeats",
     ),
+    (
+        "wharfquay_tenant_requests_total",
+        "Requests of callers with an API key that ended, by tenant and result; tenants after the first 128 as other",
+    ),
+    (
+        "wharfquay_configuration_confirmed_age_seconds",
+        "Time since the configuration in force was last confirmed to be the newest; -1 where it never was",
+    ),
 ];
 
+/// Tenants that are counted under their own name, those first seen; the others are counted together. It bounds the
+/// page that a scraper reads.
+const NAMED_TENANTS: usize = 128;
+/// The label under which the other tenants are counted.
+const OTHER_TENANTS: &str = "other";
+
 /// What is read when the metrics are asked for.
 #[derive(Clone, Debug, Default)]
 pub struct Gauges {
@@ -101,6 +118,8 @@
     pub log_lines: (u64, u64),
     /// Repeated calls that the local back end may still get.
     pub repeats_left: u64,
+    /// Time since the configuration was confirmed.
+    pub confirmed_age: Option<Duration>,
 }
 
 /// The metrics of one sidecar.
@@ -122,6 +141,9 @@
     ready: IntGauge,
     log_lines: IntGaugeVec,
     repeats_left: IntGauge,
+    tenant_requests: IntCounterVec,
+    named_tenants: Mutex<HashSet<String>>,
+    confirmed_age: IntGauge,
 }
 
 /// Registers metrics that the catalogue describes.
@@ -200,6 +222,10 @@
             ready: registrar.gauge("wharfquay_ready")?,
             log_lines: registrar.gauges("wharfquay_log_lines_total", &["fate"])?,
             repeats_left: registrar.gauge("wharfquay_repeats_left")?,
+            tenant_requests: registrar
+                .counters("wharfquay_tenant_requests_total", &["tenant", "result"])?,
+            named_tenants: Mutex::default(),
+            confirmed_age: registrar.gauge("wharfquay_configuration_confirmed_age_seconds")?,
             registry: registrar.0,
         })
     }
@@ -213,6 +239,17 @@
         seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a request of a tenant that has its final answer.
+    pub fn tenant_request_ended(&self, tenant: &str, result: ResultCode) {
+        let mut named = lock(&self.named_tenants);
+        let is_named = named.contains(tenant)
+            || (named.len() < NAMED_TENANTS && named.insert(tenant.to_owned()));
+        let label = if is_named { tenant } else { OTHER_TENANTS };
+        self.tenant_requests
+            .with_label_values(&[label, result.name()])
+            .inc();
+    }
+
     /// Counts an attempt that ended.
     pub fn attempt_ended(&self, target: &str, result: ResultCode) {
         self.attempts
@@ -275,9 +312,14 @@
             self.log_lines.with_label_values(&[fate]).set(signed(lines));
         }
         self.repeats_left.set(signed(gauges.repeats_left));
+        let confirmed_age = gauges.confirmed_age.map(|age| signed(age.as_secs()));
+        self.confirmed_age.set(confirmed_age.unwrap_or(NEVER));
     }
 }
 
+/// Age of a confirmation that never was.
+const NEVER: i64 = -1;
+
 fn signed(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -96,6 +96,9 @@
         let report = admitted.call.report;
         let metrics = &self.forwarder.metrics;
         metrics.request_ended(report.route(), code, report.elapsed());
+        if let Some(tenant) = report.tenant() {
+            metrics.tenant_request_ended(tenant, code);
+        }
         tell(report, &result);
         result
     }
--- a/crates/sidecar/src/outbound/report.rs
+++ b/crates/sidecar/src/outbound/report.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Name of the tenant whose key the request carried.
+    pub(crate) fn tenant(&self) -> Option<&str> {
+        self.tenant.as_deref()
+    }
+
     /// Name of the request's route.
     pub(crate) fn route(&self) -> &str {
         &self.route
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -94,6 +94,7 @@
     configured_at: Mutex<Instant>,
     backend: Arc<LocalBackend>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
+    confirmation: Arc<Confirmation>,
     members: watch::Receiver<MemberTable>,
     isolated: watch::Receiver<bool>,
     scopes: Arc<ScopeTable>,
@@ -229,7 +230,7 @@
             clock,
             caller_service,
             configuration: configuration.clone(),
-            confirmation,
+            confirmation: Arc::clone(&confirmation),
             forwarder: Arc::clone(&forwarder),
             scopes: Arc::clone(&scopes),
             refusing: Arc::clone(&refusing),
@@ -246,6 +247,7 @@
             registry,
             backend,
             configuration,
+            confirmation,
             members,
             isolated,
             scopes,
@@ -306,6 +308,7 @@
             is_ready: self.is_ready(),
             log_lines: (lines.written(), lines.dropped()),
             repeats_left: self.backend.repeats_left(),
+            confirmed_age: self.confirmation.age(),
         })
     }
 
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -170,3 +170,22 @@
     assert_eq!(digest.to_string().len(), 8);
     assert!(!text.contains("secret"));
 }
+
+#[tokio::test]
+async fn requests_are_counted_by_tenant_and_no_metric_shows_a_key() {
+    let known = vec![tenant("acme", &["secret-1"])];
+    let (_platform, machine) = machine(tenants(1, known)).await;
+    for _ in 0..3 {
+        get(
+            &machine,
+            "/keyed/x",
+            "id-1",
+            "Authorization: Bearer secret-1\r\n",
+        )
+        .await;
+    }
+    let metrics = machine.sidecar.metrics_text();
+    let counted = "wharfquay_tenant_requests_total{result=\"Answered\",tenant=\"acme\"} 3";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert!(!metrics.contains("secret-1"));
+}
