Choose owners among all sidecars that the directory lists, and grant nothing before it is known

Found by reading; the log has no line per grant.

Change: entries of the platform's directory count as sidecars that may be alive for 20 s; no sidecar grants before it has read the directory, or, where that can't be read, before 1.5 s of its life. Test: thirty sidecars that know nobody make four owners a tenant.

--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -27,6 +27,7 @@
 use crate::exchange::Exchange;
 use crate::log_event;
 use crate::platform::{DirectoryEntry, Platform};
+use crate::quota::OwnerRing;
 use crate::settings::Settings;
 
 /// Revision from which on a delta may be applied: it holds the whole configuration, so any.
@@ -92,6 +93,7 @@
     platform: Arc<P>,
     reader: Option<Reader>,
     confirmation: Arc<Confirmation>,
+    ring: Arc<OwnerRing>,
     /// Version that the platform held when it was read last; zero when it held none.
     read_version: u64,
     /// Whether the node counts this sidecar among the readers of the deployment.
@@ -119,6 +121,7 @@
         platform: Arc<P>,
         datagrams: (Arc<UdpSocket>, Arc<Exchange>),
         confirmation: Arc<Confirmation>,
+        ring: Arc<OwnerRing>,
         channels: ControlChannels,
     ) -> (Self, StreamInbox) {
         let (socket, exchange) = datagrams;
@@ -157,6 +160,7 @@
             node,
             datagrams: Datagrams::new(socket, exchange),
             confirmation,
+            ring,
             read_version: 0,
             inbox,
             seeds,
@@ -211,6 +215,7 @@
             }
             Next::Stopping => self.node.leave(now, random),
             Next::Seeds(entries) => {
+                self.ring.note_directory(now, &entries);
                 self.set_seeds(&entries);
                 Vec::new()
             }
--- a/crates/sidecar/src/quota/owner.rs
+++ b/crates/sidecar/src/quota/owner.rs
@@ -54,7 +54,7 @@
     /// Grants tokens of a tenant, as many as there are, up to `wanted`.
     pub(crate) fn grant(&self, tenant: &str, wanted: u32) -> Reply {
         let now = self.clock.now();
-        if !self.ring.owns(now, tenant) {
+        if !self.ring.is_settled(now) || !self.ring.owns(now, tenant) {
             return Reply::Unknown;
         }
         let index = Arc::clone(&self.configuration.borrow());
--- a/crates/sidecar/src/quota/ring.rs
+++ b/crates/sidecar/src/quota/ring.rs
@@ -12,35 +12,51 @@
 
 use super::OWNERS;
 use crate::exchange::Peer;
+use crate::platform::DirectoryEntry;
 
 /// Time for which a sidecar that seems dead stays an owner. It may only be cut off, and grant tokens on its side of
 /// the cut: a successor would grant them a second time. Cuts that last longer may exceed a limit.
 const GONE_HOLD: Duration = Duration::from_secs(20);
 
+/// Time after which a starting sidecar has met the others even where the platform's directory can't be read.
+const MEETING_TIME: Duration = Duration::from_millis(1_500);
+
 /// The sidecars among which owners are chosen.
+///
+/// A sidecar that has just started knows nobody and would take itself for the owner of everything; when many start at
+/// once, each would grant a share of each limit. So the entries of the platform's directory count as sidecars that may
+/// be alive, and until they are known no sidecar grants. An entry that nobody stands behind any more does no harm: the
+/// live owners are the same with and without it.
 #[derive(Debug)]
 pub(crate) struct OwnerRing {
     own: Peer,
+    /// Whether the whole deployment starts for the first time: nothing was granted before, and all meet before the
+    /// first request.
+    is_first_start: bool,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     candidates: HashMap<MemberId, Candidate>,
+    /// Whether the directory was read.
+    knows_directory: bool,
     owners: HashMap<String, Arc<[Peer]>>,
 }
 
 #[derive(Debug)]
 struct Candidate {
     peer: Peer,
+    /// Since when it is not known to be alive.
     gone_since: Option<Timestamp>,
 }
 
 impl OwnerRing {
     /// A ring of this sidecar alone.
-    pub(crate) fn new(own: Peer) -> Self {
+    pub(crate) fn new(own: Peer, is_first_start: bool) -> Self {
         Self {
             own,
+            is_first_start,
             state: Mutex::default(),
         }
     }
@@ -48,23 +64,46 @@
     /// Takes over the members that are known.
     pub(crate) fn update(&self, now: Timestamp, table: &MemberTable) {
         let mut state = lock(&self.state);
-        let mut known: HashMap<MemberId, Candidate> = HashMap::new();
-        for member in table.members() {
-            let id = &member.profile.id;
-            let earlier = state.candidates.remove(id);
-            let gone_since = gone_since(now, member, earlier.as_ref());
-            let is_held = gone_since.is_none_or(|since| now < since + GONE_HOLD);
-            // One that this process never saw alive holds no tokens that it gave out.
-            let was_owner = earlier.is_some() || gone_since.is_none();
-            if is_held && was_owner {
-                let peer = peer_of(member);
-                known.insert(id.clone(), Candidate { peer, gone_since });
-            }
+        for candidate in state.candidates.values_mut() {
+            candidate.gone_since.get_or_insert(now);
+        }
+        for member in table.members().filter(|member| member.is_live()) {
+            let candidate = Candidate {
+                peer: peer_of(member),
+                gone_since: None,
+            };
+            state
+                .candidates
+                .insert(member.profile.id.clone(), candidate);
         }
-        state.candidates = known;
+        state.drop_gone(now);
         state.owners.clear();
     }
 
+    /// Takes over the entries of the platform's directory: sidecars that are not known from gossip yet.
+    pub(crate) fn note_directory(&self, now: Timestamp, entries: &[DirectoryEntry]) {
+        let mut state = lock(&self.state);
+        for entry in entries {
+            let id = MemberId::from(entry.id.as_str());
+            state.candidates.entry(id).or_insert_with(|| Candidate {
+                peer: Peer {
+                    id: entry.id.clone(),
+                    address: entry.control_address,
+                },
+                gone_since: Some(now),
+            });
+        }
+        state.knows_directory = true;
+        state.owners.clear();
+    }
+
+    /// Whether enough is known to tell owners: `now` counts from the start of the process.
+    pub(crate) fn is_settled(&self, now: Timestamp) -> bool {
+        self.is_first_start
+            || lock(&self.state).knows_directory
+            || now >= Timestamp::ZERO + MEETING_TIME
+    }
+
     /// The owners of a tenant, best first.
     pub(crate) fn owners(&self, now: Timestamp, tenant: &str) -> Arc<[Peer]> {
         let mut state = lock(&self.state);
@@ -111,15 +150,6 @@
     }
 }
 
-/// Since when a member is known to be gone.
-fn gone_since(now: Timestamp, member: &Member, earlier: Option<&Candidate>) -> Option<Timestamp> {
-    if member.is_live() {
-        return None;
-    }
-    let known = earlier.and_then(|candidate| candidate.gone_since);
-    Some(known.unwrap_or(now))
-}
-
 fn peer_of(member: &Member) -> Peer {
     Peer {
         id: member.profile.id.as_str().to_owned(),
--- a/crates/sidecar/src/quota/tests.rs
+++ b/crates/sidecar/src/quota/tests.rs
@@ -13,6 +13,7 @@
 
 use super::{OWNERS, OwnerRing};
 use crate::exchange::Peer;
+use crate::platform::DirectoryEntry;
 
 fn address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7_000))
@@ -54,10 +55,19 @@
 }
 
 fn ring(own: usize) -> OwnerRing {
-    OwnerRing::new(Peer {
+    let own = Peer {
         id: name(own),
         address: address(),
-    })
+    };
+    OwnerRing::new(own, false)
+}
+
+fn directory(members: usize) -> Vec<DirectoryEntry> {
+    let entries = (0..members).map(|number| DirectoryEntry {
+        id: name(number),
+        control_address: address(),
+    });
+    entries.collect()
 }
 
 fn owners(ring: &OwnerRing, now: Timestamp, tenant: &str) -> BTreeSet<String> {
@@ -136,3 +146,41 @@
         assert!(granting.into_iter().all(|id| live.contains(id)), "{tenant}");
     }
 }
+
+/// When every process is killed at once, each knows itself only at first: the directory tells it of the others before
+/// it may grant anything.
+#[test]
+fn a_sidecar_that_knows_nobody_is_no_owner_of_everything() {
+    let rings: Vec<OwnerRing> = (0..MEMBERS).map(ring).collect();
+    let start = Timestamp::from_millis(100);
+    for ring in &rings {
+        assert!(!ring.is_settled(start));
+        ring.note_directory(start, &directory(MEMBERS));
+        assert!(ring.is_settled(start));
+    }
+    for tenant in 0..TENANTS {
+        let tenant = format!("tenant-{tenant}");
+        let granting = rings.iter().filter(|ring| ring.owns(start, &tenant));
+        assert_eq!(granting.count(), OWNERS, "{tenant}");
+    }
+}
+
+#[test]
+fn an_entry_of_the_directory_that_nobody_stands_behind_is_forgotten() {
+    let ring = ring(0);
+    let start = Timestamp::from_millis(100);
+    ring.note_directory(start, &directory(MEMBERS + 10));
+    ring.update(start, &table(MEMBERS, &[]));
+    let later = start + Duration::from_secs(20);
+    for tenant in 0..TENANTS {
+        let owners = owners(&ring, later, &format!("tenant-{tenant}"));
+        assert!((MEMBERS..MEMBERS + 10).all(|number| !owners.contains(&name(number))));
+    }
+}
+
+#[test]
+fn without_the_directory_a_sidecar_grants_once_it_has_had_time_to_meet_others() {
+    let ring = ring(0);
+    assert!(!ring.is_settled(Timestamp::from_millis(1_499)));
+    assert!(ring.is_settled(Timestamp::from_millis(1_500)));
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -152,10 +152,11 @@
         };
         let revocation = settings.bounds.key_revocation;
         let confirmation = Confirmation::new(clock, revocation, configuration.clone());
-        let ring = Arc::new(OwnerRing::new(Peer {
+        let own = Peer {
             id: settings.id.clone(),
             address: settings.control,
-        }));
+        };
+        let ring = Arc::new(OwnerRing::new(own, settings.is_first_start));
         let answerer = Answerer {
             confirmation: Arc::clone(&confirmation),
             owner: QuotaOwner::new(
@@ -174,6 +175,7 @@
             Arc::clone(&platform),
             (datagrams, Arc::clone(&exchange)),
             Arc::clone(&confirmation),
+            Arc::clone(&ring),
             channels,
         );
         tokio::spawn(control.run());
