--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 mod confirmation;
 mod exchange;
 mod importance;
+mod listeners;
 mod message;
 mod metered;
 mod quota;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -7,37 +7,31 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use http::HeaderValue;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wharfquay_core::priority::AdmissionLevel;
 use wharfquay_core::routing::EndpointId;
-use wharfquay_daemon::body::{AnswerBody, RequestBody};
 use wharfquay_daemon::clock::Clock;
-use wharfquay_daemon::connect::notice_silence;
 use wharfquay_daemon::sync::lock;
 use wharfquay_membership::member::MemberState;
 use wharfquay_membership::table::MemberTable;
 
 use crate::configuration::{Configuration, ConnectionLimits, RouteIndex};
 use crate::confirmation::{Confirmation, keep_confirmed};
-use crate::control::{ControlChannels, ControlTask, StreamInbox};
+use crate::control::{ControlChannels, ControlTask};
 use crate::dialect::Dialect;
 use crate::events::Event;
 use crate::exchange::{Answer, Exchange, Peer, Question, Reply};
 use crate::inbound::backend::LocalBackend;
 use crate::inbound::{InboundHandler, LocalExecutor};
 use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
+use crate::listeners::{CountedHandler, Listeners, spawn_control, spawn_inbound, spawn_outbound};
 use crate::log_event;
 use crate::log_output;
 use crate::metered::Metered;
 use crate::metrics::{Gauges, Metrics};
-use crate::outbound::connection::{ConnectionSettings, RequestHandler, serve};
+use crate::outbound::connection::ConnectionSettings;
 use crate::outbound::routing::Routing;
 use crate::outbound::{Forwarder, OutboundHandler};
 use crate::platform::Platform;
@@ -61,8 +55,6 @@
 const MEMBER_UPDATE_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two searches for connections that have rested too long.
 const REST_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause after a failed accept, so that a lack of file descriptors does not keep a core busy.
-const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
 /// Why a sidecar can't start.
 #[derive(Debug, Display)]
@@ -110,19 +102,6 @@
     outbound_in_flight: Arc<AtomicUsize>,
 }
 
-impl RequestHandler for CountedHandler {
-    async fn handle(&self, request: Request<RequestBody>) -> Response<AnswerBody> {
-        let _in_flight = crate::inbound::InFlight::begin(&self.in_flight);
-        self.handler.handle(request).await
-    }
-}
-
-/// The outbound handler, with the requests in progress counted.
-struct CountedHandler {
-    handler: OutboundHandler,
-    in_flight: Arc<AtomicUsize>,
-}
-
 impl<P: Platform> Sidecar<P> {
     /// Binds the listeners and starts to serve.
     ///
@@ -454,107 +433,3 @@
         ("dead", count(MemberState::Dead)),
     ]
 }
-
-struct Listeners {
-    outbound: TcpListener,
-    inbound: TcpListener,
-    control: TcpListener,
-    datagrams: UdpSocket,
-}
-
-impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
-        let listen = async |side, address| {
-            let bound = TcpListener::bind(address).await;
-            let listener = bound.map_err(|error| StartError::Bind {
-                side,
-                address,
-                error,
-            })?;
-            notice_silence(&listener);
-            Ok(listener)
-        };
-        let datagrams =
-            UdpSocket::bind(settings.control)
-                .await
-                .map_err(|error| StartError::Bind {
-                    side: "control datagrams",
-                    address: settings.control,
-                    error,
-                })?;
-        Ok(Self {
-            outbound: listen("outbound", settings.outbound).await?,
-            inbound: listen("inbound", settings.inbound).await?,
-            control: listen("control", settings.control).await?,
-            datagrams,
-        })
-    }
-}
-
-/// Accepts connections for ever; failed accepts end nothing. Options other than the delay of small writes
-/// come from the listener: most connections carry one request, and each option is a system call.
-async fn accept(listener: TcpListener, serve: impl Fn(TcpStream)) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                serve(stream);
-            }
-            Err(error) => {
-                let address = listener.local_addr().ok();
-                log_event!(
-                    Event::AcceptFailed,
-                    "listener={address:?} error=\"{error}\""
-                );
-                tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn spawn_outbound(listener: TcpListener, handler: CountedHandler, settings: ConnectionSettings) {
-    let handler = Arc::new(handler);
-    let settings = Arc::new(settings);
-    tokio::spawn(accept(listener, move |stream| {
-        let (handler, settings) = (Arc::clone(&handler), Arc::clone(&settings));
-        tokio::spawn(async move { serve(stream, handler, &settings).await });
-    }));
-}
-
-fn spawn_inbound(listener: TcpListener, handler: InboundHandler) {
-    tokio::spawn(accept(listener, move |stream| {
-        let handler = handler.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let handler = handler.clone();
-            async move { handler.handle(request).await }
-        });
-        tokio::spawn(async move {
-            let _ = server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }));
-}
-
-fn spawn_control(listener: TcpListener, inbox: StreamInbox) {
-    tokio::spawn(accept(listener, move |stream| {
-        let inbox = inbox.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let inbox = inbox.clone();
-            async move { inbox.serve(request).await }
-        });
-        tokio::spawn(async move {
-            let _ = server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }));
-}
-
-fn server() -> http1::Builder {
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(None);
-    // Answers cross zones with the back end's headers only.
-    builder.auto_date_header(false);
-    builder
-}
