Read members and readiness in statements of their own when metrics are rendered

It needs threads: the adapter has one.

Test: reading_metrics_and_changing_the_members_block_each_other_for_a_moment_only, red (20 s without an end) on the code before, green after.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -278,15 +278,18 @@
         let level = report.map_or(AdmissionLevel::OPEN, |report| report.level);
         let load = report.map(|report| report.load).unwrap_or_default();
         let lines = &log_output::COUNTERS;
-        // Read before the rest: a reading that is held on to would block a change, and that the next reading.
+        // Each in a statement of its own: a reading that is held on to would block a change, and that the next
+        // reading of the same.
         let version = self.configuration.borrow().configuration.version;
+        let members = count_members(&self.members.borrow());
+        let is_ready = self.is_ready();
         self.metrics.render(&Gauges {
             load: (load.in_flight, load.limit, load.queued),
             level: level.number(),
             version,
             configuration_age: lock(&self.configured_at).elapsed(),
-            members: count_members(&self.members.borrow()),
-            is_ready: self.is_ready(),
+            members,
+            is_ready,
             log_lines: (lines.written(), lines.dropped()),
             repeats_left: self.backend.repeats_left(),
             confirmed_age: self.confirmation.age(),
--- a/crates/sidecar/tests/metrics_under_change.rs
+++ b/crates/sidecar/tests/metrics_under_change.rs
@@ -12,10 +12,21 @@
 const CHANGES: u64 = 400;
 /// Readings at a time; each may meet a change between its own parts.
 const READERS: usize = 3;
+/// Sidecars that join while metrics are read.
+const JOINING: usize = 12;
 const LIMIT: Duration = Duration::from_secs(20);
 
 #[test]
 fn reading_metrics_and_changing_the_configuration_block_each_other_for_a_moment_only() {
+    ends_in_time(change_and_read());
+}
+
+#[test]
+fn reading_metrics_and_changing_the_members_block_each_other_for_a_moment_only() {
+    ends_in_time(join_and_read());
+}
+
+fn ends_in_time(scenario: impl Future<Output = ()> + Send + 'static) {
     let (ended, end) = mpsc::channel();
     // A thread of its own: where both block for good, so does the runtime's end.
     std::thread::spawn(move || {
@@ -24,7 +35,7 @@
             .enable_all()
             .build()
             .unwrap();
-        runtime.block_on(change_and_read());
+        runtime.block_on(scenario);
         ended.send(()).unwrap();
     });
     assert_eq!(end.recv_timeout(LIMIT), Ok(()));
@@ -35,17 +46,7 @@
     let platform = Arc::new(StandInPlatform::new(Some(version(1))));
     let machine = Machine::start(&platform, "machine-a", "shelf").await;
     machine.ready().await;
-    let readers: Vec<_> = (0..READERS)
-        .map(|_| {
-            let sidecar = Arc::clone(&machine.sidecar);
-            tokio::spawn(async move {
-                loop {
-                    assert!(!sidecar.metrics_text().is_empty());
-                    tokio::task::yield_now().await;
-                }
-            })
-        })
-        .collect();
+    let readers = read_metrics(&machine);
     for number in 2..CHANGES {
         platform.publish(version(number));
         tokio::time::sleep(Duration::from_millis(2)).await;
@@ -59,3 +60,37 @@
         reader.abort();
     }
 }
+
+/// Sidecars that join one after the other change the member table of the one that is read.
+async fn join_and_read() {
+    let version = configuration(1, vec![route("/reads/", "shelf", true)]);
+    let platform = Arc::new(StandInPlatform::new(Some(version)));
+    let machine = Machine::start(&platform, "machine-a", "shelf").await;
+    machine.ready().await;
+    let readers = read_metrics(&machine);
+    let mut joined = Vec::new();
+    for number in 0..JOINING {
+        joined.push(Machine::start(&platform, &format!("machine-b{number}"), "shelf").await);
+    }
+    let all = format!("wharfquay_members{{state=\"alive\"}} {}", JOINING + 1);
+    eventually("all are members", || {
+        machine.sidecar.metrics_text().contains(&all)
+    })
+    .await;
+    for reader in readers {
+        reader.abort();
+    }
+}
+
+fn read_metrics(machine: &Machine) -> Vec<tokio::task::JoinHandle<()>> {
+    let readers = (0..READERS).map(|_| {
+        let sidecar = Arc::clone(&machine.sidecar);
+        tokio::spawn(async move {
+            loop {
+                assert!(!sidecar.metrics_text().is_empty());
+                tokio::task::yield_now().await;
+            }
+        })
+    });
+    readers.collect()
+}
