Tell an end of the back end from a lost connection, and a request by what it asks for

Ruled out: naming targets and bodies in the logs (callers' data). After a lost answer the sidecar opens a connection: refused means that the process has ended. That is told once (instance_ended, with the fingerprints in execution; wharfquay_instances_ended_total), and the call ends with 4007 BackendEnded in place of 4002. What is retried does not change.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
+use crate::quarantine::RequestFingerprint;
 use crate::time::Timestamp;
 
 /// Identity of one originating request; every call of its tree carries it. A version 7 UUID.
@@ -137,6 +138,10 @@
     /// Whether an earlier attempt of this call, or of one that it is made for, may have arrived at a back
     /// end. The called service's bound on repeats applies to it.
     pub is_repeat: bool,
+    /// What is asked for; none where the first hop does not tell.
+    pub fingerprint: Option<RequestFingerprint>,
+    /// Back ends that ended while they executed earlier attempts of this call.
+    pub ended_backends: u8,
 }
 
 impl CallContext {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod idempotency;
 pub mod outcome;
 pub mod priority;
+pub mod quarantine;
 pub mod quota;
 pub mod retry;
 pub mod routing;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -153,6 +153,8 @@
     /// No majority of the claim group answered. This attempt was not dispatched, but nobody can
     /// tell whether an earlier one with the same idempotency key was.
     ClaimUndetermined = 4006, Unknown, 503;
+    /// The back end ended while it executed the request.
+    BackendEnded = 4007, Unknown, 502;
 }
 
 impl ResultCode {
--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests under which back ends end.
+
+mod fingerprint;
+
+pub use fingerprint::RequestFingerprint;
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -163,7 +163,9 @@
         | ResultCode::OriginNotOpen
         | ResultCode::QuotaUnavailable => Ok(Kind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
-        ResultCode::ConnectionLost | ResultCode::MalformedAnswer => repeat(question),
+        ResultCode::ConnectionLost | ResultCode::MalformedAnswer | ResultCode::BackendEnded => {
+            repeat(question)
+        }
         ResultCode::ClaimUncertain | ResultCode::ClaimUndetermined => {
             Err(GiveUpReason::NotRepeatable)
         }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -180,6 +180,8 @@
             depth: 0,
             admitted_below: AdmissionLevel::OPEN,
             is_repeat: false,
+            fingerprint: None,
+            ended_backends: 0,
         })
     }
 }
--- a/crates/daemon/src/outbound/handler.rs
+++ b/crates/daemon/src/outbound/handler.rs
@@ -140,6 +140,8 @@
             depth: 0,
             admitted_below: AdmissionLevel::OPEN,
             is_repeat: false,
+            fingerprint: None,
+            ended_backends: 0,
         }
     }
 }
--- a/crates/protocol/src/context.rs
+++ b/crates/protocol/src/context.rs
@@ -10,6 +10,7 @@
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
 use wharfquay_core::priority::{AdmissionLevel, Priority};
+use wharfquay_core::quarantine::RequestFingerprint;
 use wharfquay_core::time::Timestamp;
 
 /// Longest header value that is decoded, in bytes.
@@ -79,6 +80,12 @@
     /// Absent in first attempts, and in calls of processes that don't tell it.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     is_repeat: bool,
+    /// Absent in calls of processes that don't tell it.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    fingerprint: Option<RequestFingerprint>,
+    /// Absent while there is none.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+    ended_backends: u8,
     /// Absent in calls of processes that don't name it.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
     callee: Option<Callee>,
@@ -101,6 +108,8 @@
             depth: context.depth,
             admitted_below: context.admitted_below,
             is_repeat: context.is_repeat,
+            fingerprint: context.fingerprint,
+            ended_backends: context.ended_backends,
             callee: None,
         }
     }
@@ -136,6 +145,8 @@
             depth: self.depth,
             admitted_below: self.admitted_below,
             is_repeat: self.is_repeat,
+            fingerprint: self.fingerprint,
+            ended_backends: self.ended_backends,
         })
     }
 
@@ -159,6 +170,11 @@
     *level == AdmissionLevel::OPEN
 }
 
+/// Whether a count can be left out.
+fn is_zero(count: &u8) -> bool {
+    *count == 0
+}
+
 /// Whether a mark can be left out.
 fn is_false(mark: &bool) -> bool {
     !*mark
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -7,6 +7,7 @@
     AttemptId, CallContext, IdempotencyKey, OriginId, Repeatability, RetryAllowance,
 };
 use wharfquay_core::priority::{AdmissionLevel, Priority};
+use wharfquay_core::quarantine::RequestFingerprint;
 use wharfquay_core::time::Timestamp;
 use wharfquay_protocol::answer::WireAnswer;
 use wharfquay_protocol::context::{DecodeError, MAX_ENCODED_LENGTH, WireContext};
@@ -54,6 +55,10 @@
                     depth,
                     admitted_below: AdmissionLevel::new(level),
                     is_repeat: level.is_multiple_of(2),
+                    fingerprint: level
+                        .is_multiple_of(3)
+                        .then_some(RequestFingerprint::new(attempt)),
+                    ended_backends: depth,
                 }
             },
         )
@@ -95,6 +100,8 @@
         depth: u8::MAX,
         admitted_below: AdmissionLevel::CLOSED,
         is_repeat: true,
+        fingerprint: Some(RequestFingerprint::new(u64::MAX)),
+        ended_backends: u8::MAX,
     };
     let value = WireContext::from_context(&context, Timestamp::ZERO).encode();
     assert!(value.len() <= MAX_ENCODED_LENGTH, "{} bytes", value.len());
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -86,6 +86,8 @@
         "An earlier process acknowledged the leaving of this instance; it gets nothing.";
     InstanceReplaced = "instance_replaced", Warn, ["instance"],
         "Another instance answers at the back end's address.";
+    InstanceEnded = "instance_ended", Warn, ["instance", "in_execution", "requests"],
+        "The back end's process ended without a word: its connections were lost and it accepts none. The fingerprints are those of the requests in execution, 16 at most.";
     DepartureAcknowledged = "departure_acknowledged", Info, ["instance"],
         "The leaving of an instance is durable and was acknowledged.";
     DepartureNotDurable = "departure_not_durable", Warn, ["instance", "error"],
@@ -95,11 +97,11 @@
     KeyRefused = "key_refused", Info, ["request", "route", "key", "result", "name"],
         "A request was refused for its API key, of which the fingerprint is shown: unknown (2008), or the configuration was not confirmed recently enough to tell (3017).";
     RequestEnded = "request_ended", Info,
-        ["request", "origin", "tenant", "route", "service", "version", "depth", "key", "result", "name",
+        ["request", "origin", "fingerprint", "tenant", "route", "service", "version", "depth", "key", "result", "name",
          "status", "retry_after_ms", "took_ms", "left_ms", "attempts", "gave_up"],
         "A request of a caller or of the local back end has its final answer.";
     CallEnded = "call_ended", Info,
-        ["request", "origin", "kind", "instance", "key", "result", "name", "status", "queued_ms",
+        ["request", "origin", "fingerprint", "kind", "instance", "key", "result", "name", "status", "queued_ms",
          "took_ms", "in_flight", "limit", "waiting", "level", "below"],
         "A call for the local back end ended here.";
     LogDropped = "log_dropped", Warn, ["lines"],
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -17,6 +17,7 @@
 use wharfquay_daemon::inbound::gate::AdmissionGate;
 use wharfquay_daemon::sync::lock;
 
+use super::end_detector::EndDetector;
 use crate::configuration::Service;
 use crate::dialect::{Dialect, text};
 use crate::instance::InstanceId;
@@ -81,6 +82,7 @@
     pub gate: Arc<AdmissionGate>,
     /// Connections to it.
     pub pool: Arc<BackendPool>,
+    pub(super) end: Arc<EndDetector>,
     leaving: AtomicBool,
     slots: Mutex<u32>,
     unreachable_until: Mutex<Timestamp>,
@@ -204,6 +206,7 @@
             id: id.clone(),
             gate,
             pool,
+            end: EndDetector::new(self.address, self.clock),
             leaving: AtomicBool::new(false),
             slots: Mutex::new(slots),
             unreachable_until: Mutex::default(),
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -24,10 +24,13 @@
 
 use super::answer::{Verdict, judge};
 use super::backend::{LocalBackend, OpenInstance};
+use super::end_detector::{Probed, RunningGuard, RunningRequest};
 use super::report::CallReport;
 use crate::body::{Collected, collect, remove_length};
 use crate::dialect::Dialect;
+use crate::events::Event;
 use crate::instance::InstanceId;
+use crate::log_event;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
 use crate::outbound::routing::Routing;
@@ -52,6 +55,9 @@
 /// Retry-After of a call that the back end itself refused.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Fingerprints that the line about an end of the back end shows at most.
+const MOST_LOGGED_REQUESTS: usize = 16;
+
 /// Learns that another instance than the one that was meant has the back end's address.
 pub(crate) type MisdirectedObserver = Arc<dyn Fn(&InstanceId) + Send + Sync>;
 
@@ -207,7 +213,8 @@
         Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER))
     }
 
-    /// Sends the call to the back end once and reads its answer.
+    /// Sends the call to the back end once and reads its answer; tells an end of the back end from the mere loss of
+    /// a connection.
     async fn send(
         &self,
         instance: &OpenInstance,
@@ -215,6 +222,51 @@
         request_id: &str,
         head: &RequestHead,
         body: RequestBody,
+    ) -> Result<Answered, Failure> {
+        let mut running = None;
+        let sending = self.send_once(instance, context, request_id, head, body, &mut running);
+        let result = sending.await;
+        let is_lost = result
+            .as_ref()
+            .is_err_and(|failure| failure.code == ResultCode::ConnectionLost);
+        if is_lost && !instance.is_leaving() && self.has_ended(instance).await {
+            return Err(Failure::new(ResultCode::BackendEnded));
+        }
+        result
+    }
+
+    /// Whether the instance has ended; tells the operator once.
+    async fn has_ended(&self, instance: &OpenInstance) -> bool {
+        match instance.end.probe().await {
+            Probed::Alive => false,
+            Probed::Ended => true,
+            Probed::EndedNow(running) => {
+                instance.connect_failed(self.clock.now());
+                self.metrics.instance_ended();
+                let requests = running.iter().take(MOST_LOGGED_REQUESTS);
+                let requests: Vec<String> = requests
+                    .map(|request| request.fingerprint.to_string())
+                    .collect();
+                log_event!(
+                    Event::InstanceEnded,
+                    "instance={} in_execution={} requests={}",
+                    instance.id,
+                    running.len(),
+                    requests.join(","),
+                );
+                true
+            }
+        }
+    }
+
+    async fn send_once(
+        &self,
+        instance: &OpenInstance,
+        context: &CallContext,
+        request_id: &str,
+        head: &RequestHead,
+        body: RequestBody,
+        running: &mut Option<RunningGuard>,
     ) -> Result<Answered, Failure> {
         let mut request = head.to_request(body);
         self.address_to(instance, request.headers_mut());
@@ -222,6 +274,9 @@
             let mut lease = self.checkout(instance).await?;
             let remaining = context.remaining(self.clock.now());
             self.dialect.set_deadline(request.headers_mut(), remaining);
+            *running = context
+                .fingerprint
+                .map(|fingerprint| instance.end.begin(RunningRequest { fingerprint }));
             match lease.send(request).await {
                 Ok(response) => {
                     return self
@@ -229,7 +284,10 @@
                         .await;
                 }
                 Err(SendError::Failed(error)) => return Err(Failure::new(code_of(error))),
-                Err(SendError::NotSent(unsent)) => request = unsent,
+                Err(SendError::NotSent(unsent)) => {
+                    *running = None;
+                    request = unsent;
+                }
             }
         }
         instance.connect_failed(self.clock.now());
--- a/crates/sidecar/src/inbound/report.rs
+++ b/crates/sidecar/src/inbound/report.rs
@@ -10,6 +10,7 @@
 use wharfquay_protocol::answer::WireAnswer;
 
 use crate::events::{Event, is_sampled};
+use crate::fingerprint::fingerprint_text;
 use crate::instance::InstanceId;
 use crate::log_event;
 use crate::metrics::Metrics;
@@ -67,11 +68,12 @@
         }
         log_event!(
             Event::CallEnded,
-            "request={} origin={:032x} kind={} instance={} key={} result={} name={} \
+            "request={} origin={:032x} fingerprint={} kind={} instance={} key={} result={} name={} \
              status={status} queued_ms={:.1} took_ms={:.1} in_flight={} limit={} waiting={} \
              level={} below={}",
             self.request_id,
             self.context.origin.as_u128(),
+            fingerprint_text(&self.context),
             self.context.request_kind,
             instance.map_or("none", InstanceId::as_str),
             self.context.admission_key().number(),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 mod body;
 mod confirmation;
 mod exchange;
+mod fingerprint;
 mod importance;
 mod listeners;
 mod message;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -6,8 +6,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_daemon::sync::lock;
@@ -18,7 +18,7 @@
 ];
 
 /// Every metric with its meaning; `docs/OPERATIONS.md` lists the same.
-pub const CATALOGUE: [(&str, &str); 21] = [
+pub const CATALOGUE: [(&str, &str); 22] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -91,6 +91,10 @@
         "wharfquay_configuration_confirmed_age_seconds",
         "Time since the configuration in force was last confirmed to be the newest; -1 where it never was",
     ),
+    (
+        "wharfquay_instances_ended_total",
+        "Instances of the local back end that ended without a word while they executed requests",
+    ),
 ];
 
 /// Tenants that are counted under their own name, those first seen; the others are counted together. It bounds the
@@ -144,6 +148,7 @@
     tenant_requests: IntCounterVec,
     named_tenants: Mutex<HashSet<String>>,
     confirmed_age: IntGauge,
+    instances_ended: IntCounter,
 }
 
 /// Registers metrics that the catalogue describes.
@@ -163,6 +168,10 @@
         collector
     }
 
+    fn counter(&self, name: &'static str) -> prometheus::Result<IntCounter> {
+        IntCounter::with_opts(Self::options(name)).map(|counter| self.keep(counter))
+    }
+
     fn counters(&self, name: &'static str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
         IntCounterVec::new(Self::options(name), labels).map(|counters| self.keep(counters))
     }
@@ -226,6 +235,7 @@
                 .counters("wharfquay_tenant_requests_total", &["tenant", "result"])?,
             named_tenants: Mutex::default(),
             confirmed_age: registrar.gauge("wharfquay_configuration_confirmed_age_seconds")?,
+            instances_ended: registrar.counter("wharfquay_instances_ended_total")?,
             registry: registrar.0,
         })
     }
@@ -274,6 +284,11 @@
         self.call_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts an instance of the local back end that ended without a word.
+    pub fn instance_ended(&self) {
+        self.instances_ended.inc();
+    }
+
     /// Counts a call to the platform.
     pub fn platform_called(&self, operation: &str, result: &str) {
         self.platform_calls
--- a/crates/sidecar/src/outbound/connection.rs
+++ b/crates/sidecar/src/outbound/connection.rs
@@ -26,6 +26,7 @@
 use super::answer::refusal;
 use super::parse::{BodyDecoder, ParseError, ParsedHead, Piece, take_head};
 use crate::configuration::ConnectionLimits;
+use crate::fingerprint::BodyPrefix;
 
 /// Requests of one connection that are in progress at a time.
 const MAX_PIPELINED: usize = 64;
@@ -252,7 +253,7 @@
     /// Starts a request and goes on reading its body for it.
     async fn start_long(
         &mut self,
-        head: ParsedHead,
+        mut head: ParsedHead,
         first: Bytes,
         mut decoder: BodyDecoder,
         answers: &mpsc::Sender<PendingAnswer>,
@@ -268,6 +269,9 @@
             remaining: length,
             ended: false,
         });
+        head.request
+            .extensions_mut()
+            .insert(BodyPrefix(first.clone()));
         self.start(head, body, answers).await?;
         let mut is_wanted = pieces.send(Ok(first)).await.is_ok();
         loop {
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -23,6 +23,7 @@
 use crate::configuration::{Route, RouteIndex};
 use crate::confirmation::Confirmation;
 use crate::dialect::{Dialect, RequestLineage};
+use crate::fingerprint::{BodyPrefix, fingerprint};
 use crate::message::RequestHead;
 use crate::scopes::{Scope, ScopeTable};
 use crate::tenant::Tenant;
@@ -135,6 +136,7 @@
         let service = route
             .destination(rand::random())
             .ok_or_else(|| Failure::new(ResultCode::NoBackend))?;
+        let prefix = request.extensions().get::<BodyPrefix>().cloned();
         let (mut head, body) = RequestHead::split(request)
             .ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
         let parent = self.parent(&head.headers)?;
@@ -153,7 +155,12 @@
             .ok_or_else(|| Failure::new(ResultCode::MalformedRequest))?;
         let given = self.dialect.deadline(&head.headers);
         let priority = index.priority(tenant, route);
-        let context = self.context(route, priority, request_id, given, parent.as_deref());
+        let tenant_name = tenant.map(|tenant| tenant.name.as_str());
+        let fingerprint = fingerprint(&host, &head, tenant_name, prefix.as_ref(), &body);
+        let context = CallContext {
+            fingerprint: Some(fingerprint),
+            ..self.context(route, priority, request_id, given, parent.as_deref())
+        };
         if parent.is_some() {
             self.forwarder.routing.calls(&context.request_kind, service);
         }
@@ -167,7 +174,7 @@
         let report = RequestReport::new(
             self.clock,
             request_id,
-            tenant.map(|tenant| tenant.name.as_str()),
+            tenant_name,
             &route.name,
             service,
             index.configuration.version,
@@ -261,6 +268,7 @@
                 deadline: deadline.min(scope.context.deadline),
                 allowance: RetryAllowance::NONE,
                 repeatability,
+                ended_backends: 0,
                 ..scope.context.clone()
             },
             None => {
@@ -277,6 +285,8 @@
                     depth: 0,
                     admitted_below: AdmissionLevel::OPEN,
                     is_repeat: false,
+                    fingerprint: None,
+                    ended_backends: 0,
                 }
             }
         }
--- a/crates/sidecar/src/outbound/report.rs
+++ b/crates/sidecar/src/outbound/report.rs
@@ -15,6 +15,7 @@
 
 use super::forward::NoRetry;
 use crate::events::{Event, is_sampled};
+use crate::fingerprint::fingerprint_text;
 use crate::log_event;
 
 /// One attempt of a request.
@@ -115,10 +116,11 @@
         let now = self.clock.now();
         log_event!(
             Event::RequestEnded,
-            "request={} origin={:032x} tenant={} route={} service={} version={} depth={} key={} result={} \
+            "request={} origin={:032x} fingerprint={} tenant={} route={} service={} version={} depth={} key={} result={} \
              name={} status={status} retry_after_ms={} took_ms={:.1} left_ms={:.1} attempts={} gave_up={}",
             self.request_id,
             self.context.origin.as_u128(),
+            fingerprint_text(&self.context),
             self.tenant.as_deref().unwrap_or("none"),
             self.route,
             self.service,
--- a/crates/sidecar/tests/addressed_calls.rs
+++ b/crates/sidecar/tests/addressed_calls.rs
@@ -37,6 +37,8 @@
         depth: 1,
         admitted_below: AdmissionLevel::OPEN,
         is_repeat: false,
+        fingerprint: None,
+        ended_backends: 0,
     };
     let wire = WireContext::from_context(&context, Timestamp::ZERO);
     let wire = match callee {
--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -7,6 +7,13 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// Time from the begin of a request that ends the back end to that end.
+const TIME_TO_END: Duration = Duration::from_millis(40);
+/// Time until a back end that ended is back, as another instance.
+pub const DOWN_TIME: Duration = Duration::from_millis(250);
 
 /// What the back end does with one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +46,8 @@
     Long(usize),
     /// Says that it answers with this many bytes and breaks off before the last one.
     LongCutShort(usize),
+    /// Begins to execute the request and ends as a process.
+    End,
 }
 
 /// One request as the back end saw it.
@@ -69,12 +78,18 @@
     next: VecDeque<Behaviour>,
     seen: Vec<Seen>,
     abandoned: usize,
+    /// A request whose target holds this text ends the back end.
+    ends_on: Option<String>,
+    /// Times that the back end ended.
+    ends: usize,
+    is_down: bool,
 }
 
 #[derive(Clone, Debug)]
 pub struct StandInBackend {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
+    end: Arc<Notify>,
 }
 
 impl StandInBackend {
@@ -86,13 +101,65 @@
             is_healthy: true,
             ..State::default()
         }));
-        let shared = Arc::clone(&state);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&shared)));
+        let backend = Self {
+            address,
+            state,
+            end: Arc::default(),
+        };
+        tokio::spawn(backend.clone().live(listener));
+        backend
+    }
+
+    /// Serves, ends as a process when told to, and comes back as another instance.
+    async fn live(self, first: TcpListener) {
+        let mut listener = first;
+        loop {
+            let mut connections = JoinSet::new();
+            let serving = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let (state, end) = (Arc::clone(&self.state), Arc::clone(&self.end));
+                    connections.spawn(serve(stream, state, end));
+                }
+            };
+            tokio::select! {
+                () = serving => return,
+                () = self.end.notified() => {}
             }
-        });
-        Self { address, state }
+            drop(listener);
+            connections.shutdown().await;
+            self.note_end();
+            tokio::time::sleep(DOWN_TIME).await;
+            listener = TcpListener::bind(self.address).await.unwrap();
+            self.state.lock().unwrap().is_down = false;
+        }
+    }
+
+    fn note_end(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.ends += 1;
+        state.is_down = true;
+        let first = state.instance.split('+').next().unwrap_or_default();
+        state.instance = format!("{first}+{}", state.ends);
+    }
+
+    /// Ends as a process, whatever it executes.
+    pub fn kill(&self) {
+        self.end.notify_one();
+    }
+
+    /// Requests whose target holds `text` end the back end from now on.
+    pub fn end_on(&self, text: &str) {
+        self.state.lock().unwrap().ends_on = Some(text.to_owned());
+    }
+
+    /// Times that it ended.
+    pub fn ends(&self) -> usize {
+        self.state.lock().unwrap().ends
+    }
+
+    /// Whether it has ended and is not back.
+    pub fn is_down(&self) -> bool {
+        self.state.lock().unwrap().is_down
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -132,13 +199,18 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) {
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>, end: Arc<Notify>) {
     let mut buffer = Vec::new();
     while let Some(seen) = read_request(&mut stream, &mut buffer).await {
         let (answer, close) = {
             let mut state = state.lock().unwrap();
             respond(&mut state, seen)
         };
+        if answer.ends {
+            tokio::time::sleep(TIME_TO_END).await;
+            end.notify_one();
+            return std::future::pending().await;
+        }
         if let Some(wait) = answer.wait {
             let mut byte = [0; 1];
             tokio::select! {
@@ -158,12 +230,14 @@
 struct Reply {
     wait: Option<Duration>,
     bytes: Vec<u8>,
+    ends: bool,
 }
 
 fn respond(state: &mut State, seen: Seen) -> (Reply, bool) {
     let at_once = |text: String| Reply {
         wait: None,
         bytes: text.into_bytes(),
+        ends: false,
     };
     let instance = state.instance.clone();
     if seen.request_line().starts_with("GET /health ") {
@@ -187,7 +261,14 @@
         );
         return (at_once(text), false);
     }
-    let behaviour = state.next.pop_front().unwrap_or(Behaviour::Answer);
+    let ends_it = state
+        .ends_on
+        .as_ref()
+        .is_some_and(|text| seen.request_line().contains(text));
+    let behaviour = match ends_it {
+        true => Behaviour::End,
+        false => state.next.pop_front().unwrap_or(Behaviour::Answer),
+    };
     if behaviour == Behaviour::Refuse {
         let text = format!(
             "HTTP/1.1 503 Full\r\ntest-request-id: {id}\r\ntest-not-executed: 1\r\n\
@@ -210,10 +291,16 @@
             Reply {
                 wait: Some(wait),
                 bytes: whole.into_bytes(),
+                ends: false,
             },
             false,
         ),
         Behaviour::LoseAnswer => (at_once(String::new()), true),
+        Behaviour::End => {
+            let mut reply = at_once(String::new());
+            reply.ends = true;
+            (reply, true)
+        }
         Behaviour::CutShort => (at_once(signed(&id, "", body.len() + 10, &body)), true),
         Behaviour::Unframed => {
             let text = format!(
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait for something that must happen.
 pub const PATIENCE: Duration = Duration::from_secs(10);
+/// Pause between two heartbeats of a back end that keeps sending them.
+const HEARTBEAT_PAUSE: Duration = Duration::from_millis(20);
 pub const HOST: &str = "shop.example";
 
 /// The dialect of the stand-ins.
@@ -115,6 +117,16 @@
     }
 }
 
+fn heartbeat(backend: &StandInBackend, state: ReportedState, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        instance: InstanceId::from(backend.instance().as_str()),
+        state,
+        sequence,
+        slots: 4,
+        cold_left: Duration::ZERO,
+    }
+}
+
 /// One sidecar with the back end beside it.
 pub struct Machine {
     pub sidecar: Arc<Sidecar<StandInPlatform>>,
@@ -174,16 +186,27 @@
     /// Sends a heartbeat of the back end's instance.
     pub async fn beat(&mut self, state: ReportedState) -> Acknowledgement {
         self.sequence += 1;
-        let beat = Heartbeat {
-            instance: InstanceId::from(self.backend.instance().as_str()),
-            state,
-            sequence: self.sequence,
-            slots: 4,
-            cold_left: Duration::ZERO,
-        };
+        let beat = heartbeat(&self.backend, state, self.sequence);
         self.sidecar.heartbeat(&beat).await
     }
 
+    /// Lets the back end's instance send heartbeats as long as the test runs, whichever instance it is.
+    pub fn keep_beating(&self) {
+        let (sidecar, backend) = (Arc::clone(&self.sidecar), self.backend.clone());
+        let mut sequence = self.sequence;
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(HEARTBEAT_PAUSE).await;
+                if backend.is_down() {
+                    continue;
+                }
+                sequence += 1;
+                let beat = heartbeat(&backend, ReportedState::Ready, sequence);
+                sidecar.heartbeat(&beat).await;
+            }
+        });
+    }
+
     pub async fn ready(&self) {
         eventually("the sidecar is ready", || self.sidecar.is_ready()).await;
     }
