--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -13,6 +13,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use wharfquay_clock::{Clock, TimeSource, since_boot};
+use wharfquay_core::time::Timestamp;
 
 use crate::body::{BodyEnd, BodyObserver, RequestBody};
 use crate::connect::connect;
@@ -47,6 +49,7 @@
 #[derive(Debug)]
 pub struct BackendPool {
     address: SocketAddr,
+    clock: Clock,
     connect_timeout: Duration,
     limit: AtomicUsize,
     /// Longest rest of a connection that is used again, where the back end says nothing else.
@@ -62,7 +65,7 @@
     /// A pool that opens at most `limit` connections to `address`.
     #[must_use]
     pub fn new(address: SocketAddr, limit: usize, connect_timeout: Duration) -> Arc<Self> {
-        Self::with_longest_rest(address, limit, connect_timeout, Duration::MAX)
+        Self::with_longest_rest(address, limit, connect_timeout, Duration::MAX, since_boot)
     }
 
     /// As [`Self::new`], for a back end that closes connections after a rest.
@@ -72,9 +75,11 @@
         limit: usize,
         connect_timeout: Duration,
         longest_rest: Duration,
+        time_source: TimeSource,
     ) -> Arc<Self> {
         Arc::new(Self {
             address,
+            clock: Clock::from_source(time_source),
             connect_timeout,
             limit: AtomicUsize::new(limit),
             longest_rest,
@@ -140,7 +145,7 @@
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         while let Some(resting) = idle.pop() {
-            if resting.is_usable() {
+            if resting.is_usable(self.clock.now()) {
                 return Some(resting.connection);
             }
         }
@@ -198,15 +203,16 @@
 
     /// Closes connections that have rested longer than they may.
     pub fn close_rested(&self) {
-        close_rested(&mut lock(&self.idle));
+        close_rested(&mut lock(&self.idle), self.clock.now());
     }
 
     fn push_idle(&self, connection: Connection, longest_rest: Duration) {
         let mut idle = lock(&self.idle);
-        close_rested(&mut idle);
+        let now = self.clock.now();
+        close_rested(&mut idle, now);
         idle.push(Resting {
             connection,
-            since: Instant::now(),
+            since: now,
             longest_rest,
         });
         drop(idle);
@@ -229,20 +235,21 @@
 #[derive(Debug)]
 struct Resting {
     connection: Connection,
-    since: Instant,
+    since: Timestamp,
     longest_rest: Duration,
 }
 
 impl Resting {
-    fn is_usable(&self) -> bool {
-        !self.connection.sender.is_closed() && self.since.elapsed() < self.longest_rest
+    fn is_usable(&self, now: Timestamp) -> bool {
+        let rest = now.saturating_since(self.since);
+        !self.connection.sender.is_closed() && rest < self.longest_rest
     }
 }
 
 /// Closes the connections at rest for too long. The last one to rest is the first to be used, so that after
 /// a surge the ones that rested longest are not needed any more.
-fn close_rested(idle: &mut Vec<Resting>) {
-    let unusable = idle.iter().take_while(|resting| !resting.is_usable());
+fn close_rested(idle: &mut Vec<Resting>, now: Timestamp) {
+    let unusable = idle.iter().take_while(|resting| !resting.is_usable(now));
     let count = unusable.count();
     idle.drain(..count);
 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,14 +1,15 @@
-//! The monotonic clock that feeds the decision logic.
+//! The clock that feeds the decision logic.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use wharfquay_clock::{DeadlinePassed, TimeSource, since_boot};
 use wharfquay_core::idempotency::clock::UnixMillis;
 use wharfquay_core::time::Timestamp;
 
-/// Maps the process's monotonic clock to [`Timestamp`]s and back.
+/// The process's clock, with the time of day at which it was started.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    steady: wharfquay_clock::Clock,
     started_at: UnixMillis,
 }
 
@@ -16,8 +17,14 @@
     /// A clock whose origin is now.
     #[must_use]
     pub fn start() -> Self {
+        Self::from_source(since_boot)
+    }
+
+    /// As [`Self::start`], on another source of time.
+    #[must_use]
+    pub fn from_source(source: TimeSource) -> Self {
         Self {
-            origin: Instant::now(),
+            steady: wharfquay_clock::Clock::from_source(source),
             started_at: wall_clock(),
         }
     }
@@ -32,24 +39,35 @@
     /// The current time.
     #[must_use]
     pub fn now(&self) -> Timestamp {
-        let elapsed = self.origin.elapsed().as_micros();
-        Timestamp::from_micros(u64::try_from(elapsed).unwrap_or(u64::MAX))
+        self.steady.now()
     }
 
-    /// The instant at which `timestamp` is reached, for use in timers.
+    /// The instant at which `timestamp` is reached, for timers that start now.
     #[must_use]
     pub fn instant(&self, timestamp: Timestamp) -> tokio::time::Instant {
-        let since_origin = timestamp.saturating_since(Timestamp::ZERO);
-        let instant = self.origin.checked_add(since_origin);
-        tokio::time::Instant::from_std(instant.unwrap_or(self.origin))
+        self.steady.instant(timestamp)
     }
 
     /// Sleeps until a time; for ever when there is none.
     pub async fn sleep_until(&self, time: Option<Timestamp>) {
-        match time {
-            Some(time) => tokio::time::sleep_until(self.instant(time)).await,
-            None => std::future::pending().await,
-        }
+        self.steady.sleep_until(time).await;
+    }
+
+    /// Waits for a future until a deadline.
+    ///
+    /// # Errors
+    /// [`DeadlinePassed`], after which the future is dropped.
+    pub async fn timeout_at<F: Future>(
+        &self,
+        deadline: Timestamp,
+        future: F,
+    ) -> Result<F::Output, DeadlinePassed> {
+        self.steady.timeout_at(deadline, future).await
+    }
+
+    /// Wakes what waits for deadlines when the machine was suspended, and tells for how long; never ends.
+    pub async fn watch_suspensions(self, observe: impl Fn(Duration)) {
+        wharfquay_clock::watch_suspensions(self.steady, observe).await;
     }
 }
 
--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use support::NobodyListens;
 use support::backend::BackendStub;
+use wharfquay_clock::since_boot;
 use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 
@@ -51,7 +52,13 @@
 async fn connections_that_rested_too_long_are_closed() {
     let backend = BackendStub::start().await;
     let longest_rest = Duration::from_millis(40);
-    let pool = BackendPool::with_longest_rest(backend.address, 8, CONNECT_TIMEOUT, longest_rest);
+    let pool = BackendPool::with_longest_rest(
+        backend.address,
+        8,
+        CONNECT_TIMEOUT,
+        longest_rest,
+        since_boot,
+    );
     let mut leases = Vec::new();
     for _ in 0..3 {
         leases.push(pool.checkout().await.unwrap());
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -53,6 +53,8 @@
     Stopping = "stopping", Info, ["calls_in_flight"],
         "A stop was asked for; new work goes elsewhere.";
     Stopped = "stopped", Info, ["calls_cut"], "The sidecar ends; calls cut had not ended in the grace.";
+    MachineSuspended = "machine_suspended", Warn, ["length_ms"],
+        "The machine was suspended for this long: its steady clock and its timers stood still, leases and deadlines did not.";
     SettingsRead = "settings_read", Info, [], "The settings were read again without a fault.";
     SettingsRejected = "settings_rejected", Warn, ["error"],
         "The settings were read again and are malformed; those of the start stay in force.";
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -7,6 +7,7 @@
 
 use http::{Request, StatusCode};
 use tokio_util::task::AbortOnDropHandle;
+use wharfquay_clock::since_boot;
 use wharfquay_core::admission::AdmissionSettings;
 use wharfquay_core::priority::Priority;
 use wharfquay_core::retry::RepeatWindow;
@@ -201,6 +202,7 @@
             connections,
             CONNECT_TIMEOUT,
             LONGEST_REST,
+            since_boot,
         );
         *current = Some(Arc::new(OpenInstance {
             id: id.clone(),
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -172,7 +172,8 @@
             is_isolated: turn.is_some(),
         };
         let running = self.dispatch(instance, &call, body);
-        let result = match tokio::time::timeout_at(deadline, running).await {
+        let within = self.clock.timeout_at(context.deadline, running);
+        let result = match within.await {
             Ok(result) => result,
             Err(_) => Err(Failure::new(ResultCode::DeadlineAfterDispatch)),
         };
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -110,9 +110,12 @@
         call: &OutgoingCall,
         body: RequestBody,
     ) -> Result<Response<AnswerBody>, Failure> {
-        let deadline = self.clock.instant(call.context.deadline);
         let forwarding = self.forwarder.forward(call, CallBody::new(body));
-        match tokio::time::timeout_at(deadline, forwarding).await {
+        match self
+            .clock
+            .timeout_at(call.context.deadline, forwarding)
+            .await
+        {
             Ok(Err(failure)) if is_late(failure.code) && !call.progress.may_run() => {
                 Err(placed_too_late())
             }
--- a/crates/sidecar/src/outbound/peers.rs
+++ b/crates/sidecar/src/outbound/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use wharfquay_clock::since_boot;
 use wharfquay_daemon::backend_pool::BackendPool;
 use wharfquay_daemon::sync::lock;
 
@@ -26,7 +27,13 @@
     pub(crate) fn pool(&self, address: SocketAddr) -> Arc<BackendPool> {
         let mut pools = lock(&self.pools);
         let pool = pools.entry(address).or_insert_with(|| {
-            BackendPool::with_longest_rest(address, CONNECTIONS, CONNECT_TIMEOUT, LONGEST_REST)
+            BackendPool::with_longest_rest(
+                address,
+                CONNECTIONS,
+                CONNECT_TIMEOUT,
+                LONGEST_REST,
+                since_boot,
+            )
         });
         Arc::clone(pool)
     }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use wharfquay_clock::TimeSource;
+
 /// Settings of one sidecar.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -25,6 +27,8 @@
     pub is_first_start: bool,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
+    /// Where time comes from.
+    pub time_source: TimeSource,
 }
 
 /// Bounds that the deployment sets.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -120,7 +120,7 @@
         let metrics = Arc::new(Metrics::new().map_err(StartError::Metrics)?);
         let platform = Metered::new(platform, Arc::clone(&metrics));
         let listeners = Listeners::bind(&settings).await?;
-        let clock = Clock::start();
+        let clock = Clock::from_source(settings.time_source);
         let (configuration_sender, configuration) = watch::channel(Arc::new(RouteIndex::default()));
         let (member_sender, members) = watch::channel(MemberTable::default());
         let (isolated_sender, isolated) = watch::channel(false);
@@ -163,6 +163,10 @@
             channels,
         );
         tokio::spawn(control.run());
+        tokio::spawn(clock.watch_suspensions(|length| {
+            let millis = length.as_millis();
+            log_event!(Event::MachineSuspended, "length_ms={millis}");
+        }));
         let keeping = keep_confirmed(
             Arc::clone(&confirmation),
             Arc::clone(&exchange),
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -114,6 +114,7 @@
             stop_grace: Duration::from_millis(1_600),
             ..Bounds::default()
         },
+        time_source: wharfquay_clock::since_boot,
     }
 }
 
