Reckon leases, ages and deadlines by a clock that counts the time for which the machine is suspended

Cause: the steady clock and its timers stand still while the machine is suspended, and to everybody else that time has passed. Ruled out: the time of day (it jumps); asking peers after each pause (the pause can't be seen on the steady clock). Change: Clock reads CLOCK_BOOTTIME. Timers that were armed before a suspension are looked at again: the two clocks are compared each 200 ms (machine_suspended). Not covered: the deadline of an answer that is streamed on (over 192 KiB) is armed once; idle time-outs of callers' connections run long.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -7,6 +7,8 @@
 mod resume;
 mod source;
 
+use std::time::Duration;
+
 use wharfquay_core::time::Timestamp;
 
 pub use resume::{SUSPENSION_CHECK_INTERVAL, watch_suspensions};
@@ -15,7 +17,8 @@
 /// Maps the time since the machine's boot to [`Timestamp`]s, and these to timers.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: std::time::Instant,
+    source: TimeSource,
+    origin: Duration,
 }
 
 /// The deadline passed first.
@@ -32,16 +35,16 @@
     /// As [`Self::start`], on another source of time.
     #[must_use]
     pub fn from_source(source: TimeSource) -> Self {
-        let _ = source;
         Self {
-            origin: std::time::Instant::now(),
+            source,
+            origin: source(),
         }
     }
 
     /// The current time.
     #[must_use]
     pub fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
+        Timestamp::ZERO + (self.source)().saturating_sub(self.origin)
     }
 
     /// The instant at which `timestamp` is reached, unless the machine is suspended before: for timers that start now.
--- a/crates/daemon/src/inbound/gate.rs
+++ b/crates/daemon/src/inbound/gate.rs
@@ -197,7 +197,7 @@
             let wakeup = lock(&self.state).controller.next_wakeup();
             match wakeup {
                 Some(wakeup) => tokio::select! {
-                    () = tokio::time::sleep_until(self.clock.instant(wakeup)) => {}
+                    () = self.clock.sleep_until(Some(wakeup)) => {}
                     () = self.timer_changed.notified() => continue,
                 },
                 None => {
--- a/crates/daemon/src/outbound/attempt.rs
+++ b/crates/daemon/src/outbound/attempt.rs
@@ -81,9 +81,8 @@
     let Some(request) = build(call, clock.now(), allowance, body) else {
         return AttemptEnd::failed(ResultCode::MalformedRequest, GrantEnd::Untouched);
     };
-    let deadline = clock.instant(call.context.deadline);
     let sent = peers.send(target.address, request);
-    match tokio::time::timeout_at(deadline, sent).await {
+    match clock.timeout_at(call.context.deadline, sent).await {
         Ok(Ok(response)) => read_answer(response),
         Ok(Err(PeerError::NotSent(request))) => AttemptEnd::not_sent(request),
         Ok(Err(PeerError::Unprocessed)) => {
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -143,8 +143,8 @@
         call: &OutgoingCall,
         body: Incoming,
     ) -> Result<CallBody, Failure> {
-        let deadline = self.clock.instant(call.context.deadline);
-        let body = tokio::time::timeout_at(deadline, CallBody::read(body)).await;
+        let deadline = call.context.deadline;
+        let body = self.clock.timeout_at(deadline, CallBody::read(body)).await;
         body.map_err(|_| Failure::new(ResultCode::DeadlineUnreachable))?
     }
 
--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Request;
@@ -75,6 +76,32 @@
     }
 }
 
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+fn suspendable() -> Duration {
+    since_boot() + Duration::from_millis(SUSPENDED_MS.load(Ordering::Relaxed))
+}
+
+/// The other side has closed it meanwhile, though the steady clock stood still.
+#[tokio::test]
+async fn a_connection_that_rested_through_a_suspension_is_not_used_again() {
+    let backend = BackendStub::start().await;
+    let longest_rest = Duration::from_secs(5);
+    let pool = BackendPool::with_longest_rest(
+        backend.address,
+        8,
+        CONNECT_TIMEOUT,
+        longest_rest,
+        suspendable,
+    );
+    for (suspended_ms, connections) in [(0, 1), (0, 1), (5_000, 2)] {
+        SUSPENDED_MS.fetch_add(suspended_ms, Ordering::Relaxed);
+        let lease = pool.checkout().await.unwrap();
+        exchange(&backend, lease, "/echo", BodyEnd::Complete).await;
+        assert_eq!(backend.connections(), connections);
+    }
+}
+
 #[tokio::test]
 async fn a_connection_is_closed_after_any_other_end() {
     let backend = BackendStub::start().await;
--- a/crates/platform/src/source/task.rs
+++ b/crates/platform/src/source/task.rs
@@ -2,12 +2,10 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
-use wharfquay_core::time::Timestamp;
+use wharfquay_clock::Clock;
 
 use super::event::{SourceEffect, SourceEvent, SourceInput};
 use super::state::{ConfigurationSource, SourceSettings};
@@ -99,36 +97,6 @@
     }
 }
 
-/// Timestamps since the start of a task.
-#[derive(Clone, Copy, Debug)]
-struct Clock {
-    origin: Instant,
-}
-
-impl Clock {
-    fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
-    }
-
-    fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
-    }
-
-    fn instant(&self, timestamp: Timestamp) -> Instant {
-        self.origin + Duration::from_micros(timestamp.as_micros())
-    }
-
-    /// Sleeps until a time, or for ever when there is none.
-    async fn sleep_until(&self, timestamp: Option<Timestamp>) {
-        match timestamp {
-            Some(timestamp) => tokio::time::sleep_until(self.instant(timestamp)).await,
-            None => std::future::pending().await,
-        }
-    }
-}
-
 /// The consumer has dropped its end.
 struct ConsumerGone;
 
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -9,10 +9,10 @@
 use displaydoc::Display;
 use http::HeaderValue;
 use tokio::sync::watch;
-use tokio::time::Instant;
 use wharfquay_core::priority::AdmissionLevel;
 use wharfquay_core::quarantine::{RequestEnd, RequestFingerprint};
 use wharfquay_core::routing::EndpointId;
+use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
 use wharfquay_membership::member::MemberState;
@@ -84,8 +84,8 @@
     settings: Settings,
     registry: Arc<Registry<Metered<P>>>,
     metrics: Arc<Metrics>,
-    started_at: Instant,
-    configured_at: Mutex<Instant>,
+    clock: Clock,
+    configured_at: Mutex<Timestamp>,
     backend: Arc<LocalBackend>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
     confirmation: Arc<Confirmation>,
@@ -243,8 +243,8 @@
         let sidecar = Arc::new(Self {
             settings,
             metrics,
-            started_at: Instant::now(),
-            configured_at: Mutex::new(Instant::now()),
+            clock,
+            configured_at: Mutex::new(clock.now()),
             registry,
             backend,
             configuration,
@@ -286,7 +286,7 @@
     pub fn is_ready(&self) -> bool {
         let index = self.configuration.borrow().clone();
         let is_configured = index.configuration.version > 0;
-        let has_company = self.started_at.elapsed() >= COMPANY_LIMIT
+        let has_company = self.clock.now() >= Timestamp::ZERO + COMPANY_LIMIT
             || knows_services(&self.members.borrow(), &index.configuration);
         let is_isolated = *self.isolated.borrow();
         is_configured && has_company && !is_isolated && !self.leaving.load(Ordering::Relaxed)
@@ -304,11 +304,12 @@
         let version = self.configuration.borrow().configuration.version;
         let members = count_members(&self.members.borrow());
         let is_ready = self.is_ready();
+        let configured_at = *lock(&self.configured_at);
         self.metrics.render(&Gauges {
             load: (load.in_flight, load.limit, load.queued),
             level: level.number(),
             version,
-            configuration_age: lock(&self.configured_at).elapsed(),
+            configuration_age: self.clock.now().saturating_since(configured_at),
             members,
             is_ready,
             log_lines: (lines.written(), lines.dropped()),
@@ -321,25 +322,30 @@
     /// Ends in order: first callers are sent away, then other sidecars; what is in progress is finished,
     /// at most until the grace is over.
     pub async fn stop(&self) {
-        let started = Instant::now();
+        let started = self.clock.now();
         let grace = self.settings.bounds.stop_grace;
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         self.leaving.store(true, Ordering::Relaxed);
         self.closing_sender.send_replace(true);
-        tokio::time::sleep_until(started + grace.mul_f64(OPEN_SHARE)).await;
+        self.sleep_until(started + grace.mul_f64(OPEN_SHARE)).await;
         self.stopping.store(true, Ordering::Relaxed);
         self.stop_sender.send_replace(true);
         let end = started + grace.mul_f64(1.0 - RESERVE_SHARE);
-        tokio::time::sleep_until(started + grace.mul_f64(NOTICE_SHARE)).await;
+        self.sleep_until(started + grace.mul_f64(NOTICE_SHARE))
+            .await;
         self.refusing.store(true, Ordering::Relaxed);
-        while self.is_busy() && Instant::now() < end {
+        while self.is_busy() && self.clock.now() < end {
             tokio::time::sleep(STOP_POLL).await;
         }
         let left = self.in_flight.load(Ordering::Relaxed);
         log_event!(Event::Stopped, "calls_cut={left}");
     }
 
+    async fn sleep_until(&self, time: Timestamp) {
+        self.clock.sleep_until(Some(time)).await;
+    }
+
     fn is_busy(&self) -> bool {
         self.in_flight.load(Ordering::Relaxed) > 0
             || self.outbound_in_flight.load(Ordering::Relaxed) > 0
@@ -392,7 +398,7 @@
             let mut is_first = true;
             while configuration.changed().await.is_ok() {
                 let index = configuration.borrow_and_update().clone();
-                *lock(&sidecar.configured_at) = Instant::now();
+                *lock(&sidecar.configured_at) = sidecar.clock.now();
                 limit_sender.send_replace(index.configuration.limits);
                 let service = index.configuration.services.get(sidecar.backend.service());
                 if let Some(service) = service {
