Test that a decision reaches sidecars which do not own the request, within half a second

A first form of this test passed without the gossip as well: sidecars that have just started ask others five times a second, so the test waits until they do not.

--- a/crates/sidecar/tests/crashing_requests.rs
+++ b/crates/sidecar/tests/crashing_requests.rs
@@ -222,6 +222,37 @@
     }
 }
 
+/// More sidecars than own the request: the others hear of the decision.
+#[tokio::test]
+async fn a_decision_reaches_every_sidecar_within_half_a_second() {
+    const MACHINES: usize = 9;
+    const REACHED_WITHIN: Duration = Duration::from_millis(500);
+    const FIRST_ASKS: Duration = Duration::from_millis(1_500);
+    let (_platform, machines) = machines(MACHINES).await;
+    // A sidecar that has just started asks others more often than one that has not.
+    tokio::time::sleep(FIRST_ASKS).await;
+    let mut third_end = None;
+    for machine in machines.iter().cycle().take(2 * ALLOWED_ENDS) {
+        ask(machine, "GET", "/reads/ends-it").await;
+        if ends(&machines) >= ALLOWED_ENDS {
+            third_end = Some(Instant::now());
+            break;
+        }
+        all_up(&machines).await;
+    }
+    let third_end = third_end.expect("three back ends end");
+    let known = "wharfquay_quarantine_requests{standing=\"quarantined\"} 1";
+    eventually("all know", || {
+        let mut texts = machines
+            .iter()
+            .map(|machine| machine.sidecar.metrics_text());
+        texts.all(|text| text.contains(known))
+    })
+    .await;
+    let took = third_end.elapsed();
+    assert!(took <= REACHED_WITHIN, "{took:?}");
+}
+
 /// All sidecars end together, so that nobody remembers; the platform does.
 #[test]
 fn a_request_is_refused_after_every_sidecar_was_restarted() {
