--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -14,7 +14,7 @@
 wharfquay-emulator backend --scenario NAME|FILE --service NAME --id ID --listen IP:PORT
     [--outbound IP:PORT] [--queue-limit N] [--seed N] [--warm]
     [--slow FACTOR] [--cut-answer SHARE] [--close-before SHARE] [--close-after SHARE]
-    [--refuse SHARE] [--hang SHARE] [--report-lag-ms N] [--load-factor F]
+    [--refuse SHARE] [--hang SHARE] [--end SHARE] [--report-lag-ms N] [--load-factor F]
     [--health truthful|always_live|always_leaving]
 
 Serves the steps of one service, slower at first unless --warm is given. SHARE is a probability from 0 to 1.
@@ -71,6 +71,7 @@
         "slow" => faults.slow = arguments::number_in(parser, "slow", 0.01..=1e3, "0.01 to 1000")?,
         "cut-answer" => faults.cut_answer = share(parser, "cut-answer")?,
         "close-before" => faults.close_before = share(parser, "close-before")?,
+        "end" => faults.end = share(parser, "end")?,
         "close-after" => faults.close_after = share(parser, "close-after")?,
         "refuse" => faults.refuse = share(parser, "refuse")?,
         "hang" => faults.hang = share(parser, "hang")?,
--- a/crates/emulator/src/backend/execution.rs
+++ b/crates/emulator/src/backend/execution.rs
@@ -22,6 +22,9 @@
 /// Numbers the calls of this process, so that each deeper call has a name of its own.
 static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
 
+/// Time from the begin of a request that ends the back end to that end.
+const TIME_TO_END: Duration = Duration::from_millis(30);
+
 pub(super) type Answer = Result<Response<AnswerBody>, ConnectionAborted>;
 
 /// Serves one request of the scenario.
@@ -99,6 +102,12 @@
         return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "queue full"));
     };
     let running = RunningExecution::start(state, &request, kind);
+    if state.ends_under(&request.token) {
+        tokio::time::sleep(TIME_TO_END).await;
+        state.end.notify_one();
+        // The end takes this task along.
+        std::future::pending::<()>().await;
+    }
     let execution = execute(state, &request, step, deadline);
     let result = match deadline {
         Some(deadline) => tokio::time::timeout_at(deadline.into(), execution).await,
--- a/crates/emulator/src/backend/faults.rs
+++ b/crates/emulator/src/backend/faults.rs
@@ -32,6 +32,9 @@
     pub refuse: f64,
     /// Share of requests that are executed and never answered.
     pub hang: f64,
+    /// Share of requests, told by their tokens, that end each back end which begins to execute them. It is back, at the
+    /// same address, a second later.
+    pub end: f64,
     /// What the health endpoint says.
     pub health: HealthAnswer,
     /// Age of what health and load endpoints say, in milliseconds. 0 to 600000.
@@ -49,6 +52,7 @@
             close_after: 0.0,
             refuse: 0.0,
             hang: 0.0,
+            end: 0.0,
             health: HealthAnswer::Truthful,
             report_lag_ms: 0,
             load_factor: 1.0,
@@ -103,6 +107,7 @@
             ("close_after", self.close_after),
             ("refuse", self.refuse),
             ("hang", self.hang),
+            ("end", self.end),
         ];
         for (field, share) in shares {
             check(field, share, 0.0, 1.0, "0 to 1")?;
--- a/crates/emulator/src/backend/server.rs
+++ b/crates/emulator/src/backend/server.rs
@@ -25,6 +25,8 @@
 use super::{body::ConnectionAborted, endpoints};
 
 const LARGEST_BODY: usize = 1_024 * 1_024;
+/// Time until a back end that ended is back.
+const TIME_DOWN: Duration = Duration::from_secs(1);
 const REPORT_SAMPLE: Duration = Duration::from_millis(100);
 const REPORT_HISTORY: Duration = Duration::from_secs(60);
 
@@ -69,7 +71,7 @@
         let state = Arc::new(BackendState::new(settings, model));
         state.sample_report(REPORT_HISTORY);
         let stop = CancellationToken::new();
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&state), stop.clone()));
+        let accepting = tokio::spawn(live(listener, Arc::clone(&state), stop.clone()));
         let sampling = tokio::spawn(sample_reports(Arc::clone(&state), stop.clone()));
         Ok(Self {
             address,
@@ -145,6 +147,26 @@
     }
 }
 
+/// Serves, ends as a process would when a request ends the back end, and is back at the same address a while later.
+async fn live(first: TcpListener, state: Arc<BackendState>, stop: CancellationToken) {
+    let Ok(address) = first.local_addr() else {
+        return;
+    };
+    let mut listener = first;
+    loop {
+        let life = stop.child_token();
+        tokio::select! {
+            () = accept(listener, Arc::clone(&state), life.clone()) => return,
+            () = state.end.notified() => life.cancel(),
+        }
+        tokio::time::sleep(TIME_DOWN).await;
+        match listen(address).await {
+            Ok(again) => listener = again,
+            Err(error) => return log::error!("event=backend_not_back error=\"{error}\""),
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, state: Arc<BackendState>, stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
--- a/crates/emulator/src/backend/state.rs
+++ b/crates/emulator/src/backend/state.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
+use tokio::sync::Notify;
 
 use super::calls::DeeperCalls;
 use super::faults::{Faults, HealthAnswer};
@@ -86,6 +87,8 @@
     pub(super) log: ExecutionLog,
     pub(super) calls: DeeperCalls,
     pub(super) connections: AtomicUsize,
+    /// Told when a request ends the back end.
+    pub(super) end: Notify,
     started: Instant,
     faults: RwLock<Faults>,
     drain_started: RwLock<Option<Instant>>,
@@ -101,6 +104,7 @@
             log: ExecutionLog::default(),
             calls: DeeperCalls::new(settings.outbound),
             connections: AtomicUsize::new(0),
+            end: Notify::new(),
             started: Instant::now(),
             faults: RwLock::new(settings.faults),
             drain_started: RwLock::new(None),
@@ -146,6 +150,13 @@
         share > 0.0 && self.rng().random::<f64>() < share
     }
 
+    /// Whether the request with this token ends each back end which begins to execute it.
+    pub(super) fn ends_under(&self, token: &str) -> bool {
+        let share = self.faults().end;
+        let hash = wharfquay_membership::hash::hash_bytes(token.as_bytes());
+        share > 0.0 && (hash as f64 / u64::MAX as f64) < share
+    }
+
     pub(super) fn rng(&self) -> MutexGuard<'_, Pcg64Mcg> {
         self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/emulator/tests/backend_contract/faults.rs
+++ b/crates/emulator/tests/backend_contract/faults.rs
@@ -82,6 +82,12 @@
             Expected::Nothing,
             completed,
         ),
+        case(
+            "end",
+            Faults { end: 1.0, ..none },
+            Expected::Broken,
+            &[ExecutionState::Cancelled],
+        ),
     ]
 }
 
@@ -107,6 +113,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_back_end_that_ended_accepts_nothing_and_is_back_later() {
+    let deep = start("deep").await;
+    deep.set_faults(Faults {
+        end: 1.0,
+        ..Faults::default()
+    });
+    let bound = std::time::Duration::from_millis(500);
+    let ask = async |token: &str| {
+        let path = format!("/look?token={token}&call={token}-1");
+        send(request(Method::GET, deep.address(), &path), bound).await
+    };
+    assert_eq!(ask("t1").await, Got::Broken);
+    deep.set_faults(Faults::default());
+    let away = tokio::net::TcpStream::connect(deep.address()).await;
+    assert!(away.is_err());
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(10);
+    while ask("t2").await != whole("deep", "t2") {
+        assert!(std::time::Instant::now() < end, "never back");
+    }
+}
+
 #[tokio::test]
 async fn a_refusal_says_that_nothing_was_executed() {
     let deep = start("deep").await;
