Say in the table of retry decisions what the three new result codes lead to, and move the answers to other sidecars to a file of their own

Change: Quarantined is given up as the request's own fault, SuspectWaited is offered on, BackendEnded is repeated where that does no harm, as the code did. Answerer stands in a file of its own; no line of it changed.

--- a/crates/core/tests/retry_decide.rs
+++ b/crates/core/tests/retry_decide.rs
@@ -59,6 +59,7 @@
                 Code::InvalidIdempotencyKey,
                 Code::IdempotencyKeyReused,
                 Code::UnknownApiKey,
+                Code::Quarantined,
             ],
             give_up(RequestAtFault),
             give_up(RequestAtFault),
@@ -66,6 +67,7 @@
         (
             &[
                 Code::RefusedByLevel,
+                Code::SuspectWaited,
                 Code::RefusedQueueFull,
                 Code::DisplacedFromQueue,
                 Code::QueueTimeout,
@@ -98,7 +100,11 @@
             give_up(Deadline),
         ),
         (
-            &[Code::ConnectionLost, Code::MalformedAnswer],
+            &[
+                Code::ConnectionLost,
+                Code::MalformedAnswer,
+                Code::BackendEnded,
+            ],
             repeat,
             give_up(NotRepeatable),
         ),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod sidecar;
 pub mod tenant;
 
+mod answerer;
 mod body;
 mod confirmation;
 mod exchange;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -10,7 +10,6 @@
 use http::HeaderValue;
 use tokio::sync::watch;
 use wharfquay_core::priority::AdmissionLevel;
-use wharfquay_core::quarantine::{RequestEnd, RequestFingerprint};
 use wharfquay_core::routing::EndpointId;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
@@ -18,12 +17,13 @@
 use wharfquay_membership::member::MemberState;
 use wharfquay_membership::table::MemberTable;
 
+use crate::answerer::Answerer;
 use crate::configuration::{Configuration, ConnectionLimits, RouteIndex};
 use crate::confirmation::{Confirmation, keep_confirmed};
 use crate::control::{ControlChannels, ControlTask};
 use crate::dialect::Dialect;
 use crate::events::Event;
-use crate::exchange::{Answer, Exchange, Notice, Peer, Question, Reply};
+use crate::exchange::{Exchange, Peer};
 use crate::inbound::backend::LocalBackend;
 use crate::inbound::{InboundHandler, LocalExecutor};
 use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
@@ -418,43 +418,6 @@
     }
 }
 
-/// Answers the questions of other sidecars.
-struct Answerer {
-    confirmation: Arc<Confirmation>,
-    quarantine: Arc<Quarantine>,
-    owner: QuotaOwner,
-}
-
-impl Answer for Answerer {
-    fn answer(&self, question: &Question) -> Reply {
-        match question {
-            Question::Confirmation => self.confirmation.reply(),
-            Question::Tokens { tenant, wanted } => self.owner.grant(tenant, *wanted),
-            Question::Ends { instance, requests } => {
-                let end = |(fingerprint, was_isolated): &(RequestFingerprint, bool)| RequestEnd {
-                    fingerprint: *fingerprint,
-                    instance: *instance,
-                    was_isolated: *was_isolated,
-                };
-                let ends: Vec<RequestEnd> = requests.iter().map(end).collect();
-                self.quarantine.count_ends(&ends);
-                Reply::Noted
-            }
-            Question::Answered(fingerprint) => {
-                self.quarantine.forget_ends(*fingerprint);
-                Reply::Noted
-            }
-            Question::Quarantined { digest } => self.quarantine.reply(*digest),
-        }
-    }
-
-    fn take(&self, notice: &Notice) {
-        match notice {
-            Notice::Quarantine(reports) => self.quarantine.learn(reports),
-        }
-    }
-}
-
 /// Closes connections to other sidecars that are not needed any more; never ends.
 async fn close_rested_connections(forwarder: Arc<Forwarder>) {
     loop {
