--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 
 mod answer;
+mod dispatch;
 mod end_detector;
 mod execution;
 mod handler;
