--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -202,6 +202,9 @@
         self.spawn_until_stop(async move { apply_updates(&node, backend.as_deref()).await });
         let node = Arc::clone(&self.node);
         self.spawn_until_stop(async move { node.run_beats().await });
+        // The line about it is written by the beats, which see a suspension as a pause.
+        let clock = self.node.clock;
+        self.spawn_until_stop(async move { clock.watch_suspensions(|_| {}).await });
         let observed = events::observe(Arc::clone(&self.node), self.backend.clone());
         self.spawn_until_stop(observed);
         if let Some(backend) = self.backend.clone() {
