--- a/crates/daemon/tests/claims_processes.rs
+++ b/crates/daemon/tests/claims_processes.rs
@@ -63,10 +63,19 @@
             let replica = mesh.start_replica(number);
             mesh.replicas.push(replica);
         }
-        mesh.wait_until_claims_succeed().await;
+        mesh.wait_until_each_replica_is_dispensable().await;
         mesh
     }
 
+    /// Each replica votes, and both edges reach it: with any one frozen, the other two are a majority.
+    async fn wait_until_each_replica_is_dispensable(&self) {
+        for replica in &self.replicas {
+            replica.freeze().await;
+            self.wait_until_claims_succeed().await;
+            replica.thaw();
+        }
+    }
+
     /// Starts a replica's daemon and lists it.
     fn start_replica(&self, number: usize) -> Process {
         let id = replica_id(number);
