Keep a bounded number of sidecars in the platform's directory, whatever the size of the deployment

Ruled out: a count that all agree on (it needs the store, or a leader), one entry that names many (a condition that hundreds fail at once), seeds from the settings (the platform gives none here).

Change: membership::directory, a state machine without I/O. Of any number that start together one in sixteen enters first, so that each entry bears the first contacts of sixteen at any size; the others look a second later and find these. Who knows the others enters if it is among the first 80 by rendezvous, once its table has stopped growing, and looks before it writes. The settings of gossip move to where the emulator can use them; the directory of rate limits' owners counts as whole only while it is not full.

Tests: membership/tests/directory.rs, emulator/tests/directory_start.rs (red with an entry for each: entries as many as daemons). One assertion of store_calls waits now until the entry is written, since it is left to others for up to five looks; that it is written once stands.

Small deployments pay eight calls more at their very first start.

--- a/crates/cli/src/experiment.rs
+++ b/crates/cli/src/experiment.rs
@@ -16,6 +16,7 @@
   propagation  time until a configuration change is in force, control traffic
   drain        time until every daemon knows that back ends leave
   churn        restarts, failures, loss of a rack and a zone, parted regions
+  start        a start of all, and its calls to the platform's directory
 ";
 
 /// Runs the experiment that the first argument names.
@@ -34,7 +35,7 @@
         }
         _ => {
             eprintln!(
-                "wharfquay experiment: unknown experiment \"{}\" (allowed: surge, propagation, drain, churn)",
+                "wharfquay experiment: unknown experiment \"{}\" (allowed: surge, propagation, drain, churn, start)",
                 name.display()
             );
             ExitCode::from(BAD_USE)
--- a/crates/emulator/src/experiment/control_command.rs
+++ b/crates/emulator/src/experiment/control_command.rs
@@ -1,4 +1,4 @@
-//! Command line of the experiments on the control plane: `propagation`, `drain` and `churn`.
+//! Command line of the experiments on the control plane: `propagation`, `drain`, `churn` and `start`.
 
 use std::ffi::OsString;
 use std::fmt::Display;
@@ -8,13 +8,13 @@
 use serde::Serialize;
 
 use super::propagation::ControlOptions;
-use super::{churn, drain, propagation};
+use super::{churn, drain, propagation, start};
 use crate::arguments::{ArgumentError, BAD_USE, Command, number_in, text, value};
 use crate::scenario::ScenarioError;
 
 /// The usage text.
 pub const USAGE: &str = "\
-usage: wharfquay experiment propagation|drain|churn [options]
+usage: wharfquay experiment propagation|drain|churn|start [options]
 
   --scenario NAME  lagos, gujarat or target: zones, latencies and sizes (lagos)
   --zones N        number of zones (the scenario's)
@@ -34,6 +34,8 @@
     Drain,
     /// Restarts, failures and cuts.
     Churn,
+    /// A start of all, and what the platform's directory bears for it.
+    Start,
 }
 
 impl ControlExperiment {
@@ -44,6 +46,7 @@
             "propagation" => Some(Self::Propagation),
             "drain" => Some(Self::Drain),
             "churn" => Some(Self::Churn),
+            "start" => Some(Self::Start),
             _ => None,
         }
     }
@@ -118,6 +121,7 @@
         ControlExperiment::Propagation => print_report(propagation::run(options), json),
         ControlExperiment::Drain => print_report(drain::run(options), json),
         ControlExperiment::Churn => print_report(churn::run(options), json),
+        ControlExperiment::Start => print_report(start::run(options), json),
     }
 }
 
--- a/crates/emulator/src/experiment/mod.rs
+++ b/crates/emulator/src/experiment/mod.rs
@@ -4,4 +4,5 @@
 pub mod control_command;
 pub mod drain;
 pub mod propagation;
+pub mod start;
 pub mod surge;
--- a/crates/emulator/src/simulator/control/daemon.rs
+++ b/crates/emulator/src/simulator/control/daemon.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 use wharfquay_core::time::Timestamp;
 use wharfquay_membership::counters::Counters;
+use wharfquay_membership::directory::Enrolment;
 use wharfquay_membership::node::Node;
 
 /// Messages that wait for a frozen process, as in a socket's buffer.
@@ -54,6 +55,8 @@
     pub(super) watched_revision: u64,
     /// The relay has asked this reader for a whole configuration.
     pub(super) whole_wanted: bool,
+    /// The process's part in the platform's directory.
+    pub(super) enrolment: Option<Enrolment>,
     /// Randomness of the process.
     pub(super) random: Pcg64Mcg,
     waiting: VecDeque<(usize, Vec<u8>)>,
@@ -75,6 +78,7 @@
             highest_in_force: 0,
             watched_revision: 0,
             whole_wanted: false,
+            enrolment: None,
             random: Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(STEP)),
             waiting: VecDeque::new(),
             earlier_processes: Traffic::default(),
@@ -90,6 +94,7 @@
         self.in_force = 0;
         self.watched_revision = 0;
         self.whole_wanted = false;
+        self.enrolment = None;
         self.waiting.clear();
     }
 
--- a/crates/emulator/src/simulator/control/faults.rs
+++ b/crates/emulator/src/simulator/control/faults.rs
@@ -34,6 +34,7 @@
             &mut daemon.random,
         ));
         self.set_timer(index);
+        self.enrol(index);
     }
 
     /// Ends a daemon's process without notice.
@@ -42,6 +43,14 @@
         self.daemons[index].end();
     }
 
+    /// Ends a daemon's process without notice and starts it again after `pause`.
+    pub fn restart(&mut self, index: usize, pause: Duration) {
+        self.kill(index);
+        let at = self.now + pause;
+        self.daemons[index].starts_at = Some(at);
+        self.schedule(at, Event::Wake(index));
+    }
+
     /// Lets a daemon's process do nothing for some time, unaware of it.
     pub fn freeze(&mut self, index: usize, duration: Duration) {
         let until = self.now + duration;
--- a/crates/emulator/src/simulator/control/mod.rs
+++ b/crates/emulator/src/simulator/control/mod.rs
@@ -3,6 +3,7 @@
 //! on the network.
 
 pub mod daemon;
+pub mod directory;
 mod faults;
 pub mod measure;
 pub mod network;
@@ -26,6 +27,7 @@
 use wharfquay_membership::table::MemberTable;
 
 use daemon::SimulatedDaemon;
+use directory::Directory;
 use network::Network;
 use observations::{Observations, record};
 use store::Store;
@@ -55,6 +57,8 @@
     StoreList { reader: usize, process: u32 },
     /// An event of a watch arrives at a reader.
     StoreWatch { reader: usize, process: u32 },
+    /// A daemon's turn at the directory.
+    Directory { daemon: usize, process: u32 },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,6 +81,8 @@
     pub network: Network,
     /// The platform's store.
     pub store: Store,
+    /// The platform's directory, where daemons find others by it and not by the seeds of their settings.
+    pub directory: Option<Directory>,
     /// What has been recorded.
     pub observations: Observations,
 }
@@ -99,6 +105,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             network: Network::default(),
             store,
+            directory: None,
             observations: Observations::default(),
         }
     }
@@ -241,6 +248,7 @@
             Event::Deliver { to, from, bytes } => self.deliver(to, from, bytes),
             Event::StoreList { reader, process } => self.store_list(reader, process),
             Event::StoreWatch { reader, process } => self.store_watch(reader, process),
+            Event::Directory { daemon, process } => self.use_directory(daemon, process),
         }
     }
 
@@ -377,6 +385,9 @@
     }
 
     fn seeds_of(&self, index: usize) -> Vec<Seed> {
+        if self.directory.is_some() {
+            return Vec::new();
+        }
         let count = self.daemons.len();
         // Spread over the deployment, so that they lie in several zones.
         let step = (count / SEEDS).max(1);
--- a/crates/emulator/tests/control_experiments.rs
+++ b/crates/emulator/tests/control_experiments.rs
@@ -3,7 +3,7 @@
 
 use wharfquay_emulator::experiment::control_command::{ControlExperiment, parse};
 use wharfquay_emulator::experiment::propagation::ControlOptions;
-use wharfquay_emulator::experiment::{churn, drain, propagation};
+use wharfquay_emulator::experiment::{churn, drain, propagation, start};
 
 fn options(scenario: &str) -> ControlOptions {
     ControlOptions {
@@ -22,6 +22,7 @@
             ControlExperiment::Propagation => serde_json::to_value(propagation::run(&options).ok()),
             ControlExperiment::Drain => serde_json::to_value(drain::run(&options).ok()),
             ControlExperiment::Churn => serde_json::to_value(churn::run(&options).ok()),
+            ControlExperiment::Start => serde_json::to_value(start::run(&options).ok()),
         };
         let mut report = report.expect("a report");
         let host = report.as_object_mut().expect("an object").remove("host");
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod budget;
 pub mod counters;
+pub mod directory;
 pub mod gossip;
 pub mod hash;
 pub mod member;
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -91,3 +91,27 @@
         }
     }
 }
+
+impl Settings {
+    /// Timing for a deployment of machines that come and go within seconds.
+    #[must_use]
+    pub fn for_short_lived_members() -> Self {
+        Self {
+            probe_interval: Duration::from_millis(400),
+            probe_timeout: Duration::from_millis(200),
+            suspicion_timeout: Duration::from_secs(2),
+            routine_round: Duration::from_millis(200),
+            table_sync_interval: Duration::from_secs(3),
+            settle_time: Duration::from_millis(300),
+            readiness_limit: Duration::from_millis(2_000),
+            // Those that can read the platform in place of readers that it refuses.
+            delegates: 8,
+            readers: 8,
+            readers_per_zone: 2,
+            announce_after: Duration::from_millis(50),
+            bytes_per_second: 24_000,
+            burst_bytes: 96_000,
+            ..Self::default()
+        }
+    }
+}
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -17,7 +17,7 @@
 use wharfquay_membership::settings::Settings as MembershipSettings;
 use wharfquay_membership::table::MemberTable;
 
-use super::directory::find_others;
+use super::directory::DirectoryTask;
 use super::reader::{Reader, ReaderEvent, ReadingMode};
 use super::transport::{Datagrams, Received, StreamInbox, inbox, send_stream};
 use super::{decode, encode};
@@ -32,12 +32,6 @@
 
 /// Revision from which on a delta may be applied: it holds the whole configuration, so any.
 const ANY_REVISION: u64 = 1;
-/// Readers of the platform in the whole deployment.
-const READERS: usize = 8;
-/// Readers of the platform in one zone.
-const READERS_PER_ZONE: usize = 2;
-/// Delegates in a zone: those that can read the platform in place of readers that it refuses.
-const DELEGATES: usize = 8;
 /// Silence of all other sidecars after which one reads the platform for itself.
 const ISOLATED_AFTER: Duration = Duration::from_millis(1_200);
 /// As [`ISOLATED_AFTER`], for a sidecar without another one in its zone: zones exchange messages once a second.
@@ -49,26 +43,6 @@
 /// Entries of the directory that are used as seeds.
 const MAX_SEEDS: usize = 64;
 
-/// Timing of the control traffic in a deployment of machines that come and go within seconds.
-fn membership_settings() -> MembershipSettings {
-    MembershipSettings {
-        probe_interval: Duration::from_millis(400),
-        probe_timeout: Duration::from_millis(200),
-        suspicion_timeout: Duration::from_secs(2),
-        routine_round: Duration::from_millis(200),
-        table_sync_interval: Duration::from_secs(3),
-        settle_time: Duration::from_millis(300),
-        readiness_limit: Duration::from_millis(2_000),
-        delegates: DELEGATES,
-        readers: READERS,
-        readers_per_zone: READERS_PER_ZONE,
-        announce_after: Duration::from_millis(50),
-        bytes_per_second: 24_000,
-        burst_bytes: 96_000,
-        ..MembershipSettings::default()
-    }
-}
-
 /// What the task publishes and listens to.
 pub(crate) struct ControlChannels {
     /// The configuration in force.
@@ -140,20 +114,23 @@
         };
         let now = clock.now();
         let random = &mut rand::rng();
-        let node = Node::new(membership_settings(), identity, Vec::new(), now, random);
+        let membership = MembershipSettings::for_short_lived_members();
+        let node = Node::new(membership, identity, Vec::new(), now, random);
         let (sender, inbox) = inbox();
         let (seed_sender, seeds) = mpsc::channel(1);
         let entry = DirectoryEntry {
             id: settings.id.clone(),
             control_address: settings.control,
         };
-        let members = channels.members.subscribe();
-        tokio::spawn(find_others(
-            Arc::clone(&platform),
+        let directory = DirectoryTask {
+            clock,
+            platform: Arc::clone(&platform),
             entry,
-            members,
-            seed_sender,
-        ));
+            is_first_start: settings.is_first_start,
+            members: channels.members.subscribe(),
+            seeds: seed_sender,
+        };
+        tokio::spawn(directory.run());
         let task = Self {
             clock,
             own_address: settings.control,
--- a/crates/sidecar/src/quota/ring.rs
+++ b/crates/sidecar/src/quota/ring.rs
@@ -7,6 +7,7 @@
 
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::sync::lock;
+use wharfquay_membership::directory::ENTRIES;
 use wharfquay_membership::member::{Member, MemberId, rendezvous_score_for};
 use wharfquay_membership::table::MemberTable;
 
@@ -39,7 +40,7 @@
 #[derive(Debug, Default)]
 struct State {
     candidates: HashMap<MemberId, Candidate>,
-    /// Whether the directory was read.
+    /// Whether the directory was read, and showed every sidecar.
     knows_directory: bool,
     owners: HashMap<String, Arc<[Peer]>>,
 }
@@ -80,7 +81,8 @@
         state.owners.clear();
     }
 
-    /// Takes over the entries of the platform's directory: sidecars that are not known from gossip yet.
+    /// Takes over the entries of the platform's directory: sidecars that are not known from gossip yet. A directory that
+    /// is full does not show all.
     pub(crate) fn note_directory(&self, now: Timestamp, entries: &[DirectoryEntry]) {
         let mut state = lock(&self.state);
         for entry in entries {
@@ -93,7 +95,7 @@
                 gone_since: Some(now),
             });
         }
-        state.knows_directory = true;
+        state.knows_directory = entries.len() < ENTRIES;
         state.owners.clear();
     }
 
--- a/crates/sidecar/tests/store_calls.rs
+++ b/crates/sidecar/tests/store_calls.rs
@@ -45,6 +45,8 @@
     let _machine = Machine::start(&platform, "machine-a", "shelf").await;
     eventually("three listings", || platform.listings().len() >= 3).await;
     assert_eq!(platform.listings()[..3], [MayBeStale, MayBeStale, Latest]);
+    // It may leave that to others for some looks; then it enters itself, once.
+    eventually("it is listed", || platform.registrations() > 0).await;
     assert_eq!(platform.registrations(), 1);
 }
 
