--- a/crates/sidecar/src/answerer.rs
+++ b/crates/sidecar/src/answerer.rs
@@ -42,6 +42,8 @@
     fn take(&self, notice: &Notice) {
         match notice {
             Notice::Quarantine(reports) => self.quarantine.learn(reports),
+            // The exchange has taken in the era.
+            Notice::StoreRestored => {}
         }
     }
 }
--- a/crates/sidecar/src/confirmation.rs
+++ b/crates/sidecar/src/confirmation.rs
@@ -38,6 +38,9 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest wait for the answer of another sidecar.
 const ANSWER_LIMIT: Duration = Duration::from_millis(200);
+/// Time after a restored store was noticed for which its answers confirm nothing: it may lack configurations that were
+/// acknowledged, which the operator is about to write again. Shorter than the rest of a lease that was just renewed.
+const RESTORED_HOLD: Duration = Duration::from_secs(2);
 /// Added to the process's clock, so that a process that has just started can hold a confirmation from before.
 const BEFORE_THE_START: Duration = Duration::from_secs(3_600);
 /// Retry-After while the configuration is not confirmed: about the time in which a lost confirmation is renewed.
@@ -51,6 +54,8 @@
     revocation: Option<Duration>,
     configuration: watch::Receiver<Arc<RouteIndex>>,
     freshness: Mutex<Freshness>,
+    /// Until when answers of the platform confirm nothing.
+    held_until: Mutex<Timestamp>,
 }
 
 impl Confirmation {
@@ -64,6 +69,7 @@
             revocation,
             configuration,
             freshness: Mutex::default(),
+            held_until: Mutex::default(),
         })
     }
 
@@ -77,6 +83,19 @@
         self.clock.now() + BEFORE_THE_START
     }
 
+    /// The platform's store was restored from a copy.
+    pub(crate) fn store_restored(&self) {
+        *lock(&self.held_until) = self.now() + RESTORED_HOLD;
+    }
+
+    /// Notes that the platform held `version` as the newest one at `at`, a time of [`Self::now`].
+    pub(crate) fn confirm_by_platform(&self, version: u64, at: Timestamp) {
+        let held_until = *lock(&self.held_until);
+        if self.now() >= held_until {
+            self.confirm(version, at);
+        }
+    }
+
     /// Notes that `version` was the newest one at `at`, a time of [`Self::now`].
     pub(crate) fn confirm(&self, version: u64, at: Timestamp) {
         let in_force = self.in_force();
--- a/crates/sidecar/src/control/directory.rs
+++ b/crates/sidecar/src/control/directory.rs
@@ -38,10 +38,16 @@
             self.clock.now(),
             &mut rand::rng(),
         );
+        let mut eras = self.platform.eras().subscribe();
         loop {
             let step = enrolment.next(self.clock.now(), &self.members.borrow());
             match step {
-                DirectoryStep::WaitUntil(time) => self.clock.sleep_until(Some(time)).await,
+                DirectoryStep::WaitUntil(time) => tokio::select! {
+                    () = self.clock.sleep_until(Some(time)) => {}
+                    Ok(()) = eras.changed() => {
+                        enrolment.store_restored(self.clock.now(), &mut rand::rng());
+                    }
+                },
                 DirectoryStep::Look(age) => match self.list(age).await {
                     Some(entries) => {
                         self.note(&mut enrolment, &entries);
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -38,6 +38,8 @@
 const ISOLATED_ALONE_AFTER: Duration = Duration::from_secs(3);
 /// Time in which a starting sidecar may not have met all others yet.
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
+/// The same at the first start of the whole deployment, when nobody is listed yet.
+const FIRST_MEETING_TIME: Duration = Duration::from_millis(2_500);
 /// How often it is decided anew whether to read the platform.
 const READING_REVIEW: Duration = Duration::from_millis(300);
 /// Entries of the directory that are used as seeds.
@@ -70,8 +72,12 @@
     ring: Arc<OwnerRing>,
     /// Version that the platform held when it was read last; zero when it held none.
     read_version: u64,
+    /// Whether the next configuration that is read goes to the node as a snapshot: the platform's store went back, so
+    /// what follows it can't be told as a change.
+    is_snapshot_wanted: bool,
     /// Whether the node counts this sidecar among the readers of the deployment.
     chosen_to_read: bool,
+    is_first_start: bool,
     started_at: Timestamp,
     heard_at: Timestamp,
     review_at: Timestamp,
@@ -139,12 +145,14 @@
             confirmation,
             ring,
             read_version: 0,
+            is_snapshot_wanted: false,
             inbox,
             seeds,
             own_id: settings.id.clone(),
             platform,
             reader: None,
             chosen_to_read: false,
+            is_first_start: settings.is_first_start,
             started_at: now,
             heard_at: now,
             review_at: now,
@@ -220,7 +228,8 @@
         let (configuration, asked_at) = match event {
             ReaderEvent::Configuration(configuration, asked_at) => (*configuration, asked_at),
             ReaderEvent::Unchanged(asked_at) => {
-                self.confirmation.confirm(self.read_version, asked_at);
+                self.confirmation
+                    .confirm_by_platform(self.read_version, asked_at);
                 self.node.store_contact(true);
                 return Vec::new();
             }
@@ -242,7 +251,7 @@
         let revision = configuration.version;
         self.read_version = revision;
         if let Some(asked_at) = asked_at {
-            self.confirmation.confirm(revision, asked_at);
+            self.confirmation.confirm_by_platform(revision, asked_at);
         }
         let payload = match encode(&configuration) {
             Ok(payload) => payload,
@@ -251,7 +260,8 @@
                 return Vec::new();
             }
         };
-        let report = if self.node.revision() == 0 {
+        let is_snapshot = std::mem::take(&mut self.is_snapshot_wanted);
+        let report = if is_snapshot || self.node.revision() == 0 {
             StoreReport::Snapshot(Snapshot { revision, payload })
         } else {
             StoreReport::Delta(Delta {
@@ -285,7 +295,10 @@
                     self.chosen_to_read = read;
                     self.review_at = self.clock.now();
                 }
-                Effect::ReadSnapshot => self.reader = None,
+                Effect::ReadSnapshot => {
+                    self.is_snapshot_wanted = true;
+                    self.reader = None;
+                }
                 Effect::StoreOlder { store, held } => {
                     log_event!(
                         Event::ConfigurationOlderIgnored,
@@ -363,6 +376,9 @@
         if !self.chosen_to_read && !is_isolated {
             return None;
         }
+        if self.is_first_start && self.is_alone_at_start(now) {
+            return None;
+        }
         let is_meeting = now.saturating_since(self.started_at) < MEETING_TIME;
         Some(if is_meeting {
             ReadingMode::Once
@@ -371,6 +387,13 @@
         })
     }
 
+    /// Whether this sidecar has met nobody yet, and may still: at the first start of hundreds, each would read for itself
+    /// what a few read for all.
+    fn is_alone_at_start(&self, now: Timestamp) -> bool {
+        let is_starting = now.saturating_since(self.started_at) < FIRST_MEETING_TIME;
+        is_starting && self.count_others().0 == 0
+    }
+
     fn adopt(&mut self, revision: u64, payload: &wharfquay_membership::message::Payload) {
         let mut configuration = match decode(payload) {
             Ok(configuration) => configuration,
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -72,6 +72,14 @@
         "How this sidecar reads the configuration from the platform from now on: `once` (until it has one, in its first 1.5 s), `follow`, `none`.";
     StoreLost = "store_lost", Warn, ["error"],
         "The platform can't be read; it is tried again with growing pauses.";
+    StoreRestored = "store_restored", Warn, ["era", "previous"],
+        "The platform's store was restored from a copy: what was written there in the last seconds may be gone, and is written again.";
+    StoreAnswerOutdated = "store_answer_outdated", Warn, ["era", "newest"],
+        "An answer of the platform's store is of an earlier era and is not used.";
+    RecordIgnored = "record_ignored", Warn, ["kind", "name", "reason"],
+        "Something that another writer left at the platform can't be understood; the rest is used.";
+    RecordsWrittenAgain = "records_written_again", Info, ["kind", "count"],
+        "What this sidecar keeps at the platform was written again, since the store was restored.";
     StoreRegained = "store_regained", Info, ["after_ms"], "The platform can be read again.";
     Isolated = "isolated", Warn, ["isolated", "members"],
         "Whether no other sidecar was heard of for a while; meanwhile callers are sent away.";
@@ -88,6 +96,8 @@
         "An earlier process acknowledged the leaving of this instance; it gets nothing.";
     InstanceReplaced = "instance_replaced", Warn, ["instance"],
         "Another instance answers at the back end's address.";
+    InstanceRestarted = "instance_restarted", Warn, ["instance", "earlier"],
+        "The back end lives again under the name that it had; its earlier start is over.";
     InstanceEnded = "instance_ended", Warn, ["instance", "in_execution", "requests"],
         "The back end's process ended without a word: its connections were lost and it accepts none. The fingerprints are those of the requests in execution, 16 at most.";
     RequestSuspected = "request_suspected", Info, ["fingerprint"],
@@ -102,7 +112,8 @@
         "The leaving of an instance is durable and was acknowledged.";
     DepartureNotDurable = "departure_not_durable", Warn, ["instance", "error"],
         "The leaving of an instance could not be made durable and was not acknowledged; it gets no new work.";
-    HeartbeatMalformed = "heartbeat_malformed", Warn, [], "A heartbeat can't be understood.";
+    HeartbeatMalformed = "heartbeat_malformed", Warn, ["error"],
+        "A heartbeat or the message of a back end that goes can't be understood, or is not of the back end beside this sidecar.";
     AcceptFailed = "accept_failed", Warn, ["listener", "error"], "A connection could not be accepted.";
     KeyRefused = "key_refused", Info, ["request", "route", "key", "result", "name"],
         "A request was refused for its API key, of which the fingerprint is shown: unknown (2008), or the configuration was not confirmed recently enough to tell (3017).";
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::events::Event;
 use crate::log_event;
+use crate::store_era::StoreEras;
 
 /// First byte of each datagram; gossip's messages begin with their version, a small number.
 const MARK: u8 = 0x80;
@@ -90,6 +91,9 @@
     /// What is held against requests.
     #[serde(rename = "q")]
     Quarantine(Vec<QuarantineReport>),
+    /// The platform's store was restored; the era comes with the datagram.
+    #[serde(rename = "e")]
+    StoreRestored,
 }
 
 /// An answer.
@@ -161,6 +165,9 @@
     /// Number that the reply repeats, drawn by chance, so that no reply to an earlier process fits.
     #[serde(rename = "n")]
     number: u64,
+    /// The newest era of the platform's store that the sender knows of.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    store_era: Option<u64>,
     #[serde(rename = "c")]
     content: Content,
 }
@@ -179,6 +186,7 @@
     socket: Arc<UdpSocket>,
     own_id: String,
     answerer: Arc<dyn Answer>,
+    eras: Arc<StoreEras>,
     waiting: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
 }
 
@@ -194,11 +202,17 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(socket: Arc<UdpSocket>, own_id: &str, answerer: Arc<dyn Answer>) -> Self {
+    pub(crate) fn new(
+        socket: Arc<UdpSocket>,
+        own_id: &str,
+        answerer: Arc<dyn Answer>,
+        eras: Arc<StoreEras>,
+    ) -> Self {
         Self {
             socket,
             own_id: own_id.to_owned(),
             answerer,
+            eras,
             waiting: Mutex::default(),
         }
     }
@@ -231,21 +245,14 @@
             number,
         };
         let to = peer.id.clone();
-        self.send(
-            peer.address,
-            &Datagram {
-                number,
-                content: Content::Question { to, question },
-            },
-        );
+        self.send(peer.address, number, Content::Question { to, question });
         tokio::time::timeout(limit, receiver).await.ok()?.ok()
     }
 
     /// Tells another sidecar something that needs no answer.
     pub(crate) fn tell(&self, peer: &Peer, notice: Notice) {
         let to = peer.id.clone();
-        let content = Content::Notice { to, notice };
-        self.send(peer.address, &Datagram { number: 0, content });
+        self.send(peer.address, 0, Content::Notice { to, notice });
     }
 
     /// Takes a datagram of the exchange: answers a question, or hands an answer to who waits for it.
@@ -260,11 +267,14 @@
                 return;
             }
         };
+        if let Some(store_era) = datagram.store_era {
+            self.eras.heard(store_era);
+        }
         let number = datagram.number;
         match datagram.content {
             Content::Question { to, question } if to == self.own_id => {
-                let content = Content::Reply(self.answerer.answer(&question));
-                self.send(source, &Datagram { number, content });
+                let reply = self.answerer.answer(&question);
+                self.send(source, number, Content::Reply(reply));
             }
             Content::Notice { to, notice } if to == self.own_id => self.answerer.take(&notice),
             Content::Question { to, .. } | Content::Notice { to, .. } => log_event!(
@@ -281,9 +291,14 @@
     }
 
     /// Sends a datagram; one that can't be sent counts as lost.
-    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+    fn send(&self, to: SocketAddr, number: u64, content: Content) {
+        let datagram = Datagram {
+            number,
+            store_era: self.eras.newest().number,
+            content,
+        };
         let mut bytes = vec![MARK];
-        if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log_event!(Event::ControlSendFailed, "to={to} error=\"{error}\"");
             return;
         }
--- a/crates/sidecar/src/inbound/answer.rs
+++ b/crates/sidecar/src/inbound/answer.rs
@@ -6,7 +6,6 @@
 use wharfquay_core::outcome::ResultCode;
 
 use crate::dialect::{Dialect, text};
-use crate::instance::InstanceId;
 
 /// What the head of an answer shows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,8 +14,8 @@
     Answer,
     /// The back end proved that it did not execute the request.
     Refused,
-    /// Another instance has the address, and proved that it did not execute the request.
-    Misdirected(Option<InstanceId>),
+    /// Another instance, of this name, has the address, and proved that it did not execute the request.
+    Misdirected(Option<String>),
     /// It can't be used; the request may have been executed.
     Unusable(ResultCode),
 }
@@ -29,7 +28,7 @@
         return Verdict::Unusable(ResultCode::MalformedAnswer);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
-        let instance = text(headers, &dialect.instance).map(InstanceId::from);
+        let instance = text(headers, &dialect.instance).map(str::to_owned);
         return Verdict::Misdirected(instance);
     }
     if headers.contains_key(&dialect.not_executed) {
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -182,11 +182,15 @@
         lock(&self.instance).clone()
     }
 
+    fn found(&self, id: &InstanceId) -> Option<Arc<OpenInstance>> {
+        self.instance().filter(|instance| instance.id.may_be(id))
+    }
+
     /// Lets an instance get work.
     pub fn open(&self, id: &InstanceId, slots: Option<u32>) {
         let mut current = lock(&self.instance);
         if let Some(instance) = current.as_ref()
-            && instance.id == *id
+            && instance.id.may_be(id)
             && !instance.is_leaving()
         {
             instance.set_slots(slots.unwrap_or_default());
@@ -218,15 +222,23 @@
 
     /// Keeps new work from an instance; what is in execution goes on.
     pub fn close(&self, id: &InstanceId) {
-        if let Some(instance) = self.instance().filter(|instance| instance.id == *id) {
+        if let Some(instance) = self.found(id) {
             instance.leaving.store(true, Ordering::Relaxed);
             instance.gate.begin_drain();
         }
     }
 
+    /// Keeps new work from an instance that is over, and notes its end.
+    pub fn end(&self, id: &InstanceId) {
+        self.close(id);
+        if let Some(instance) = self.found(id) {
+            instance.end.note_end();
+        }
+    }
+
     /// Takes over the slots that an instance tells.
     pub fn update_slots(&self, id: &InstanceId, slots: u32) {
-        if let Some(instance) = self.instance().filter(|instance| instance.id == *id) {
+        if let Some(instance) = self.found(id) {
             instance.set_slots(slots);
         }
     }
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -145,8 +145,7 @@
                 instance.connect_failed(self.clock.now());
                 self.metrics.instance_ended();
                 log_end(instance, &running);
-                self.quarantine
-                    .instance_ended(instance.id.as_str(), &running);
+                self.quarantine.instance_ended(&instance.id, &running);
                 true
             }
         }
@@ -190,7 +189,7 @@
     }
 
     fn address_to(&self, instance: &OpenInstance, headers: &mut HeaderMap) {
-        if let Ok(id) = HeaderValue::from_str(instance.id.as_str()) {
+        if let Ok(id) = HeaderValue::from_str(instance.id.name()) {
             headers.insert(self.dialect.target_instance.clone(), id);
         }
     }
@@ -210,7 +209,7 @@
                 return Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER));
             }
             Verdict::Misdirected(found) => {
-                if found.as_ref() != Some(&instance.id) {
+                if found.as_deref() != Some(instance.id.name()) {
                     (self.misdirected)(&instance.id);
                 }
                 let code = ResultCode::RefusedByBackend;
--- a/crates/sidecar/src/inbound/end_detector.rs
+++ b/crates/sidecar/src/inbound/end_detector.rs
@@ -27,6 +27,8 @@
     address: SocketAddr,
     clock: Clock,
     has_ended: AtomicBool,
+    /// Whether the end is known from elsewhere, and nobody was told of it yet.
+    is_end_untold: AtomicBool,
     /// When the instance was last seen to accept a connection.
     seen_at: tokio::sync::Mutex<Option<Timestamp>>,
     running: Mutex<Running>,
@@ -65,6 +67,7 @@
             address,
             clock,
             has_ended: AtomicBool::new(false),
+            is_end_untold: AtomicBool::new(false),
             seen_at: tokio::sync::Mutex::default(),
             running: Mutex::default(),
         })
@@ -85,6 +88,9 @@
     /// Finds out whether the instance has ended, after an answer was lost.
     pub(crate) async fn probe(&self) -> Probed {
         let mut seen_at = self.seen_at.lock().await;
+        if self.is_end_untold.swap(false, Ordering::Relaxed) {
+            return self.end_now();
+        }
         if self.has_ended.load(Ordering::Relaxed) {
             return Probed::Ended;
         }
@@ -99,6 +105,17 @@
             *seen_at = Some(self.clock.now());
             return Probed::Alive;
         }
+        self.end_now()
+    }
+
+    /// Notes an end that is known without a probe: the back end lives again, so a probe would find it there.
+    pub(crate) fn note_end(&self) {
+        if !self.has_ended.load(Ordering::Relaxed) {
+            self.is_end_untold.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn end_now(&self) -> Probed {
         self.has_ended.store(true, Ordering::Relaxed);
         let running = lock(&self.running);
         Probed::EndedNow(running.requests.values().copied().collect())
--- a/crates/sidecar/src/inbound/report.rs
+++ b/crates/sidecar/src/inbound/report.rs
@@ -75,7 +75,7 @@
             self.context.origin.as_u128(),
             fingerprint_text(&self.context),
             self.context.request_kind,
-            instance.map_or("none", InstanceId::as_str),
+            instance.map_or_else(|| "none".to_owned(), ToString::to_string),
             self.context.admission_key().number(),
             code.number(),
             code.name(),
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
 
@@ -10,7 +11,7 @@
 use crate::events::Event;
 use crate::inbound::backend::LocalBackend;
 use crate::log_event;
-use crate::platform::Platform;
+use crate::platform::{Platform, PlatformError};
 
 /// Longest wait for a durable mark; the instance waits a second for its acknowledgement.
 const RECORD_LIMIT: Duration = Duration::from_millis(850);
@@ -67,6 +68,7 @@
     /// Takes a heartbeat.
     pub async fn heartbeat(self: &Arc<Self>, beat: &Heartbeat) -> Acknowledgement {
         let now = self.clock.now();
+        self.end_earlier(now, &beat.instance);
         let decision = lock(&self.tracker).heartbeat(now, beat);
         match decision {
             TrackerDecision::Acknowledge => {
@@ -78,12 +80,25 @@
                 Acknowledgement::Given
             }
             TrackerDecision::RecordDeparture => self.record(&beat.instance).await,
+            TrackerDecision::Refuse => Acknowledgement::Refused,
+        }
+    }
+
+    /// Ends the earlier start of an instance that lives again under its name.
+    fn end_earlier(&self, now: Timestamp, instance: &InstanceId) {
+        if let Some(earlier) = lock(&self.tracker).take_over(now, instance) {
+            log_event!(
+                Event::InstanceRestarted,
+                "instance={instance} earlier={earlier}"
+            );
+            self.backend.end(&earlier);
         }
     }
 
     /// Takes the message of an instance that goes.
     pub async fn departure(self: &Arc<Self>, instance: &InstanceId) -> Acknowledgement {
         let now = self.clock.now();
+        self.end_earlier(now, instance);
         let decision = lock(&self.tracker).departure(now, instance);
         match decision {
             TrackerDecision::RecordDeparture => self.record(instance).await,
@@ -118,12 +133,10 @@
 
     async fn record(&self, instance: &InstanceId) -> Acknowledgement {
         self.backend.close(instance);
-        let recording = self.platform.record_departure(instance);
+        let recording = self.record_in_one_era(instance);
         let recorded = tokio::time::timeout(RECORD_LIMIT, recording).await;
         match recorded {
             Ok(Ok(())) => {
-                let now = self.clock.now();
-                lock(&self.tracker).departure_recorded(now, instance);
                 log_event!(Event::DepartureAcknowledged, "instance={instance}");
                 Acknowledgement::Given
             }
@@ -144,6 +157,59 @@
         }
     }
 
+    /// Makes a leaving durable. A store that is restored while it is written may have lost it.
+    async fn record_in_one_era(&self, instance: &InstanceId) -> Result<(), PlatformError> {
+        let eras = self.platform.eras();
+        loop {
+            let era = eras.newest();
+            self.platform.record_departure(instance).await?;
+            let now = self.clock.now();
+            lock(&self.tracker).departure_recorded(now, instance);
+            // From here on a new era finds the leaving among those to be written again.
+            if eras.newest().changes == era.changes {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Writes the marks of acknowledged leavings again whenever the store was restored; runs for ever.
+    pub async fn keep_marks(self: Arc<Self>) {
+        let mut eras = self.platform.eras().subscribe();
+        while eras.changed().await.is_ok() {
+            eras.mark_unchanged();
+            let departed = lock(&self.tracker).recorded_departures();
+            for instance in &departed {
+                self.write_again(instance).await;
+            }
+            if !departed.is_empty() {
+                let count = departed.len();
+                log_event!(Event::RecordsWrittenAgain, "kind=departures count={count}");
+            }
+        }
+    }
+
+    /// Tries until the mark is durable.
+    async fn write_again(&self, instance: &InstanceId) {
+        let mut pause = VERIFY_PAUSE;
+        loop {
+            let recording = self.platform.record_departure(instance);
+            match tokio::time::timeout(RECORD_LIMIT, recording).await {
+                Ok(Ok(())) => return,
+                Ok(Err(error)) => log_event!(
+                    Event::DepartureNotDurable,
+                    "instance={instance} error=\"{error}\""
+                ),
+                Err(_) => log_event!(
+                    Event::DepartureNotDurable,
+                    "instance={instance} error=\"timeout\""
+                ),
+            }
+            let jitter = rand::random_range(0.5..=1.0);
+            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            pause = (pause * 2).min(LONGEST_VERIFY_PAUSE);
+        }
+    }
+
     fn spawn_verification(self: &Arc<Self>, instance: InstanceId) {
         let mut verifying = lock(&self.verifying);
         if verifying.as_ref() == Some(&instance) {
--- a/crates/sidecar/src/instance/tracker.rs
+++ b/crates/sidecar/src/instance/tracker.rs
@@ -4,6 +4,9 @@
 //! has just started gives an instance no work before it knows that no earlier process acknowledged its
 //! leaving: from the durable marks, or, while these can't be read, from two heartbeats of growing
 //! sequence together with the instance's own health answer.
+//!
+//! A back end may start again under its name. What was known of the earlier start then holds no more, and what still
+//! arrives from it changes nothing.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -37,10 +40,13 @@
     Verify,
     /// Close the gate, make the leaving durable, then acknowledge.
     RecordDeparture,
+    /// Refuse: instances of this name tell when they started, and this message does not, so it is another writer's.
+    Refuse,
 }
 
 #[derive(Clone, Debug)]
 struct Known {
+    instance: InstanceId,
     standing: Standing,
     departure_recorded: bool,
     last_sequence: Option<u64>,
@@ -52,8 +58,9 @@
 }
 
 impl Known {
-    const fn new(now: Timestamp) -> Self {
+    const fn new(instance: InstanceId, now: Timestamp) -> Self {
         Self {
+            instance,
             standing: Standing::Unverified,
             departure_recorded: false,
             last_sequence: None,
@@ -77,15 +84,43 @@
 /// The instances that were beside this sidecar.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTracker {
-    known: HashMap<InstanceId, Known>,
+    /// The latest start of each name.
+    known: HashMap<String, Known>,
     current: Option<InstanceId>,
 }
 
 impl InstanceTracker {
+    /// Takes notice that an instance lives, before its message is taken in. Gives the earlier start under its name that
+    /// is over because of it.
+    pub fn take_over(&mut self, now: Timestamp, instance: &InstanceId) -> Option<InstanceId> {
+        let known = self.known.get_mut(instance.name())?;
+        let has_spoken = known.last_sequence.is_some() || known.departure_recorded;
+        let tells_start_now = known.instance.born().is_none() && instance.born().is_some();
+        if known.instance.is_before(instance) || (tells_start_now && has_spoken) {
+            let earlier = std::mem::replace(known, Known::new(instance.clone(), now)).instance;
+            self.current.take_if(|current| *current == earlier);
+            return Some(earlier);
+        }
+        if tells_start_now {
+            if let Some(current) = self.current.as_mut().filter(|id| **id == known.instance) {
+                *current = instance.clone();
+            }
+            known.instance = instance.clone();
+        }
+        None
+    }
+
     /// Takes a heartbeat.
     pub fn heartbeat(&mut self, now: Timestamp, beat: &Heartbeat) -> TrackerDecision {
-        let is_current = self.current.as_ref() == Some(&beat.instance);
-        let known = self.entry(now, &beat.instance);
+        self.take_over(now, &beat.instance);
+        if self.is_of_another_writer(&beat.instance) {
+            return TrackerDecision::Refuse;
+        }
+        let is_current = self.is_current(&beat.instance);
+        let is_over = self.is_over(&beat.instance);
+        let Some(known) = self.entry(now, &beat.instance) else {
+            return TrackerDecision::Acknowledge;
+        };
         known.heard_at = now;
         if beat.state == ReportedState::Draining {
             return Self::leave(known);
@@ -93,7 +128,7 @@
         let is_late = known
             .last_sequence
             .is_some_and(|last| beat.sequence <= last);
-        if is_late || known.standing == Standing::Leaving {
+        if is_late || is_over || known.standing == Standing::Leaving {
             return TrackerDecision::Acknowledge;
         }
         known.last_sequence = Some(beat.sequence);
@@ -109,7 +144,11 @@
 
     /// Takes the message of an instance that goes.
     pub fn departure(&mut self, now: Timestamp, instance: &InstanceId) -> TrackerDecision {
-        Self::leave(self.entry(now, instance))
+        self.take_over(now, instance);
+        match self.entry(now, instance) {
+            Some(known) => Self::leave(known),
+            None => TrackerDecision::Acknowledge,
+        }
     }
 
     const fn leave(known: &mut Known) -> TrackerDecision {
@@ -123,34 +162,46 @@
 
     /// Takes notice of an instance that answered a health check; true when it needs verifying.
     pub fn seen_healthy(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
-        self.entry(now, instance).standing == Standing::Unverified
+        let known = self.entry(now, instance);
+        known.is_some_and(|known| known.standing == Standing::Unverified)
     }
 
     /// The leaving of an instance is durable.
     pub fn departure_recorded(&mut self, now: Timestamp, instance: &InstanceId) {
-        let known = self.entry(now, instance);
-        known.standing = Standing::Leaving;
-        known.departure_recorded = true;
+        if let Some(known) = self.entry(now, instance) {
+            known.standing = Standing::Leaving;
+            known.departure_recorded = true;
+        }
+    }
+
+    /// The instances whose leaving was made durable.
+    #[must_use]
+    pub fn recorded_departures(&self) -> Vec<InstanceId> {
+        let recorded = self.known.values().filter(|known| known.departure_recorded);
+        recorded.map(|known| known.instance.clone()).collect()
     }
 
     /// The instance has no durable mark and may get work, unless it said meanwhile that it leaves.
     /// Returns whether it is the one that gets work now.
     pub fn verified(&mut self, now: Timestamp, instance: &InstanceId) -> bool {
-        let known = self.entry(now, instance);
-        if known.standing == Standing::Leaving {
+        let is_over = self.is_over(instance);
+        let Some(known) = self.entry(now, instance) else {
+            return false;
+        };
+        if is_over || known.standing == Standing::Leaving {
             return false;
         }
         known.standing = Standing::Serving;
-        self.current = Some(instance.clone());
+        self.current = Some(known.instance.clone());
         true
     }
 
     /// Another instance answers at the back end's address: this one is gone.
     pub fn replaced(&mut self, instance: &InstanceId) {
-        if self.current.as_ref() == Some(instance) {
+        if self.is_current(instance) {
             self.current = None;
         }
-        if let Some(known) = self.known.get_mut(instance) {
+        if let Some(known) = self.found_mut(instance) {
             known.standing = Standing::Leaving;
         }
     }
@@ -158,15 +209,18 @@
     /// Whether heartbeats alone, with the instance's health, show that it does not leave.
     #[must_use]
     pub fn is_confirmed(&self, instance: &InstanceId) -> bool {
-        let known = self.known.get(instance);
+        let known = self.found(instance);
         known.is_some_and(|known| known.is_confirmed && known.standing != Standing::Leaving)
     }
 
     /// What an instance may get.
     #[must_use]
     pub fn standing(&self, instance: &InstanceId) -> Standing {
-        let known = self.known.get(instance);
-        known.map_or(Standing::Unverified, |known| known.standing)
+        match self.known.get(instance.name()) {
+            Some(known) if instance.is_before(&known.instance) => Standing::Leaving,
+            Some(known) if known.instance.may_be(instance) => known.standing,
+            _ => Standing::Unverified,
+        }
     }
 
     /// The instance that gets work.
@@ -178,25 +232,57 @@
     /// Requests that an instance executes at a time, once it said so.
     #[must_use]
     pub fn slots(&self, instance: &InstanceId) -> Option<u32> {
-        self.known.get(instance)?.slots
+        self.found(instance)?.slots
+    }
+
+    fn is_current(&self, instance: &InstanceId) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.may_be(instance))
+    }
+
+    /// Whether the instance that gets work started later at the same address.
+    fn is_over(&self, instance: &InstanceId) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| instance.is_before(current))
+    }
+
+    /// Whether the message does not tell a start though instances of its name do.
+    fn is_of_another_writer(&self, instance: &InstanceId) -> bool {
+        let known = self.known.get(instance.name());
+        instance.born().is_none() && known.is_some_and(|known| known.instance.born().is_some())
+    }
+
+    fn found(&self, instance: &InstanceId) -> Option<&Known> {
+        let known = self.known.get(instance.name())?;
+        known.instance.may_be(instance).then_some(known)
+    }
+
+    fn found_mut(&mut self, instance: &InstanceId) -> Option<&mut Known> {
+        let known = self.known.get_mut(instance.name())?;
+        known.instance.may_be(instance).then_some(known)
     }
 
-    fn entry(&mut self, now: Timestamp, instance: &InstanceId) -> &mut Known {
-        if !self.known.contains_key(instance) && self.known.len() >= REMEMBERED_INSTANCES {
-            self.forget_oldest();
+    /// What is known of an instance, new where nothing is; none where another start of its name is known.
+    fn entry(&mut self, now: Timestamp, instance: &InstanceId) -> Option<&mut Known> {
+        let name = instance.name();
+        if !self.known.contains_key(name) {
+            if self.known.len() >= REMEMBERED_INSTANCES {
+                self.forget_oldest();
+            }
+            let known = Known::new(instance.clone(), now);
+            self.known.insert(name.to_owned(), known);
         }
-        self.known
-            .entry(instance.clone())
-            .or_insert_with(|| Known::new(now))
+        self.found_mut(instance)
     }
 
     fn forget_oldest(&mut self) {
+        let current = self.current.as_ref().map(InstanceId::name);
         let forgettable = self
             .known
             .iter()
-            .filter(|(id, _)| Some(*id) != self.current.as_ref());
+            .filter(|(name, _)| Some(name.as_str()) != current);
         let oldest = forgettable.min_by_key(|(_, known)| known.heard_at);
-        if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+        if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
             self.known.remove(&oldest);
         }
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,11 @@
 pub mod outbound;
 pub mod platform;
 pub mod settings;
+pub mod shared_records;
 pub mod sidecar;
+pub mod signals;
+pub mod small_server;
+pub mod store_era;
 pub mod tenant;
 
 mod answerer;
--- a/crates/sidecar/src/metered.rs
+++ b/crates/sidecar/src/metered.rs
@@ -11,6 +11,7 @@
     ConfigurationReading, DirectoryEntry, Freshness, Platform, PlatformError, Position,
     QuarantineRecord,
 };
+use crate::store_era::StoreEras;
 
 /// A platform whose calls are counted.
 #[derive(Debug)]
@@ -31,6 +32,7 @@
             Err(PlatformError::Throttled) => "throttled",
             Err(PlatformError::Refused(_)) => "refused",
             Err(PlatformError::HistoryGone) => "history_gone",
+            Err(PlatformError::EarlierEra) => "earlier_era",
             Err(PlatformError::Malformed(_)) => "malformed",
         };
         self.metrics.platform_called(operation, name);
@@ -38,6 +40,10 @@
 }
 
 impl<P: Platform> Platform for Metered<P> {
+    fn eras(&self) -> &Arc<StoreEras> {
+        self.inner.eras()
+    }
+
     async fn read_configuration(
         &self,
         freshness: Freshness,
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -11,10 +12,17 @@
 
 use crate::configuration::Configuration;
 use crate::instance::InstanceId;
-
-/// A point in the platform's history of configurations.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Position(pub u64);
+use crate::store_era::{EarlierEra, StoreEra, StoreEras};
+
+/// A point in the platform's history of configurations. Revisions are given out again in each era, so two positions
+/// can be compared only within one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// The era of the store.
+    pub era: StoreEra,
+    /// Its revision.
+    pub revision: u64,
+}
 
 /// What the platform said about the configuration.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,12 +44,20 @@
     Refused(u16),
     /// the history after this position is gone
     HistoryGone,
+    /// it is of an earlier era of the store
+    EarlierEra,
     /// the answer can't be understood: {0}
     Malformed(String),
 }
 
 impl std::error::Error for PlatformError {}
 
+impl From<EarlierEra> for PlatformError {
+    fn from(EarlierEra: EarlierEra) -> Self {
+        Self::EarlierEra
+    }
+}
+
 /// How new an answer of the platform has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -72,6 +88,9 @@
 /// What a sidecar needs of its platform. Implementations translate and keep nothing: retries,
 /// backoff and timeouts of the whole belong to the caller.
 pub trait Platform: fmt::Debug + Send + Sync + 'static {
+    /// The eras of its store, which each answer tells.
+    fn eras(&self) -> &Arc<StoreEras>;
+
     /// Reads the configuration.
     fn read_configuration(
         &self,
--- a/crates/sidecar/src/quarantine/keeper.rs
+++ b/crates/sidecar/src/quarantine/keeper.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wharfquay_core::idempotency::clock::UnixMillis;
 use wharfquay_core::quarantine::{
     QUARANTINE_TIME, QuarantineReport, ReportedStanding, RequestFingerprint,
 };
@@ -35,10 +36,10 @@
 }
 
 impl<P: Platform> Keeper<P> {
-    /// Learns what is kept at the platform; tries until it answers.
+    /// Learns what is kept at the platform; tries until it answers, or another sidecar has told it.
     pub(super) async fn read(self: Arc<Self>) {
         let mut pause = FIRST_PAUSE;
-        loop {
+        while !self.quarantine.is_settled() {
             let answer = answer("read", self.platform.quarantined()).await;
             if let Some(records) = answer {
                 return self.learn(records);
@@ -66,11 +67,13 @@
         self.quarantine.set_settled();
     }
 
-    /// Keeps a request that is quarantined from now on.
-    pub(super) async fn keep(self: Arc<Self>, fingerprint: RequestFingerprint) {
+    /// Keeps a request that was quarantined `age` ago.
+    pub(super) async fn keep(self: Arc<Self>, fingerprint: RequestFingerprint, age: Duration) {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let found_at = wall_clock().as_millis().saturating_sub(age_ms);
         let record = QuarantineRecord {
             fingerprint,
-            found_at: wall_clock(),
+            found_at: UnixMillis::new(found_at),
         };
         let mut pause = FIRST_PAUSE;
         for _ in 0..WRITES {
--- a/crates/sidecar/src/quarantine/mod.rs
+++ b/crates/sidecar/src/quarantine/mod.rs
@@ -27,6 +27,7 @@
 use crate::events::Event;
 use crate::exchange::Reply;
 use crate::inbound::RunningRequest;
+use crate::instance::InstanceId;
 use crate::log_event;
 
 pub(crate) use keeper::Keeper;
@@ -146,8 +147,8 @@
     }
 
     /// An instance of the local back end ended while it executed these requests.
-    pub(crate) fn instance_ended(&self, instance: &str, running: &[RunningRequest]) {
-        let instance = EndedInstance::new(hash_bytes(instance.as_bytes()));
+    pub(crate) fn instance_ended(&self, instance: &InstanceId, running: &[RunningRequest]) {
+        let instance = EndedInstance::new(hash_bytes(instance.to_string().as_bytes()));
         let ends = running.iter().map(|request| RequestEnd {
             fingerprint: request.fingerprint,
             instance,
@@ -236,6 +237,11 @@
         lock(&self.ledger).answered(fingerprint);
     }
 
+    /// Every quarantined request that is known here.
+    fn quarantined(&self) -> Vec<QuarantineReport> {
+        lock(&self.table).quarantined(self.now())
+    }
+
     /// The answer to a sidecar that asks for the quarantined requests and knows of those with `digest`.
     pub(crate) fn reply(&self, digest: u64) -> Reply {
         let now = self.now();
--- a/crates/sidecar/src/quarantine/spread.rs
+++ b/crates/sidecar/src/quarantine/spread.rs
@@ -34,10 +34,14 @@
 ];
 /// Pause between two questions for quarantined requests that were missed.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
-/// The same for a sidecar that has just started, in its first second.
+/// The same for a sidecar that has just started and does not know yet what was quarantined before.
 const FIRST_ASK_INTERVAL: Duration = Duration::from_millis(200);
-/// Questions at this pause.
+/// Questions before the platform's records are read.
 const FIRST_ASKS: u32 = 5;
+/// Questions after which a sidecar that nobody could answer reads the platform's records in any case.
+const LAST_SHARED_READ: u32 = 25;
+/// Sidecars of the whole deployment that read the platform's records between two questions, in the mean.
+const READERS: f64 = 4.0;
 /// Longest wait for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 /// Times that an owner is told of an end, until it answers.
@@ -101,7 +105,8 @@
                     Outgoing::Report(report) => reports.push(report),
                     Outgoing::Ends(ends) => self.tell_owners_of_ends(&ends),
                     Outgoing::Keep(fingerprint) => {
-                        tokio::spawn(Arc::clone(&self.keeper).keep(fingerprint));
+                        let keeping = Arc::clone(&self.keeper).keep(fingerprint, Duration::ZERO);
+                        tokio::spawn(keeping);
                     }
                     Outgoing::Remove(fingerprint) => {
                         tokio::spawn(Arc::clone(&self.keeper).remove(fingerprint));
@@ -117,6 +122,35 @@
         }
     }
 
+    /// Writes the platform's records again whenever its store was restored: the first owner of a request does. Runs for
+    /// ever.
+    pub(crate) async fn keep_records(self: Arc<Self>) {
+        let mut eras = self.keeper.platform.eras().subscribe();
+        while eras.changed().await.is_ok() {
+            eras.mark_unchanged();
+            let own = self.quarantine.quarantined();
+            let own = own
+                .into_iter()
+                .filter(|report| self.is_first_owner(report.fingerprint));
+            let own: Vec<QuarantineReport> = own.collect();
+            for report in &own {
+                let age = Duration::from_millis(report.age_ms);
+                Arc::clone(&self.keeper).keep(report.fingerprint, age).await;
+            }
+            if !own.is_empty() {
+                let count = own.len();
+                log_event!(Event::RecordsWrittenAgain, "kind=quarantine count={count}");
+            }
+        }
+    }
+
+    fn is_first_owner(&self, fingerprint: RequestFingerprint) -> bool {
+        let owners = self.ring.owners(self.clock.now(), &shard_name(fingerprint));
+        owners
+            .first()
+            .is_some_and(|owner| owner.id == self.exchange.own_id())
+    }
+
     /// Tells reports to sidecars by chance, in a few rounds.
     async fn spread(self: Arc<Self>, reports: Vec<QuarantineReport>) {
         let learnt = Instant::now();
@@ -153,7 +187,7 @@
 
     /// Tells something to the owners of a request until each has answered, a few times at the most.
     fn tell_owners(&self, fingerprint: RequestFingerprint, question: &Question) {
-        let shard = format!("requests-{}", shard_of(fingerprint));
+        let shard = shard_name(fingerprint);
         for owner in self.ring.owners(self.clock.now(), &shard).iter() {
             let exchange = Arc::clone(&self.exchange);
             let (owner, question) = (owner.clone(), question.clone());
@@ -171,15 +205,20 @@
     /// Asks other sidecars for quarantined requests that are not known here; never ends.
     async fn keep_asking(self: Arc<Self>) {
         let mut asks: u32 = 0;
+        let mut is_reading = false;
         loop {
-            let pause = match asks {
-                0..FIRST_ASKS => FIRST_ASK_INTERVAL,
-                _ => ASK_INTERVAL,
+            let is_starting = asks < LAST_SHARED_READ && !self.quarantine.is_settled();
+            let pause = match is_starting {
+                true => FIRST_ASK_INTERVAL,
+                false => ASK_INTERVAL,
             };
             tokio::time::sleep(pause.mul_f64(rand::random_range(0.75..=1.25))).await;
             asks += 1;
-            if asks == FIRST_ASKS && !self.quarantine.is_settled() {
-                tokio::spawn(Arc::clone(&self.keeper).read());
+            if asks >= FIRST_ASKS && !is_reading && !self.quarantine.is_settled() {
+                is_reading = self.is_to_read(asks);
+                if is_reading {
+                    tokio::spawn(Arc::clone(&self.keeper).read());
+                }
             }
             let Some(peer) = self.peers(1).pop() else {
                 continue;
@@ -200,6 +239,14 @@
         }
     }
 
+    /// Whether this sidecar reads the platform's records, which nobody that it asked knows. After an end of all, a few
+    /// read for all, whatever their number.
+    fn is_to_read(&self, asks: u32) -> bool {
+        let members = self.members.borrow().live_count().max(1);
+        let chance = (READERS / members as f64).min(1.0);
+        asks >= LAST_SHARED_READ || rand::random_bool(chance)
+    }
+
     /// Other sidecars that serve, by chance.
     fn peers(&self, wanted: usize) -> Vec<Peer> {
         let table = self.members.borrow();
@@ -217,6 +264,11 @@
     }
 }
 
+/// The key under which the owners of a request are found.
+fn shard_name(fingerprint: RequestFingerprint) -> String {
+    format!("requests-{}", shard_of(fingerprint))
+}
+
 const fn shard_of(fingerprint: RequestFingerprint) -> u64 {
     fingerprint.bits() % SHARDS
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -40,6 +40,7 @@
 use crate::quota::{OwnerRing, QuotaClient, QuotaOwner};
 use crate::scopes::ScopeTable;
 use crate::settings::Settings;
+use crate::store_era::{self, StoreEra};
 
 /// How often a stop looks whether the last call has ended.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -151,7 +152,13 @@
             ),
         };
         let datagrams = Arc::new(listeners.datagrams);
-        let exchange = Exchange::new(Arc::clone(&datagrams), &settings.id, Arc::new(answerer));
+        let eras = Arc::clone(platform.eras());
+        let exchange = Exchange::new(
+            Arc::clone(&datagrams),
+            &settings.id,
+            Arc::new(answerer),
+            Arc::clone(&eras),
+        );
         let exchange = Arc::new(exchange);
         let (control, inbox) = ControlTask::new(
             &settings,
@@ -173,6 +180,12 @@
             members.clone(),
         );
         tokio::spawn(keeping);
+        tokio::spawn(hold_confirmations(
+            Arc::clone(&confirmation),
+            eras.subscribe(),
+        ));
+        let spreading = store_era::spread(eras, Arc::clone(&exchange), members.clone());
+        tokio::spawn(spreading);
 
         let spreader = Arc::new(Spreader {
             clock,
@@ -185,6 +198,7 @@
             ring: Arc::clone(&ring),
             members: members.clone(),
         });
+        tokio::spawn(Arc::clone(&spreader).keep_records());
         tokio::spawn(spreader.run(outgoing));
 
         let backend = LocalBackend::new(
@@ -200,6 +214,7 @@
             clock,
             settings.is_first_start,
         );
+        tokio::spawn(Arc::clone(&registry).keep_marks());
         let routing = Routing::new(clock, &settings.zone);
         let scopes = Arc::new(ScopeTable::default());
         let stopping = Arc::new(AtomicBool::new(false));
@@ -274,6 +289,12 @@
         Ok(sidecar)
     }
 
+    /// Name of the local back end's service.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.settings.service
+    }
+
     /// Takes a heartbeat of the local back end.
     pub async fn heartbeat(&self, beat: &Heartbeat) -> Acknowledgement {
         self.registry.heartbeat(beat).await
@@ -418,6 +439,13 @@
     }
 }
 
+/// Lets the platform confirm nothing for a while whenever its store was restored; runs for ever.
+async fn hold_confirmations(confirmation: Arc<Confirmation>, mut eras: watch::Receiver<StoreEra>) {
+    while eras.changed().await.is_ok() {
+        confirmation.store_restored();
+    }
+}
+
 /// Closes connections to other sidecars that are not needed any more; never ends.
 async fn close_rested_connections(forwarder: Arc<Forwarder>) {
     loop {
--- /dev/null
+++ b/crates/sidecar/src/small_server.rs
@@ -0,0 +1,61 @@
+//! A server for the few short calls that are no requests of callers: readiness, heartbeats, metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Pause after a failed accept.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds an address and serves it in a task of its own.
+///
+/// # Errors
+/// What the operating system reported when the address can't be used.
+pub async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
+                continue;
+            };
+            // Without the option answers are a little later.
+            let _ = stream.set_nodelay(true);
+            let handle = handle.clone();
+            let service = service_fn(move |request| {
+                let answer = handle(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            tokio::spawn(async move {
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                // Who called will call again.
+                let _ = connection.await;
+            });
+        }
+    });
+    Ok(())
+}
+
+/// An answer with this status and JSON body.
+#[must_use]
+pub fn json_answer(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- a/crates/sidecar/tests/instance_tracker.rs
+++ b/crates/sidecar/tests/instance_tracker.rs
@@ -102,7 +102,7 @@
                 self.tracker.departure_recorded(self.now, &id(instance));
                 self.acknowledged.insert(instance);
             }
-            TrackerDecision::RecordDeparture => {}
+            TrackerDecision::RecordDeparture | TrackerDecision::Refuse => {}
             TrackerDecision::Acknowledge => {
                 if says_leaving {
                     self.acknowledged.insert(instance);
--- a/crates/sidecar/tests/support/platform.rs
+++ b/crates/sidecar/tests/support/platform.rs
@@ -1,28 +1,42 @@
 //! A platform in memory, with faults.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::watch;
 use wharfquay_core::quarantine::RequestFingerprint;
+use wharfquay_daemon::clock::Clock;
 use wharfquay_sidecar::configuration::Configuration;
 use wharfquay_sidecar::instance::InstanceId;
 use wharfquay_sidecar::platform::{
     ConfigurationReading, DirectoryEntry, Freshness, Platform, PlatformError, Position,
     QuarantineRecord,
 };
+use wharfquay_sidecar::store_era::{StoreEra, StoreEras};
 
 /// How long a watch waits for a change.
 const WATCH_TIME: Duration = Duration::from_millis(500);
 
+/// What the store held at some time.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    configuration: Option<Configuration>,
+    directory: BTreeMap<String, DirectoryEntry>,
+    departures: BTreeMap<String, InstanceId>,
+    quarantine: BTreeMap<RequestFingerprint, QuarantineRecord>,
+}
+
 /// The platform as one machine reaches it.
 #[derive(Debug)]
 pub struct StandInPlatform {
+    /// Number of the store's era.
+    era: Arc<AtomicU64>,
+    eras: Arc<StoreEras>,
     configuration: Arc<watch::Sender<Option<Configuration>>>,
     directory: Arc<Mutex<BTreeMap<String, DirectoryEntry>>>,
-    departures: Arc<Mutex<BTreeSet<String>>>,
+    departures: Arc<Mutex<BTreeMap<String, InstanceId>>>,
     quarantine: Arc<Mutex<BTreeMap<RequestFingerprint, QuarantineRecord>>>,
     is_down: AtomicBool,
     listings: Mutex<Vec<Freshness>>,
@@ -34,6 +48,8 @@
 impl StandInPlatform {
     pub fn new(configuration: Option<Configuration>) -> Self {
         Self {
+            era: Arc::new(AtomicU64::new(1)),
+            eras: StoreEras::new(Clock::start()),
             configuration: Arc::new(watch::channel(configuration).0),
             directory: Arc::default(),
             departures: Arc::default(),
@@ -49,6 +65,8 @@
     /// The same platform as another machine reaches it: it may refuse one and serve the other.
     pub fn for_another_machine(&self) -> Self {
         Self {
+            era: Arc::clone(&self.era),
+            eras: StoreEras::new(Clock::start()),
             configuration: Arc::clone(&self.configuration),
             directory: Arc::clone(&self.directory),
             departures: Arc::clone(&self.departures),
@@ -61,6 +79,40 @@
         }
     }
 
+    /// A copy of what the store holds now.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            configuration: self.configuration.borrow().clone(),
+            directory: self.directory.lock().unwrap().clone(),
+            departures: self.departures.lock().unwrap().clone(),
+            quarantine: self.quarantine.lock().unwrap().clone(),
+        }
+    }
+
+    /// The store comes back from a copy.
+    pub fn restore(&self, copy: Copy) {
+        self.era.fetch_add(1, Ordering::Relaxed);
+        *self.directory.lock().unwrap() = copy.directory;
+        *self.departures.lock().unwrap() = copy.departures;
+        *self.quarantine.lock().unwrap() = copy.quarantine;
+        self.configuration.send_replace(copy.configuration);
+    }
+
+    /// Ids of the entries in the directory.
+    pub fn listed(&self) -> Vec<String> {
+        self.directory.lock().unwrap().keys().cloned().collect()
+    }
+
+    /// Names of the instances that have a mark.
+    pub fn departed(&self) -> Vec<String> {
+        self.departures.lock().unwrap().keys().cloned().collect()
+    }
+
+    /// Records of quarantined requests.
+    pub fn records(&self) -> Vec<QuarantineRecord> {
+        self.quarantine.lock().unwrap().values().copied().collect()
+    }
+
     /// The operator puts a configuration in force.
     pub fn publish(&self, configuration: Configuration) {
         self.configuration.send_replace(Some(configuration));
@@ -93,31 +145,38 @@
 
     /// Marks an instance as an earlier process would have.
     pub fn mark_departed(&self, instance: &str) {
-        self.departures.lock().unwrap().insert(instance.to_owned());
+        let mut departures = self.departures.lock().unwrap();
+        departures.insert(instance.to_owned(), InstanceId::from(instance));
     }
 
-    fn check(&self) -> Result<(), PlatformError> {
+    fn check(&self) -> Result<StoreEra, PlatformError> {
         if self.is_down.load(Ordering::Relaxed) {
             return Err(PlatformError::Refused(503));
         }
-        Ok(())
+        let era = self.era.load(Ordering::Relaxed);
+        Ok(self.eras.answered(Some(era))?)
     }
 
-    fn position(configuration: Option<&Configuration>) -> Position {
-        Position(configuration.map_or(0, |configuration| configuration.version))
+    fn revision(configuration: Option<&Configuration>) -> u64 {
+        configuration.map_or(0, |configuration| configuration.version)
     }
 }
 
 impl Platform for StandInPlatform {
+    fn eras(&self) -> &Arc<StoreEras> {
+        &self.eras
+    }
+
     async fn read_configuration(
         &self,
         freshness: Freshness,
     ) -> Result<ConfigurationReading, PlatformError> {
-        self.check()?;
+        let era = self.check()?;
         self.readings.lock().unwrap().push(freshness);
         let configuration = self.configuration.borrow().clone();
+        let revision = Self::revision(configuration.as_ref());
         Ok(ConfigurationReading {
-            position: Self::position(configuration.as_ref()),
+            position: Position { era, revision },
             configuration,
         })
     }
@@ -129,15 +188,21 @@
     ) -> Result<ConfigurationReading, PlatformError> {
         self.check()?;
         let mut changes = self.configuration.subscribe();
-        let newer = changes.wait_for(|current| Self::position(current.as_ref()) > position);
+        let newer =
+            changes.wait_for(|current| Self::revision(current.as_ref()) > position.revision);
         let configuration = match tokio::time::timeout(wait.min(WATCH_TIME), newer).await {
             Ok(Ok(current)) => current.clone(),
             _ => None,
         };
-        self.check()?;
-        let reached = Self::position(configuration.as_ref());
+        if self.check()? != position.era {
+            return Err(PlatformError::HistoryGone);
+        }
+        let reached = Self::revision(configuration.as_ref());
         Ok(ConfigurationReading {
-            position: position.max(reached),
+            position: Position {
+                era: position.era,
+                revision: position.revision.max(reached),
+            },
             configuration,
         })
     }
@@ -158,14 +223,17 @@
 
     async fn record_departure(&self, instance: &InstanceId) -> Result<(), PlatformError> {
         self.check()?;
-        self.mark_departed(instance.as_str());
+        let mut departures = self.departures.lock().unwrap();
+        departures.insert(instance.name().to_owned(), instance.clone());
         Ok(())
     }
 
     async fn has_departed(&self, instance: &InstanceId) -> Result<bool, PlatformError> {
         self.check()?;
         self.lookups.fetch_add(1, Ordering::Relaxed);
-        Ok(self.departures.lock().unwrap().contains(instance.as_str()))
+        let departures = self.departures.lock().unwrap();
+        let mark = departures.get(instance.name());
+        Ok(mark.is_some_and(|mark| !mark.is_before(instance)))
     }
 
     async fn record_quarantine(&self, record: &QuarantineRecord) -> Result<(), PlatformError> {
