Let a few sidecars read the marks of acknowledged leavings for all that start

Ruled out: marks read from listings that may be stale (a leaving acknowledged a second ago may be missing), no check at all (heartbeats do not tell that an earlier process acknowledged).

Change: eight sidecars, the first by rendezvous among the entries of the directory for ten seconds after a start and among the members later, read all marks at once when asked. Only a listing that was asked for after the asker's process started counts. Whoever acknowledges a leaving tells them, so that they know it also where a restored store lost it, and the first of them writes it again. Each sidecar that starts again looks into the directory once, though others may have contacted it before.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -129,6 +129,11 @@
     draws: u32,
     /// How new the listing was that was last asked for.
     asked: ListingAge,
+    /// Whether the directory is to be looked at even where others have made contact first: the entry of an earlier
+    /// process may stand, and all that start together go by the same listing in some matters.
+    owes_look: bool,
+    /// Whether others were known at the last look.
+    knows_others: bool,
     /// Whether an earlier look showed others, who did not answer since.
     has_seen_others: bool,
     /// Whether the own entry is known to stand.
@@ -156,6 +161,8 @@
             looks: 0,
             draws: 0,
             asked: ListingAge::MayBeStale,
+            owes_look: !is_first_start,
+            knows_others: false,
             has_seen_others: false,
             has_entry: false,
             wants_entry: false,
@@ -181,17 +188,13 @@
             return DirectoryStep::Enter;
         }
         let members = table.live_count();
-        if members <= 1 {
+        if members <= 1 || self.owes_look {
+            self.owes_look = false;
+            self.knows_others = members > 1;
             self.asked = self.listing_age();
             return DirectoryStep::Look(self.asked);
         }
         self.review(now, table, members);
-        if self.wants_entry && self.looks == 0 {
-            // The entry of an earlier process may stand: a look costs a fraction of writing it again.
-            self.wants_entry = false;
-            self.asked = ListingAge::MayBeStale;
-            return DirectoryStep::Look(self.asked);
-        }
         if self.wants_entry {
             return DirectoryStep::Enter;
         }
@@ -201,7 +204,7 @@
 
     /// Takes in a listing: the own entry, and the number of others.
     pub fn listed(&mut self, now: Timestamp, own: OwnEntry, others: usize, rng: &mut impl Rng) {
-        let is_alone = others == 0 || self.has_seen_others;
+        let is_alone = !self.knows_others && (others == 0 || self.has_seen_others);
         self.has_seen_others |= others > 0;
         match own {
             OwnEntry::Current => self.has_entry = true,
--- a/crates/sidecar/src/answerer.rs
+++ b/crates/sidecar/src/answerer.rs
@@ -1,11 +1,14 @@
 //! What other sidecars ask of this one and tell it, handed to who knows.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use wharfquay_core::idempotency::clock::UnixMillis;
 use wharfquay_core::quarantine::{RequestEnd, RequestFingerprint};
 
 use crate::confirmation::Confirmation;
 use crate::exchange::{Answer, Notice, Question, Reply};
+use crate::instance::{DepartureIndex, InstanceId};
 use crate::quarantine::Quarantine;
 use crate::quota::QuotaOwner;
 
@@ -14,6 +17,7 @@
     pub(crate) confirmation: Arc<Confirmation>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) owner: QuotaOwner,
+    pub(crate) departures: Arc<DepartureIndex>,
 }
 
 impl Answer for Answerer {
@@ -36,12 +40,25 @@
                 Reply::Noted
             }
             Question::Quarantined { digest } => self.quarantine.reply(*digest),
+            Question::Departed {
+                name,
+                born_ms,
+                lived_ms,
+            } => {
+                let instance = InstanceId::new(name, born_ms.map(UnixMillis::new));
+                let lived = Duration::from_millis(*lived_ms);
+                self.departures.reply(&instance, lived)
+            }
         }
     }
 
     fn take(&self, notice: &Notice) {
         match notice {
             Notice::Quarantine(reports) => self.quarantine.learn(reports),
+            Notice::Departed { name, born_ms } => {
+                let instance = InstanceId::new(name, born_ms.map(UnixMillis::new));
+                self.departures.told(&instance);
+            }
             // The exchange has taken in the era.
             Notice::StoreRestored => {}
         }
--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -51,6 +51,8 @@
     pub(crate) configuration: watch::Sender<Arc<RouteIndex>>,
     /// The members.
     pub(crate) members: watch::Sender<MemberTable>,
+    /// The entries of the platform's directory, as they were read last; none before.
+    pub(crate) listed: watch::Sender<Option<Vec<DirectoryEntry>>>,
     /// Whether no other sidecar is heard of, though others are known.
     pub(crate) isolated: watch::Sender<bool>,
     /// Whether this sidecar was told to stop.
@@ -201,6 +203,7 @@
             Next::Stopping => self.node.leave(now, random),
             Next::Seeds(entries) => {
                 self.ring.note_directory(now, &entries);
+                self.channels.listed.send_replace(Some(entries.clone()));
                 self.set_seeds(&entries);
                 Vec::new()
             }
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -69,6 +69,19 @@
         #[serde(rename = "d")]
         digest: u64,
     },
+    /// Whether the leaving of an instance was acknowledged before the sender's process started.
+    #[serde(rename = "d")]
+    Departed {
+        /// Name of the instance.
+        #[serde(rename = "n")]
+        name: String,
+        /// Unix time of its start, in milliseconds.
+        #[serde(rename = "b")]
+        born_ms: Option<u64>,
+        /// Time since the sender's process started.
+        #[serde(rename = "l")]
+        lived_ms: u64,
+    },
 }
 
 impl Question {
@@ -94,6 +107,16 @@
     /// The platform's store was restored; the era comes with the datagram.
     #[serde(rename = "e")]
     StoreRestored,
+    /// The leaving of an instance was acknowledged.
+    #[serde(rename = "d")]
+    Departed {
+        /// Name of the instance.
+        #[serde(rename = "n")]
+        name: String,
+        /// Unix time of its start, in milliseconds.
+        #[serde(rename = "b")]
+        born_ms: Option<u64>,
+    },
 }
 
 /// An answer.
@@ -133,6 +156,9 @@
         #[serde(rename = "s")]
         is_settled: bool,
     },
+    /// Whether the leaving of the instance was acknowledged.
+    #[serde(rename = "d")]
+    Departed(bool),
     /// The question can't be answered here.
     #[serde(rename = "u")]
     Unknown,
--- a/crates/sidecar/src/instance/mod.rs
+++ b/crates/sidecar/src/instance/mod.rs
@@ -1,5 +1,6 @@
 //! The back end beside this sidecar: which instance it is and whether it may get new work.
 
+mod departures;
 mod registry;
 mod tracker;
 
@@ -9,6 +10,7 @@
 
 use wharfquay_core::idempotency::clock::UnixMillis;
 
+pub(crate) use departures::{DepartureIndex, DepartureReaders};
 pub use registry::{Acknowledgement, Registry};
 pub use tracker::{InstanceTracker, Standing, TrackerDecision};
 
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -7,7 +7,7 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
 
-use super::{Heartbeat, InstanceId, InstanceTracker, Standing, TrackerDecision};
+use super::{DepartureReaders, Heartbeat, InstanceId, InstanceTracker, Standing, TrackerDecision};
 use crate::events::Event;
 use crate::inbound::backend::LocalBackend;
 use crate::log_event;
@@ -21,6 +21,10 @@
 const VERIFY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause between two tries to verify an instance.
 const LONGEST_VERIFY_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause between two questions to those who read the marks for all: about the time of a call to the platform for them.
+const QUESTION_PAUSE: Duration = Duration::from_millis(50);
+/// Questions before a sidecar looks for itself: time to meet the others.
+const QUESTIONS_BEFORE_LOOKUP: u32 = 12;
 /// Tries with the durable marks before heartbeats and health may stand in for them.
 const LOOKUPS_BEFORE_FALLBACK: u32 = 2;
 /// Longest wait for a health answer.
@@ -39,6 +43,8 @@
 #[derive(Debug)]
 pub struct Registry<P> {
     platform: Arc<P>,
+    /// Those who know of leavings beside the platform.
+    readers: Arc<DepartureReaders>,
     backend: Arc<LocalBackend>,
     clock: Clock,
     /// Whether no earlier process can have acknowledged that an instance leaves.
@@ -49,14 +55,16 @@
 
 impl<P: Platform> Registry<P> {
     /// A registry that has heard of nothing.
-    pub fn new(
+    pub(crate) fn new(
         platform: Arc<P>,
         backend: Arc<LocalBackend>,
         clock: Clock,
         is_first_start: bool,
+        readers: Arc<DepartureReaders>,
     ) -> Arc<Self> {
         Arc::new(Self {
             platform,
+            readers,
             backend,
             clock,
             is_first_start,
@@ -165,6 +173,7 @@
             self.platform.record_departure(instance).await?;
             let now = self.clock.now();
             lock(&self.tracker).departure_recorded(now, instance);
+            self.readers.tell(instance);
             // From here on a new era finds the leaving among those to be written again.
             if eras.newest().changes == era.changes {
                 return Ok(());
@@ -236,10 +245,20 @@
         }
         let mut pause = VERIFY_PAUSE;
         let mut lookups = 0;
+        let mut questions = 0;
         loop {
             if lock(&self.tracker).standing(instance) == Standing::Leaving {
                 return;
             }
+            if let Some(departed) = self.readers.ask(instance).await {
+                self.conclude(instance, departed);
+                return;
+            }
+            questions += 1;
+            if questions <= QUESTIONS_BEFORE_LOOKUP && self.readers.may_know() {
+                tokio::time::sleep(QUESTION_PAUSE).await;
+                continue;
+            }
             let looking = self.platform.has_departed(instance);
             match tokio::time::timeout(LOOKUP_LIMIT, looking).await {
                 Ok(Ok(departed)) => {
--- a/crates/sidecar/src/metered.rs
+++ b/crates/sidecar/src/metered.rs
@@ -87,6 +87,12 @@
         result
     }
 
+    async fn departures(&self) -> Result<Vec<InstanceId>, PlatformError> {
+        let result = self.inner.departures().await;
+        self.count("departures", &result);
+        result
+    }
+
     async fn record_quarantine(&self, record: &QuarantineRecord) -> Result<(), PlatformError> {
         let result = self.inner.record_quarantine(record).await;
         self.count("record_quarantine", &result);
--- a/crates/sidecar/src/platform.rs
+++ b/crates/sidecar/src/platform.rs
@@ -128,6 +128,9 @@
         instance: &InstanceId,
     ) -> impl Future<Output = Result<bool, PlatformError>> + Send;
 
+    /// The instances whose leaving was acknowledged, as far as marks of them are kept.
+    fn departures(&self) -> impl Future<Output = Result<Vec<InstanceId>, PlatformError>> + Send;
+
     /// Keeps a quarantined request, in place of what was kept of it before.
     fn record_quarantine(
         &self,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -26,7 +26,9 @@
 use crate::exchange::{Exchange, Peer};
 use crate::inbound::backend::LocalBackend;
 use crate::inbound::{InboundHandler, LocalExecutor};
-use crate::instance::{Acknowledgement, Heartbeat, InstanceId, Registry};
+use crate::instance::{
+    Acknowledgement, DepartureIndex, DepartureReaders, Heartbeat, InstanceId, Registry,
+};
 use crate::listeners::{CountedHandler, Listeners, spawn_control, spawn_inbound, spawn_outbound};
 use crate::log_event;
 use crate::log_output;
@@ -124,12 +126,14 @@
         let clock = Clock::from_source(settings.time_source);
         let (configuration_sender, configuration) = watch::channel(Arc::new(RouteIndex::default()));
         let (member_sender, members) = watch::channel(MemberTable::default());
+        let (listed_sender, listed) = watch::channel(None);
         let (isolated_sender, isolated) = watch::channel(false);
         let (stop_sender, stopping_receiver) = watch::channel(false);
         let (closing_sender, closing) = watch::channel(false);
         let channels = ControlChannels {
             configuration: configuration_sender,
             members: member_sender,
+            listed: listed_sender,
             isolated: isolated_sender,
             stopping: stopping_receiver,
         };
@@ -141,7 +145,9 @@
         };
         let ring = Arc::new(OwnerRing::new(own, settings.is_first_start));
         let (quarantine, outgoing) = Quarantine::new(clock, settings.is_first_start);
+        let departures = DepartureIndex::new(clock);
         let answerer = Answerer {
+            departures: Arc::clone(&departures),
             confirmation: Arc::clone(&confirmation),
             quarantine: Arc::clone(&quarantine),
             owner: QuotaOwner::new(
@@ -208,11 +214,23 @@
             clock,
             settings.bounds.retries,
         );
+        let readers = Arc::new(DepartureReaders {
+            clock,
+            exchange: Arc::clone(&exchange),
+            members: members.clone(),
+            listed,
+        });
+        let reading = Arc::clone(&departures).read_when_wanted(Arc::clone(&platform));
+        tokio::spawn(reading);
+        let eras = platform.eras().subscribe();
+        let keeping = departures.keep(Arc::clone(&platform), Arc::clone(&readers), eras);
+        tokio::spawn(keeping);
         let registry = Registry::new(
             platform,
             Arc::clone(&backend),
             clock,
             settings.is_first_start,
+            readers,
         );
         tokio::spawn(Arc::clone(&registry).keep_marks());
         let routing = Routing::new(clock, &settings.zone);
--- a/crates/sidecar/tests/support/platform.rs
+++ b/crates/sidecar/tests/support/platform.rs
@@ -236,6 +236,12 @@
         Ok(mark.is_some_and(|mark| !mark.is_before(instance)))
     }
 
+    async fn departures(&self) -> Result<Vec<InstanceId>, PlatformError> {
+        self.check()?;
+        self.lookups.fetch_add(1, Ordering::Relaxed);
+        Ok(self.departures.lock().unwrap().values().cloned().collect())
+    }
+
     async fn record_quarantine(&self, record: &QuarantineRecord) -> Result<(), PlatformError> {
         self.check()?;
         let mut quarantine = self.quarantine.lock().unwrap();
