Ask one reader of marks after the other, and follow the configuration only once the first start has settled

Cause: a sidecar that starts alone asked two of the eight readers at a time, each of which then listed the marks: two calls where its own look-up was one. At a first start of hundreds, whoever knows only a part of its zone takes itself for a reader and follows the configuration with calls of full price.

Change: one reader is asked, four times, before the next in the row, which begins elsewhere for each sidecar. For 6 s after a first start the configuration is read once, from an answer that may be stale.

--- a/crates/sidecar/src/control/task.rs
+++ b/crates/sidecar/src/control/task.rs
@@ -40,6 +40,9 @@
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
 /// The same at the first start of the whole deployment, when nobody is listed yet.
 const FIRST_MEETING_TIME: Duration = Duration::from_millis(2_500);
+/// As [`MEETING_TIME`], at the first start of the whole deployment: hundreds take longer to meet, and their requests begin
+/// later still.
+const FIRST_READING_TIME: Duration = Duration::from_secs(6);
 /// How often it is decided anew whether to read the platform.
 const READING_REVIEW: Duration = Duration::from_millis(300);
 /// Entries of the directory that are used as seeds.
@@ -382,7 +385,11 @@
         if self.is_first_start && self.is_alone_at_start(now) {
             return None;
         }
-        let is_meeting = now.saturating_since(self.started_at) < MEETING_TIME;
+        let meeting_time = match self.is_first_start {
+            true => FIRST_READING_TIME,
+            false => MEETING_TIME,
+        };
+        let is_meeting = now.saturating_since(self.started_at) < meeting_time;
         Some(if is_meeting {
             ReadingMode::Once
         } else {
--- a/crates/sidecar/src/instance/departures.rs
+++ b/crates/sidecar/src/instance/departures.rs
@@ -10,7 +10,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
 use tokio::sync::{Notify, watch};
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
@@ -25,8 +24,8 @@
 
 /// Sidecars that read the marks for all.
 const READERS: usize = 8;
-/// Readers that are asked at a time.
-const ASKED: usize = 2;
+/// Questions to one reader before the next is asked: it may have to read first, and another would read as well.
+const QUESTIONS_TO_ONE: usize = 4;
 /// Key of the rendezvous by which readers are chosen.
 const KEY: &str = "departures";
 /// Longest wait for a reader's answer.
@@ -166,8 +165,9 @@
 }
 
 impl DepartureReaders {
-    /// Asks some readers whether the leaving of an instance was acknowledged; none where they do not know yet.
-    pub(crate) async fn ask(&self, instance: &InstanceId) -> Option<bool> {
+    /// Asks a reader whether the leaving of an instance was acknowledged; none where it does not know yet.
+    /// `questions` were asked before.
+    pub(crate) async fn ask(&self, instance: &InstanceId, questions: usize) -> Option<bool> {
         let lived = self.clock.now().saturating_since(Timestamp::ZERO);
         let lived_ms = u64::try_from(lived.as_millis()).unwrap_or(u64::MAX);
         let question = Question::Departed {
@@ -175,25 +175,23 @@
             born_ms: instance.born().map(|born| born.as_millis()),
             lived_ms,
         };
-        let mut readers = self.readers();
+        let readers = self.readers();
         if !self.has_others(&readers) {
             // Asked alone, this sidecar would read all marks for itself.
             return None;
         }
-        readers.shuffle(&mut rand::rng());
-        let mut known = None;
-        for reader in readers.iter().take(ASKED) {
-            let reply = self
-                .exchange
-                .ask(reader, question.clone(), ANSWER_LIMIT)
-                .await;
-            match reply {
-                Some(Reply::Departed(true)) => return Some(true),
-                Some(Reply::Departed(false)) => known = Some(false),
-                _ => {}
-            }
+        let turn = self.first_turn() + questions / QUESTIONS_TO_ONE;
+        let reader = readers.get(turn % readers.len())?;
+        match self.exchange.ask(reader, question, ANSWER_LIMIT).await {
+            Some(Reply::Departed(is_departed)) => Some(is_departed),
+            _ => None,
         }
-        known
+    }
+
+    /// Where this sidecar begins in the row of readers, so that each is asked by as many.
+    fn first_turn(&self) -> usize {
+        let own_id = MemberId::from(self.exchange.own_id());
+        rendezvous_score_for(&own_id, KEY) as usize % READERS
     }
 
     /// Whether others may know more than this sidecar, as far as it knows of others yet.
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -24,7 +24,7 @@
 /// Pause between two questions to those who read the marks for all: about the time of a call to the platform for them.
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
 /// Questions before a sidecar looks for itself: time to meet the others.
-const QUESTIONS_BEFORE_LOOKUP: u32 = 12;
+const QUESTIONS_BEFORE_LOOKUP: usize = 12;
 /// Tries with the durable marks before heartbeats and health may stand in for them.
 const LOOKUPS_BEFORE_FALLBACK: u32 = 2;
 /// Longest wait for a health answer.
@@ -250,7 +250,7 @@
             if lock(&self.tracker).standing(instance) == Standing::Leaving {
                 return;
             }
-            if let Some(departed) = self.readers.ask(instance).await {
+            if let Some(departed) = self.readers.ask(instance, questions).await {
                 self.conclude(instance, departed);
                 return;
             }
