Look for marks at once where the deployment is small, and meet sooner at a later start

(1) a_back_end_that_lives_again_serves_after_its_earlier_start_left: a look-up for a name whose start is not told found the mark of the earlier start and was taken for one of the later start, which had told itself meanwhile: it never served. (2) a_starting_sidecar_is_ready_once_it_knows_a_sidecar_of_each_service: two sidecars that start with an empty directory met after up to five seconds, after their wait for company was over. (3) a_leaving_back_end_gets_nothing_new_and_what_runs_is_finished: the wait for readers of marks, or the same slow meeting; its own run shows only the refusal, so which is not shown. Found while these were mended: who acknowledged a leaving told only the readers of the listing that it read at its own start, which may be empty.

Ruled out: the load alone.

Change: what is found out of a start that is not told says nothing of one that is. In a directory that is not full each sidecar looks for itself at once, and asks others whether they were told, then and four times after. At a later start members that find nobody enter within 0.8 s. A leaving is told to the readers of the listing and of the members.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -29,16 +29,14 @@
 pub struct DirectorySettings {
     /// Entries that are kept, where the deployment has as many members.
     pub entries: usize,
-    /// Chance with which a member that finds nobody enters itself, by the number of its earlier draws; the last one
-    /// holds for all further ones.
-    pub entry_chances: Vec<f64>,
+    /// How members that find nobody enter themselves at the first start of the whole deployment.
+    pub first_start: EntryPace,
+    /// The same at a later start, when the directory mostly shows others: only a restored store shows nobody.
+    pub later_start: EntryPace,
     /// Looks that may show an older state, at a fraction of the price, before fresh ones are asked for.
     pub stale_looks: u32,
     /// Longest wait of a starting member before its first look.
     pub first_look: Duration,
-    /// Pause after a look: time in which those who were seen answer, and in which the entry of one that looked at the
-    /// same time shows in listings that may be stale.
-    pub look_pause: Duration,
     /// Pause after the first call that failed; each further one is twice as long.
     pub first_retry: Duration,
     /// Longest pause between two calls.
@@ -54,10 +52,16 @@
     fn default() -> Self {
         Self {
             entries: ENTRIES,
-            entry_chances: vec![1.0 / 16.0, 1.0 / 16.0, 1.0 / 8.0, 0.5, 1.0],
+            first_start: EntryPace {
+                chances: vec![1.0 / 16.0, 1.0 / 16.0, 1.0 / 8.0, 0.5, 1.0],
+                look_pause: Duration::from_secs(1),
+            },
+            later_start: EntryPace {
+                chances: vec![1.0 / 16.0, 0.5, 1.0],
+                look_pause: Duration::from_millis(400),
+            },
             stale_looks: 2,
             first_look: Duration::from_millis(125),
-            look_pause: Duration::from_secs(1),
             first_retry: Duration::from_millis(250),
             longest_pause: Duration::from_secs(2),
             stale_looks_at_others: 6,
@@ -70,18 +74,34 @@
     /// Every member enters itself at once.
     #[must_use]
     pub fn of_all_members() -> Self {
+        let at_once = EntryPace {
+            chances: vec![1.0],
+            look_pause: Duration::from_millis(250),
+        };
         Self {
             entries: usize::MAX,
-            entry_chances: vec![1.0],
-            look_pause: Duration::from_millis(250),
+            first_start: at_once.clone(),
+            later_start: at_once,
             ..Self::default()
         }
     }
+}
 
+/// How members that find nobody enter themselves, so that a few of many do so first and the others find these.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryPace {
+    /// Chance of an entry, by the number of earlier draws; the last one holds for all further ones.
+    pub chances: Vec<f64>,
+    /// Pause after a look: time in which those who were seen answer, and in which the entry of one that looked at the
+    /// same time shows in listings that may be stale.
+    pub look_pause: Duration,
+}
+
+impl EntryPace {
     fn chance(&self, draw: u32) -> f64 {
         let draw = usize::try_from(draw).unwrap_or(usize::MAX);
-        let last = self.entry_chances.last().copied();
-        let chance = self.entry_chances.get(draw).copied().or(last);
+        let last = self.chances.last().copied();
+        let chance = self.chances.get(draw).copied().or(last);
         chance.unwrap_or(1.0)
     }
 }
@@ -121,6 +141,7 @@
 #[derive(Clone, Debug)]
 pub struct Enrolment {
     settings: DirectorySettings,
+    pace: EntryPace,
     id: MemberId,
     next_at: Timestamp,
     retry: Duration,
@@ -154,7 +175,12 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Self {
+        let pace = match is_first_start {
+            true => settings.first_start.clone(),
+            false => settings.later_start.clone(),
+        };
         let mut enrolment = Self {
+            pace,
             next_at: now + jitter(settings.first_look, rng),
             retry: settings.first_retry,
             id,
@@ -234,7 +260,7 @@
         self.wants_entry = !is_written;
         if is_written {
             self.retry = self.settings.first_retry;
-            self.next_at = now + self.settings.look_pause;
+            self.next_at = now + self.pace.look_pause;
         } else {
             self.after_failure(now, rng);
         }
@@ -246,7 +272,7 @@
             self.has_entry = false;
             self.wants_entry = true;
             self.retry = self.settings.first_retry;
-            self.next_at = now + jitter(self.settings.look_pause, rng);
+            self.next_at = now + jitter(self.pace.look_pause, rng);
         }
     }
 
@@ -264,15 +290,15 @@
     }
 
     fn draws_entry(&mut self, rng: &mut impl Rng) -> bool {
-        let chance = self.settings.chance(self.draws);
+        let chance = self.pace.chance(self.draws);
         self.draws += 1;
         rng.random_bool(chance)
     }
 
     fn wait_for_others(&mut self, now: Timestamp, rng: &mut impl Rng) {
         let draws = usize::try_from(self.draws).unwrap_or(usize::MAX);
-        let pause = match draws < self.settings.entry_chances.len() {
-            true => self.settings.look_pause,
+        let pause = match draws < self.pace.chances.len() {
+            true => self.pace.look_pause,
             false => self.settings.longest_pause,
         };
         self.retry = self.settings.first_retry;
--- a/crates/sidecar/src/answerer.rs
+++ b/crates/sidecar/src/answerer.rs
@@ -44,10 +44,11 @@
                 name,
                 born_ms,
                 lived_ms,
+                is_to_read,
             } => {
                 let instance = InstanceId::new(name, born_ms.map(UnixMillis::new));
                 let lived = Duration::from_millis(*lived_ms);
-                self.departures.reply(&instance, lived)
+                self.departures.reply(&instance, lived, *is_to_read)
             }
         }
     }
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -81,6 +81,9 @@
         /// Time since the sender's process started.
         #[serde(rename = "l")]
         lived_ms: u64,
+        /// Whether the receiver is to read the marks for the sender, if it has to.
+        #[serde(rename = "r")]
+        is_to_read: bool,
     },
 }
 
--- a/crates/sidecar/src/instance/departures.rs
+++ b/crates/sidecar/src/instance/departures.rs
@@ -1,9 +1,10 @@
 //! Who knows of acknowledged leavings beside the store and the sidecar that acknowledged them.
 //!
 //! A sidecar that starts again gives its back end no work before it knows that no earlier process acknowledged its
-//! leaving. After an end of all, each asking the store for itself would make as many calls as there are sidecars, and
-//! those that the store refuses would wait. So a few sidecars, the first by rendezvous, read all marks at once for all
-//! who ask, and whoever acknowledges a leaving tells them, so that they know it also where a restored store does not.
+//! leaving. After an end of all of a large deployment, each asking the store for itself would make as many calls as there
+//! are sidecars. So a few, the first by rendezvous, read all marks at once for all who ask; in a small one they do it
+//! for those that the store refuses. Whoever acknowledges a leaving tells them, so that they know it also where a
+//! restored store does not.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
+use wharfquay_membership::directory::ENTRIES;
 use wharfquay_membership::member::{MemberId, MemberState, rendezvous_score_for};
 use wharfquay_membership::table::MemberTable;
 
@@ -25,7 +27,7 @@
 /// Sidecars that read the marks for all.
 const READERS: usize = 8;
 /// Questions to one reader before the next is asked: it may have to read first, and another would read as well.
-const QUESTIONS_TO_ONE: usize = 4;
+pub(super) const QUESTIONS_TO_ONE: usize = 4;
 /// Key of the rendezvous by which readers are chosen.
 const KEY: &str = "departures";
 /// Longest wait for a reader's answer.
@@ -78,7 +80,8 @@
 
     /// The answer to a sidecar that has lived so long and asks whether an earlier process acknowledged the leaving of
     /// an instance. Only a listing that was asked for after that process ended can say that none did.
-    pub(crate) fn reply(&self, instance: &InstanceId, lived: Duration) -> Reply {
+    /// `is_to_read`: whether to read one for that.
+    pub(crate) fn reply(&self, instance: &InstanceId, lived: Duration, is_to_read: bool) -> Reply {
         let state = lock(&self.state);
         let told = state.told.get(instance.name());
         if told.is_some_and(|(told, _)| !told.is_before(instance)) {
@@ -91,7 +94,9 @@
                 Reply::Departed(mark.is_some_and(|mark| !mark.is_before(instance)))
             }
             _ => {
-                self.wanted.notify_one();
+                if is_to_read {
+                    self.wanted.notify_one();
+                }
                 Reply::Unknown
             }
         }
@@ -166,14 +171,20 @@
 
 impl DepartureReaders {
     /// Asks a reader whether the leaving of an instance was acknowledged; none where it does not know yet.
-    /// `questions` were asked before.
-    pub(crate) async fn ask(&self, instance: &InstanceId, questions: usize) -> Option<bool> {
+    /// `questions` were asked before; `is_to_read`: whether the reader is to read the marks for this sidecar.
+    pub(crate) async fn ask(
+        &self,
+        instance: &InstanceId,
+        questions: usize,
+        is_to_read: bool,
+    ) -> Option<bool> {
         let lived = self.clock.now().saturating_since(Timestamp::ZERO);
         let lived_ms = u64::try_from(lived.as_millis()).unwrap_or(u64::MAX);
         let question = Question::Departed {
             name: instance.name().to_owned(),
             born_ms: instance.born().map(|born| born.as_millis()),
             lived_ms,
+            is_to_read,
         };
         let readers = self.readers();
         if !self.has_others(&readers) {
@@ -194,9 +205,12 @@
         rendezvous_score_for(&own_id, KEY) as usize % READERS
     }
 
-    /// Whether others may know more than this sidecar, as far as it knows of others yet.
-    pub(crate) fn may_know(&self) -> bool {
-        self.listed.borrow().is_none() || self.has_others(&self.readers())
+    /// Whether so many sidecars stand in the directory that each reading marks for itself would be too many.
+    pub(crate) fn read_for_all(&self) -> bool {
+        let listed = self.listed.borrow();
+        listed
+            .as_ref()
+            .is_some_and(|listed| listed.len() >= ENTRIES)
     }
 
     fn has_others(&self, readers: &[Peer]) -> bool {
@@ -207,7 +221,7 @@
 
     /// Tells the readers that a leaving was acknowledged.
     pub(crate) fn tell(&self, instance: &InstanceId) {
-        for reader in self.readers() {
+        for reader in self.all_readers() {
             let notice = Notice::Departed {
                 name: instance.name().to_owned(),
                 born_ms: instance.born().map(|born| born.as_millis()),
@@ -216,6 +230,16 @@
         }
     }
 
+    /// The readers that any other sidecar may choose, as far as this one knows: those of the directory's entries and those
+    /// of the members, itself among them.
+    fn all_readers(&self) -> Vec<Peer> {
+        let mut readers = self.listed_readers();
+        readers.extend(self.member_readers());
+        readers.sort_unstable_by(|one, other| one.id.cmp(&other.id));
+        readers.dedup_by(|one, other| one.id == other.id);
+        readers
+    }
+
     fn is_own_first(&self) -> bool {
         let readers = self.readers();
         let first = readers.first();
@@ -225,18 +249,25 @@
     /// The first sidecars by rendezvous.
     fn readers(&self) -> Vec<Peer> {
         let lived = self.clock.now().saturating_since(Timestamp::ZERO);
-        let listed = self.listed.borrow();
-        let is_meeting = match *listed {
-            Some(_) => lived < MEETING_TIME,
-            None => lived < UNLISTED_MEETING_TIME,
+        let meeting_time = match *self.listed.borrow() {
+            Some(_) => MEETING_TIME,
+            None => UNLISTED_MEETING_TIME,
         };
-        if is_meeting {
-            let peers = listed.iter().flatten().map(|entry| Peer {
-                id: entry.id.clone(),
-                address: entry.control_address,
-            });
-            return first_by_rendezvous(peers);
+        match lived < meeting_time {
+            true => self.listed_readers(),
+            false => self.member_readers(),
         }
+    }
+
+    fn listed_readers(&self) -> Vec<Peer> {
+        let listed = self.listed.borrow();
+        first_by_rendezvous(listed.iter().flatten().map(|entry| Peer {
+            id: entry.id.clone(),
+            address: entry.control_address,
+        }))
+    }
+
+    fn member_readers(&self) -> Vec<Peer> {
         let table = self.members.borrow();
         let serving = table
             .members()
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -7,6 +7,7 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::sync::lock;
 
+use super::departures::QUESTIONS_TO_ONE;
 use super::{DepartureReaders, Heartbeat, InstanceId, InstanceTracker, Standing, TrackerDecision};
 use crate::events::Event;
 use crate::inbound::backend::LocalBackend;
@@ -25,8 +26,10 @@
 const QUESTION_PAUSE: Duration = Duration::from_millis(50);
 /// Questions before a sidecar looks for itself: time to meet the others.
 const QUESTIONS_BEFORE_LOOKUP: usize = 12;
+/// Questions after the platform has said that there is no mark.
+const QUESTIONS_AFTERWARDS: usize = 4;
 /// Tries with the durable marks before heartbeats and health may stand in for them.
-const LOOKUPS_BEFORE_FALLBACK: u32 = 2;
+const LOOKUPS_BEFORE_FALLBACK: usize = 2;
 /// Longest wait for a health answer.
 const HEALTH_LIMIT: Duration = Duration::from_millis(500);
 
@@ -243,31 +246,31 @@
             self.conclude(instance, false);
             return;
         }
+        if self.readers.read_for_all() {
+            for questions in 0..QUESTIONS_BEFORE_LOOKUP {
+                if let Some(departed) = self.readers.ask(instance, questions, true).await {
+                    self.conclude(instance, departed);
+                    return;
+                }
+                tokio::time::sleep(QUESTION_PAUSE).await;
+            }
+        }
         let mut pause = VERIFY_PAUSE;
-        let mut lookups = 0;
-        let mut questions = 0;
+        let mut failures = 0;
         loop {
             if lock(&self.tracker).standing(instance) == Standing::Leaving {
                 return;
             }
-            if let Some(departed) = self.readers.ask(instance, questions).await {
+            if let Some(departed) = self.look_up(instance, failures).await {
                 self.conclude(instance, departed);
-                return;
-            }
-            questions += 1;
-            if questions <= QUESTIONS_BEFORE_LOOKUP && self.readers.may_know() {
-                tokio::time::sleep(QUESTION_PAUSE).await;
-                continue;
-            }
-            let looking = self.platform.has_departed(instance);
-            match tokio::time::timeout(LOOKUP_LIMIT, looking).await {
-                Ok(Ok(departed)) => {
-                    self.conclude(instance, departed);
-                    return;
+                if !departed {
+                    self.ask_afterwards(instance).await;
                 }
-                _ => lookups += 1,
+                return;
             }
-            if lookups >= LOOKUPS_BEFORE_FALLBACK && self.is_confirmed_without_marks(instance).await
+            failures += 1;
+            if failures >= LOOKUPS_BEFORE_FALLBACK
+                && self.is_confirmed_without_marks(instance).await
             {
                 log_event!(Event::InstanceConfirmed, "instance={instance}");
                 self.conclude(instance, false);
@@ -278,9 +281,40 @@
         }
     }
 
+    /// Asks a few times more whether others were told of a leaving of which the platform has no mark: a sidecar that has
+    /// just started may not know yet whom to ask.
+    async fn ask_afterwards(&self, instance: &InstanceId) {
+        for questions in 0..QUESTIONS_AFTERWARDS {
+            tokio::time::sleep(QUESTION_PAUSE * 2).await;
+            let next_reader = questions * QUESTIONS_TO_ONE;
+            if self.readers.ask(instance, next_reader, false).await == Some(true) {
+                self.conclude(instance, true);
+                return;
+            }
+        }
+    }
+
+    /// Looks for the mark of an instance, and asks one who may have been told of its leaving; after failures of the
+    /// platform that one reads for this sidecar.
+    async fn look_up(&self, instance: &InstanceId, failures: usize) -> Option<bool> {
+        let asking = self.readers.ask(instance, failures, failures > 0);
+        let looking = self.platform.has_departed(instance);
+        let looking = tokio::time::timeout(LOOKUP_LIMIT, looking);
+        let (known, looked) = tokio::join!(asking, looking);
+        match (known, looked) {
+            (Some(true), _) => Some(true),
+            (_, Ok(Ok(departed))) => Some(departed),
+            (known, _) => known,
+        }
+    }
+
     fn conclude(&self, instance: &InstanceId, departed: bool) {
         let now = self.clock.now();
         let mut tracker = lock(&self.tracker);
+        if tracker.lacks_start(instance) {
+            // It has told its start meanwhile, which is looked up for itself.
+            return;
+        }
         if departed {
             tracker.departure_recorded(now, instance);
             drop(tracker);
--- a/crates/sidecar/src/instance/tracker.rs
+++ b/crates/sidecar/src/instance/tracker.rs
@@ -113,7 +113,7 @@
     /// Takes a heartbeat.
     pub fn heartbeat(&mut self, now: Timestamp, beat: &Heartbeat) -> TrackerDecision {
         self.take_over(now, &beat.instance);
-        if self.is_of_another_writer(&beat.instance) {
+        if self.lacks_start(&beat.instance) {
             return TrackerDecision::Refuse;
         }
         let is_current = self.is_current(&beat.instance);
@@ -246,8 +246,9 @@
         current.is_some_and(|current| instance.is_before(current))
     }
 
-    /// Whether the message does not tell a start though instances of its name do.
-    fn is_of_another_writer(&self, instance: &InstanceId) -> bool {
+    /// Whether this identity tells no start though the instance of its name has told one.
+    #[must_use]
+    pub fn lacks_start(&self, instance: &InstanceId) -> bool {
         let known = self.known.get(instance.name());
         instance.born().is_none() && known.is_some_and(|known| known.instance.born().is_some())
     }
--- a/crates/sidecar/tests/instance_lives.rs
+++ b/crates/sidecar/tests/instance_lives.rs
@@ -123,6 +123,17 @@
     assert_eq!(tracker.current(), Some(&start(1_000)));
 }
 
+#[test]
+fn what_is_found_out_of_a_start_that_is_not_told_says_nothing_of_one_that_is() {
+    let seen = InstanceId::from("i-1");
+    let mut tracker = InstanceTracker::default();
+    assert!(tracker.seen_healthy(NOW, &seen));
+    assert!(!tracker.lacks_start(&seen));
+    tracker.heartbeat(NOW, &ready(&start(2_000), 1));
+    assert!(tracker.lacks_start(&seen));
+    assert!(!tracker.lacks_start(&start(2_000)));
+}
+
 #[tokio::test]
 async fn a_back_end_that_lives_again_serves_after_its_earlier_start_left() {
     let configuration = configuration(1, vec![route("/reads/", "shelf", true)]);
--- a/crates/sidecar/tests/support/platform.rs
+++ b/crates/sidecar/tests/support/platform.rs
@@ -39,6 +39,7 @@
     departures: Arc<Mutex<BTreeMap<String, InstanceId>>>,
     quarantine: Arc<Mutex<BTreeMap<RequestFingerprint, QuarantineRecord>>>,
     is_down: AtomicBool,
+    refuses_look_ups: AtomicBool,
     listings: Mutex<Vec<Freshness>>,
     readings: Mutex<Vec<Freshness>>,
     registrations: AtomicUsize,
@@ -55,6 +56,7 @@
             departures: Arc::default(),
             quarantine: Arc::default(),
             is_down: AtomicBool::new(false),
+            refuses_look_ups: AtomicBool::new(false),
             listings: Mutex::default(),
             readings: Mutex::default(),
             registrations: AtomicUsize::new(0),
@@ -72,6 +74,7 @@
             departures: Arc::clone(&self.departures),
             quarantine: Arc::clone(&self.quarantine),
             is_down: AtomicBool::new(false),
+            refuses_look_ups: AtomicBool::new(false),
             listings: Mutex::default(),
             readings: Mutex::default(),
             registrations: AtomicUsize::new(0),
@@ -123,6 +126,19 @@
         self.is_down.store(is_down, Ordering::Relaxed);
     }
 
+    /// Refuses questions about departures from now on.
+    pub fn refuse_look_ups(&self) {
+        self.refuses_look_ups.store(true, Ordering::Relaxed);
+    }
+
+    fn check_look_up(&self) -> Result<(), PlatformError> {
+        self.check()?;
+        match self.refuses_look_ups.load(Ordering::Relaxed) {
+            true => Err(PlatformError::Throttled),
+            false => Ok(()),
+        }
+    }
+
     /// The listings of the directory that were asked for here.
     pub fn listings(&self) -> Vec<Freshness> {
         self.listings.lock().unwrap().clone()
@@ -229,7 +245,7 @@
     }
 
     async fn has_departed(&self, instance: &InstanceId) -> Result<bool, PlatformError> {
-        self.check()?;
+        self.check_look_up()?;
         self.lookups.fetch_add(1, Ordering::Relaxed);
         let departures = self.departures.lock().unwrap();
         let mark = departures.get(instance.name());
@@ -237,7 +253,7 @@
     }
 
     async fn departures(&self) -> Result<Vec<InstanceId>, PlatformError> {
-        self.check()?;
+        self.check_look_up()?;
         self.lookups.fetch_add(1, Ordering::Relaxed);
         Ok(self.departures.lock().unwrap().values().cloned().collect())
     }
