Start the freshness simulation late enough for the oldest confirmation

What was seen: a_confirmed_version_was_the_newest_at_that_time failed with "attempt to subtract with overflow" under a random seed.

Cause: a fault of the test. The time of a confirmation moves back at each query by the time from the request to the reply. Over several queries it lay before the start of the simulation at 10 s, where the subtraction of the clock offset underflowed. Nothing in the product is involved: the check compares with versions published before that time, of which there are none.

Change: the simulation starts after the largest possible age (200 queries of below 5.5 s each). The comparison is the same for every confirmation.

--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -44,6 +44,11 @@
 }
 
 const PROCESSES: usize = 4;
+/// Time at which the deployment starts, in milliseconds. A confirmation can be older than the run
+/// by its age at each of up to 200 queries, below 5.5 s each; it is never before time zero.
+const START: u64 = 2_000_000;
+/// Offset between the clocks of two processes, in milliseconds.
+const CLOCK_OFFSET: u64 = 100_000;
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let process = 0..PROCESSES;
@@ -86,13 +91,13 @@
 /// Returns the time on a process's clock. Each clock has a different offset, so no two can be
 /// compared.
 fn clock(process: usize, now: u64) -> Timestamp {
-    at(now + 100_000 * process as u64)
+    at(now + CLOCK_OFFSET * process as u64)
 }
 
 proptest! {
     #[test]
     fn a_confirmed_version_was_the_newest_at_that_time(steps in steps()) {
-        let mut now = 10_000;
+        let mut now = START;
         let mut published = vec![(0, 1_u64)];
         let mut processes = [Process { in_force: 1, ..Process::default() }; PROCESSES];
         let mut requests: Vec<Message> = Vec::new();
@@ -148,7 +153,7 @@
             }
             for (number, process) in processes.iter_mut().enumerate() {
                 if let Some(confirmed) = process.freshness.confirmed_at(process.in_force) {
-                    let then = confirmed.as_micros() / 1_000 - 100_000 * number as u64;
+                    let then = confirmed.as_micros() / 1_000 - CLOCK_OFFSET * number as u64;
                     let newest_then = published.iter().rfind(|(time, _)| *time < then);
                     let newest_then = newest_then.map_or(0, |(_, version)| *version);
                     prop_assert!(process.in_force >= newest_then, "process {number} at {now}");
