Send a request only on a connection that the peer has accepted

What callers saw: ConnectionLost (4002) for a call that no backend received, while the daemon of its backend stopped.

Cause: a connection is open for the caller as soon as the kernel of the peer has put it into the accept queue. hyper's client handshake does not wait for the server, so the request was written at once. A daemon that stops closes its listener, and the kernel resets the connections still in the queue. To the caller, a request lost after it was written may have been executed.

Ruled out: a connection cut by graceful shutdown, which would have ended with GOAWAY.

Change: the first request waits for the first bytes of the peer, which only a daemon that has accepted the connection sends. This costs a round trip per new connection. A connection that ends before counts as not sent, so the call goes elsewhere.

--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -3,6 +3,8 @@
 //! Dropping the future of a request, or the body of its response, resets the stream. The peer takes
 //! the reset as the cancellation of the call.
 
+mod first_read;
+
 use std::collections::HashMap;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -15,6 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::time::Instant;
 
+use self::first_read::FirstReadStream;
 use crate::body::RequestBody;
 use crate::connect::connect;
 use crate::events::{Event, Quoted, log_event};
@@ -181,6 +184,7 @@
         pool: &PeerPool,
     ) -> Result<SendRequest<RequestBody>, Box<dyn Error + Send + Sync>> {
         let stream = connect(self.address, pool.connect_timeout).await?;
+        let (stream, first_read) = FirstReadStream::new(stream);
         let handshake = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW)
@@ -197,6 +201,9 @@
             let error = error.unwrap_or_default();
             log_event!(Event::PeerLost, "peer={address} error={}", Quoted(error));
         });
+        // A listener that closes resets the connections that it has not accepted yet. A request is
+        // sent only once the peer has accepted the connection, which its first bytes show.
+        tokio::time::timeout(pool.connect_timeout, first_read).await??;
         log_event!(Event::PeerConnected, "peer={address}");
         Ok(sender)
     }
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -138,3 +138,16 @@
     let unused_port = UnusedPort::bind();
     assert_eq!(outcome(unused_port.address()).await, Expected::NotSent);
 }
+
+/// Guards against a lost request: a closing listener resets the connections in its accept queue.
+#[tokio::test]
+async fn a_request_is_not_sent_before_the_peer_accepts_the_connection() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let closing = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        drop(listener);
+    };
+    let (outcome, ()) = tokio::join!(outcome(address), closing);
+    assert_eq!(outcome, Expected::NotSent);
+}
