Log what backends announce in their responses

No log line and no metric could tell whether a sidecar saw the announcement, with which value, or which response headers it does not read at all.

Added, without any change of what is sent: log events rate_limit_announced, leaving_announced, announcement_malformed and response_header_unread, metric wharfquay_backend_rate_limit.

--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -100,6 +100,14 @@
         "The backend started again under the same name; its earlier instance has terminated.";
     InstanceEnded = "instance_ended", Warn, ["instance", "in_execution", "requests"],
         "The backend's process terminated without announcing it: its connections were lost and it accepts none. The fingerprints are those of the requests in execution, 16 at most.";
+    RateLimitAnnounced = "rate_limit_announced", Warn, ["instance", "per_second", "previous"],
+        "The backend announced a rate limit for the requests of all senders together, changed it or, with `per_second=none`, lifted it. Changes are logged once a second at most.";
+    LeavingAnnounced = "leaving_announced", Info, ["instance"],
+        "The backend announced in a response that it is leaving.";
+    AnnouncementMalformed = "announcement_malformed", Warn, ["instance", "header", "value"],
+        "A response of the backend has a header with an unusable announcement, which is ignored: the last valid one stays in force. Logged once until a valid one arrives.";
+    ResponseHeaderUnread = "response_header_unread", Info, ["name"],
+        "Responses of the backend have a header that the sidecar relays without reading it. Logged once for each name, 32 names at most.";
     RequestSuspected = "request_suspected", Info, ["fingerprint"],
         "Two backend instances terminated under this request: a backend executes one such request at a time until one receives a response.";
     RequestQuarantined = "request_quarantined", Warn, ["fingerprint", "age_ms"],
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -19,6 +19,7 @@
 use wharfquay_daemon::inbound::gate::AdmissionGate;
 use wharfquay_daemon::sync::lock;
 
+use super::announcements::Announcements;
 use super::termination_detector::TerminationDetector;
 use crate::configuration::Service;
 use crate::dialect::{Dialect, text};
@@ -86,6 +87,7 @@
     /// Connections to the instance.
     pub pool: Arc<BackendPool>,
     pub(super) termination: Arc<TerminationDetector>,
+    pub(super) announcements: Announcements,
     leaving: AtomicBool,
     slots: Mutex<u32>,
     unreachable_until: Mutex<Timestamp>,
@@ -105,6 +107,13 @@
         now < *lock(&self.unreachable_until)
     }
 
+    /// Returns the rate limit that the instance announces, in requests per second; `None` if it
+    /// announces none.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.announcements.rate_limit()
+    }
+
     /// Records that the instance refused a connection. It gets no calls for a short time.
     pub fn connect_failed(&self, now: Timestamp) {
         *lock(&self.unreachable_until) = now + UNREACHABLE_HOLD;
@@ -216,6 +225,7 @@
             gate,
             pool,
             termination: TerminationDetector::new(self.address, self.clock),
+            announcements: Announcements::default(),
             leaving: AtomicBool::new(false),
             slots: Mutex::new(slots),
             unreachable_until: Mutex::default(),
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -16,7 +16,7 @@
 
 use super::backend::OpenInstance;
 use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER};
-use super::response::{ResponseClass, classify};
+use super::response::{ResponseClass, classify, is_from_instance};
 use super::termination_detector::{ExecutingRequest, InExecutionGuard, ProbeResult};
 use crate::body::{Collected, collect, remove_length};
 use crate::events::Event;
@@ -207,6 +207,23 @@
         }
     }
 
+    /// Reads what the instance announces about itself in the headers of a response.
+    fn read_announcements<B>(
+        &self,
+        instance: &OpenInstance,
+        call: &AdmittedCall<'_>,
+        response: &Response<B>,
+    ) {
+        if !is_from_instance(&self.dialect, call.request_id, &instance.id, response) {
+            return;
+        }
+        let (now, headers) = (self.clock.now(), response.headers());
+        self.unread_headers.report(&self.dialect, headers);
+        instance
+            .announcements
+            .read(now, &instance.id, &self.dialect, headers);
+    }
+
     async fn read(
         &self,
         instance: &OpenInstance,
@@ -214,6 +231,7 @@
         response: Response<Incoming>,
         lease: Lease,
     ) -> Result<BackendResponse, Failure> {
+        self.read_announcements(instance, call, &response);
         match classify(&self.dialect, call.request_id, &response) {
             ResponseClass::Usable => {}
             ResponseClass::Refused => {
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -22,6 +22,7 @@
 use super::backend::{LocalBackend, OpenInstance};
 use super::dispatch::{AdmittedCall, BackendResponse};
 use super::report::CallReport;
+use super::unread_headers::UnreadHeaders;
 use crate::body::Collected;
 use crate::dialect::Dialect;
 use crate::instance::InstanceId;
@@ -61,6 +62,7 @@
     pub(crate) in_flight: Arc<AtomicUsize>,
     pub(crate) misdirected: MisdirectedObserver,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) unread_headers: UnreadHeaders,
 }
 
 impl fmt::Debug for LocalExecutor {
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -2,13 +2,16 @@
 
 pub mod backend;
 
+mod announcements;
 mod dispatch;
 mod execution;
 mod handler;
 mod report;
 mod response;
 mod termination_detector;
+mod unread_headers;
 
 pub(crate) use execution::{InFlight, LocalExecutor};
 pub(crate) use handler::InboundHandler;
 pub(crate) use termination_detector::ExecutingRequest;
+pub(crate) use unread_headers::UnreadHeaders;
--- a/crates/sidecar/src/inbound/response.rs
+++ b/crates/sidecar/src/inbound/response.rs
@@ -6,6 +6,7 @@
 use wharfquay_core::outcome::ResultCode;
 
 use crate::dialect::{Dialect, text};
+use crate::instance::InstanceId;
 
 /// Classification of a response head.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +49,22 @@
     ResponseClass::Usable
 }
 
+/// True if a response was made by `instance` for the request with `request_id`. What its headers
+/// announce then applies to that instance.
+pub(crate) fn is_from_instance<B>(
+    dialect: &Dialect,
+    request_id: &str,
+    instance: &InstanceId,
+    response: &Response<B>,
+) -> bool {
+    let headers = response.headers();
+    let is_other_instance =
+        text(headers, &dialect.instance).is_some_and(|name| name != instance.name());
+    response.status() != StatusCode::MISDIRECTED_REQUEST
+        && text(headers, &dialect.request_id) == Some(request_id)
+        && !is_other_instance
+}
+
 /// True if the body carries no content encoding and can be relayed unchanged.
 fn is_unencoded(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_ENCODING)
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use wharfquay_core::outcome::ResultCode;
@@ -18,7 +18,7 @@
 ];
 
 /// Every metric with its help text. `docs/OPERATIONS.md` contains the same list.
-pub const CATALOGUE: [(&str, &str); 23] = [
+pub const CATALOGUE: [(&str, &str); 24] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -99,6 +99,10 @@
         "wharfquay_quarantine_requests",
         "Requests under which back ends ended that are known here, by standing: suspect (isolated), quarantined (refused)",
     ),
+    (
+        "wharfquay_backend_rate_limit",
+        "Requests per second that the local backend announces as the limit for all senders together; -1 if it announces none",
+    ),
 ];
 
 /// Maximum number of tenants with their own label; the first ones seen get one, the others share a
@@ -132,6 +136,8 @@
     /// Number of suspects (requests executed one at a time after a backend terminated while
     /// executing them) and number of quarantined requests that are known here.
     pub quarantine: (usize, usize),
+    /// Rate limit that the local backend announces, in requests per second.
+    pub rate_limit: Option<f64>,
 }
 
 /// The metrics of one sidecar.
@@ -158,6 +164,7 @@
     confirmed_age: IntGauge,
     instances_terminated: IntCounter,
     quarantine: IntGaugeVec,
+    rate_limit: Gauge,
 }
 
 /// Registers the metrics of the catalogue.
@@ -189,6 +196,10 @@
         IntGauge::with_opts(Self::options(name)).map(|gauge| self.register(gauge))
     }
 
+    fn decimal_gauge(&self, name: &'static str) -> prometheus::Result<Gauge> {
+        Gauge::with_opts(Self::options(name)).map(|gauge| self.register(gauge))
+    }
+
     fn gauges(&self, name: &'static str, labels: &[&str]) -> prometheus::Result<IntGaugeVec> {
         IntGaugeVec::new(Self::options(name), labels).map(|gauges| self.register(gauges))
     }
@@ -248,6 +259,7 @@
             confirmed_age: registrar.gauge("wharfquay_configuration_confirmed_age_seconds")?,
             instances_terminated: registrar.counter("wharfquay_instances_ended_total")?,
             quarantine: registrar.gauges("wharfquay_quarantine_requests", &["standing"])?,
+            rate_limit: registrar.decimal_gauge("wharfquay_backend_rate_limit")?,
             registry: registrar.0,
         })
     }
@@ -347,11 +359,15 @@
             let count = i64::try_from(count).unwrap_or(i64::MAX);
             self.quarantine.with_label_values(&[standing]).set(count);
         }
+        self.rate_limit
+            .set(gauges.rate_limit.unwrap_or(NO_RATE_LIMIT));
     }
 }
 
 /// Value of the confirmation age if there was no confirmation.
 const NEVER_CONFIRMED: i64 = -1;
+/// Value of the rate limit of a backend that announces none.
+const NO_RATE_LIMIT: f64 = -1.0;
 
 fn signed(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{Exchange, Peer};
 use crate::exchange_handler::LocalExchangeHandler;
 use crate::inbound::backend::LocalBackend;
-use crate::inbound::{InboundHandler, LocalExecutor};
+use crate::inbound::{InboundHandler, LocalExecutor, UnreadHeaders};
 use crate::instance::{
     Acknowledgement, DepartureIndex, DepartureReaders, Heartbeat, InstanceId, Registry,
 };
@@ -252,6 +252,7 @@
             in_flight: Arc::clone(&in_flight),
             misdirected: Arc::new(move |instance: &InstanceId| observer.misdirected(instance)),
             metrics: Arc::clone(&metrics),
+            unread_headers: UnreadHeaders::default(),
         });
         let forwarder = Arc::new(Forwarder {
             clock,
@@ -347,7 +348,9 @@
     /// Returns the metrics in the Prometheus text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
-        let report = self.backend.instance().map(|open| open.gate.report());
+        let instance = self.backend.instance();
+        let rate_limit = instance.as_ref().and_then(|open| open.rate_limit());
+        let report = instance.map(|open| open.gate.report());
         let level = report.map_or(AdmissionLevel::OPEN, |report| report.level);
         let load = report.map(|report| report.load).unwrap_or_default();
         let lines = &log_output::COUNTERS;
@@ -368,6 +371,7 @@
             repeats_left: self.backend.repeats_left(),
             confirmed_age: self.confirmation.age(),
             quarantine: self.quarantine.counts(),
+            rate_limit,
         })
     }
 
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -42,6 +42,8 @@
         not_executed: HeaderName::from_static("test-not-executed"),
         signature: HeaderName::from_static("test-signature"),
         instance: HeaderName::from_static("test-instance"),
+        rate_limit: HeaderName::from_static("test-rate-limit"),
+        leaving: HeaderName::from_static("test-leaving"),
     }
 }
 
