--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -84,6 +84,12 @@
     /// Number of terminations of the backend.
     terminations: usize,
     is_down: bool,
+    /// Header lines that every response contains.
+    announced: String,
+    /// Time for which the backend executes a request that has no other behaviour.
+    service_time: Option<Duration>,
+    /// When requests addressed to the instance arrived.
+    arrivals: Vec<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -190,6 +196,24 @@
             .extend(behaviours.iter().copied());
     }
 
+    /// Sets the headers that every response contains, such as announcements.
+    pub fn announce(&self, headers: &[(&str, &str)]) {
+        let lines = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        self.state.lock().unwrap().announced = lines.collect();
+    }
+
+    /// Sets the time for which the backend executes requests.
+    pub fn set_service_time(&self, time: Duration) {
+        self.state.lock().unwrap().service_time = Some(time);
+    }
+
+    /// Returns when requests addressed to the instance arrived, including refused ones.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().arrivals.clone()
+    }
+
     /// Returns the requests that the backend executed.
     pub fn executed(&self) -> Vec<ReceivedRequest> {
         self.state.lock().unwrap().executed.clone()
@@ -223,12 +247,21 @@
                 }
             }
         }
-        if stream.write_all(&response.bytes).await.is_err() || close {
+        let bytes = with_announcements(response.bytes, &state.lock().unwrap().announced);
+        if stream.write_all(&bytes).await.is_err() || close {
             return;
         }
     }
 }
 
+/// Inserts header lines after the status line of a response.
+fn with_announcements(mut response: Vec<u8>, lines: &str) -> Vec<u8> {
+    if let Some(end) = response.windows(2).position(|part| part == b"\r\n") {
+        response.splice(end + 2..end + 2, lines.bytes());
+    }
+    response
+}
+
 struct PlannedResponse {
     wait: Option<Duration>,
     bytes: Vec<u8>,
@@ -263,13 +296,17 @@
         );
         return (immediate(text), false);
     }
+    state.arrivals.push(Instant::now());
     let terminates = state
         .terminates_on
         .as_ref()
         .is_some_and(|text| executed.request_line().contains(text));
     let behaviour = match terminates {
         true => Behaviour::Terminate,
-        false => state.next.pop_front().unwrap_or(Behaviour::Respond),
+        false => state.next.pop_front().unwrap_or_else(|| {
+            let service_time = state.service_time;
+            service_time.map_or(Behaviour::Respond, Behaviour::Slow)
+        }),
     };
     if behaviour == Behaviour::Refuse {
         let text = format!(
