Keep the rate limit that a backend announces

What callers and backends saw: a backend in need announced 5.8 requests a second in its responses and got 62 in 4 s (40 allowed), another one with 6.4 got 91 (43 allowed); neither count changed with the announcement.

Cause: nothing read the header. Class: a backend states something about itself in its responses, and the place that decides does not know it.

Why this works: whatever goes to a backend passes the sidecar beside it, so one limit there holds for all senders. It is checked when a connection is ready and nothing delays the call any more, and for each repeated send. Part of the burst is reserved for important calls. A refusal (3022, not run) goes to another sidecar of the service at once. Response metadata carry for how long there is no room, so other sidecars do not ask meanwhile. A stricter limit applies at once; a looser one only if the request of its response was sent later, since responses overtake each other. After a restart of the sidecar the first instance gets two calls a second until its first response.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod priority;
 pub mod quarantine;
 pub mod quota;
+pub mod rate_limit;
 pub mod retry;
 pub mod routing;
 pub mod time;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -151,6 +151,8 @@
     /// Backends terminated while they executed this request, which is therefore executed in
     /// isolation; other isolated requests occupied the slot until its wait expired.
     SuspectWaited = 3021, NotRun, 503;
+    /// The rate limit that the backend announces leaves no room for the call.
+    RateLimited = 3022, NotRun, 503;
 
     /// The deadline passed after dispatch and before a complete response.
     DeadlineAfterDispatch = 4001, Unknown, 504;
--- a/crates/core/src/priority.rs
+++ b/crates/core/src/priority.rs
@@ -118,6 +118,12 @@
         self.0
     }
 
+    /// Returns the rank that the key was created from.
+    #[must_use]
+    pub const fn rank(self) -> Rank {
+        Rank::from_number(self.0)
+    }
+
     /// Returns the priority that the key was created from.
     #[must_use]
     pub const fn priority(self) -> Priority {
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -1,4 +1,4 @@
-//! Token bucket kept by one owner of a share of a rate limit.
+//! Token bucket, for example of one owner of a share of a tenant's rate limit.
 
 use std::time::Duration;
 
@@ -65,10 +65,26 @@
         taken
     }
 
+    /// Returns the rate and capacity in force.
+    #[must_use]
+    pub const fn rate(&self) -> TokenRate {
+        self.rate
+    }
+
     /// Returns the time until a whole token is available.
     #[must_use]
     pub fn until_next(&self) -> Duration {
-        let missing = (1.0 - self.tokens).max(0.0);
+        self.until_filled(1.0)
+    }
+
+    /// Returns the time until this many tokens are available; zero if they are now.
+    pub fn until(&mut self, now: Timestamp, tokens: f64) -> Duration {
+        self.refill(now);
+        self.until_filled(tokens)
+    }
+
+    fn until_filled(&self, tokens: f64) -> Duration {
+        let missing = (tokens - self.tokens).max(0.0);
         Duration::try_from_secs_f64(missing / self.rate.per_second).unwrap_or(Duration::MAX)
     }
 
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -161,6 +161,7 @@
         | ResultCode::RefusedByBackend
         | ResultCode::Misaddressed
         | ResultCode::SuspectWaited
+        | ResultCode::RateLimited
         | ResultCode::RepeatRefused
         | ResultCode::OverQuota
         | ResultCode::ApiKeyUnconfirmed
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -14,6 +14,10 @@
 use super::settings::RouterSettings;
 use super::warm_up;
 
+/// Maximum time for which a report that a rate limit leaves no room is used. A limit may be raised
+/// or lifted at any time.
+const MAX_RATE_LIMITED: Duration = Duration::from_millis(250);
+
 /// Load that an endpoint reported last.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -30,12 +34,21 @@
     pub(super) local: bool,
     pub(super) in_flight: u32,
     pub(super) hold: Option<Hold>,
+    rate_limited: Option<RateLimited>,
     pub(super) ejections: u32,
     level: ReceivedLevel,
     report: Option<Report>,
     stats: EndpointStats,
 }
 
+/// A rate limit that leaves an endpoint no room for calls.
+#[derive(Clone, Copy, Debug)]
+struct RateLimited {
+    until: Timestamp,
+    /// Retry-After of calls that no other endpoint can take.
+    retry_after: Duration,
+}
+
 /// Policy on using ejected endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EjectedPolicy {
@@ -54,6 +67,8 @@
     Connections(Duration),
     /// The admission level refuses the call.
     Level(Duration),
+    /// The rate limit that the backend announces leaves no room.
+    RateLimit(Duration),
 }
 
 impl Entry {
@@ -64,6 +79,7 @@
             local,
             in_flight: 0,
             hold: None,
+            rate_limited: None,
             ejections: 0,
             level: ReceivedLevel::default(),
             report: None,
@@ -110,6 +126,9 @@
         if self.in_flight >= self.endpoint.connections {
             return Err(UnusableReason::Connections(settings.connection_hold));
         }
+        if let Some(limited) = self.rate_limited.filter(|limited| now < limited.until) {
+            return Err(UnusableReason::RateLimit(limited.retry_after));
+        }
         let wait = self.level.wait_for(now, settings.level_reopen, key);
         if wait > Duration::ZERO {
             return Err(UnusableReason::Level(wait));
@@ -171,6 +190,25 @@
         }
     }
 
+    /// Records for how long the rate limit of the endpoint leaves no room; zero if it has room. A
+    /// `retry_after` of zero keeps the previous one.
+    pub(super) fn record_rate_limit(
+        &mut self,
+        now: Timestamp,
+        limited_for: Duration,
+        retry_after: Duration,
+    ) {
+        let previous = self.rate_limited.map(|limited| limited.retry_after);
+        let retry_after = match retry_after.is_zero() {
+            true => previous.unwrap_or(limited_for),
+            false => retry_after,
+        };
+        self.rate_limited = (!limited_for.is_zero()).then(|| RateLimited {
+            until: now + limited_for.min(MAX_RATE_LIMITED),
+            retry_after,
+        });
+    }
+
     /// Returns true if enough attempts failed to eject the endpoint.
     pub(super) fn should_eject(&self) -> bool {
         self.stats.should_eject()
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -190,6 +190,20 @@
         self.hold(endpoint, until, HoldReason::ConnectionLimit);
     }
 
+    /// Records for how long the rate limit that a backend announces leaves no room for calls; zero if
+    /// it has room. `retry_after` is the Retry-After of a refused call; zero if none was refused.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        limited_for: Duration,
+        retry_after: Duration,
+    ) {
+        if let Some(entry) = self.entry_mut(endpoint) {
+            entry.record_rate_limit(now, limited_for, retry_after);
+        }
+    }
+
     /// Returns the state of each endpoint.
     pub fn endpoint_statuses(&self, now: Timestamp) -> impl Iterator<Item = EndpointStatus> {
         let mut in_subset = vec![false; self.entries.len()];
@@ -349,6 +363,7 @@
                 UnusableReason::Unavailable(wait) => (ResultCode::NoBackend, wait),
                 UnusableReason::Connections(wait) => (ResultCode::ConnectionLimit, wait),
                 UnusableReason::Level(wait) => (ResultCode::RefusedByLevel, wait),
+                UnusableReason::RateLimit(wait) => (ResultCode::RateLimited, wait),
             };
             reason = more_specific(reason, found);
             wait = Some(wait.map_or(found_wait, |least| least.min(found_wait)));
@@ -365,6 +380,7 @@
 /// Returns the reason of the two that is closer to an endpoint being able to take the call.
 fn more_specific(left: ResultCode, right: ResultCode) -> ResultCode {
     let order = |code| match code {
+        ResultCode::RateLimited => 3,
         ResultCode::RefusedByLevel => 2,
         ResultCode::ConnectionLimit => 1,
         _ => 0,
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -194,6 +194,7 @@
             in_flight: report.load.in_flight,
             limit: report.load.limit,
             queued: report.load.queued,
+            rate_limited_ms: 0,
         }
     }
 
--- a/crates/daemon/tests/decisions.rs
+++ b/crates/daemon/tests/decisions.rs
@@ -59,6 +59,7 @@
         in_flight: 1,
         limit: 1,
         queued: 0,
+        rate_limited_ms: 0,
         incarnation: 1,
     };
     Response::builder()
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -115,6 +115,7 @@
             in_flight: 0,
             limit: 8,
             queued: 0,
+            rate_limited_ms: 0,
         }
     }
 }
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -31,6 +31,19 @@
     /// Number of requests waiting in the responding backend's queue.
     #[serde(rename = "q")]
     pub queued: u32,
+    /// Time in milliseconds for which the rate limit that the responding backend announces leaves no
+    /// room for calls; 0 if it has room or announces no limit.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub rate_limited_ms: u32,
+}
+
+/// Most responses come from backends without a rate limit and omit the field.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 impl ResponseMetadata {
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -135,6 +135,7 @@
         in_flight: 1,
         limit: 2,
         queued: 3,
+        rate_limited_ms: 0,
     };
     let bytes = envelope::encode(&metadata).expect("CBOR can express the message");
     assert_eq!(
--- a/crates/sidecar/src/inbound/announcements.rs
+++ b/crates/sidecar/src/inbound/announcements.rs
@@ -1,9 +1,18 @@
-//! What an instance of the backend announces about itself in its responses.
+//! What an instance of the backend announces about itself in its responses: a rate limit, and that
+//! it is leaving.
+//!
+//! A stricter rate limit applies at once. A looser one, or none, applies only if the request of the
+//! response was sent after the stricter one had been received: responses on different connections
+//! may overtake each other. A malformed value is ignored, and the last valid one stays in force,
+//! because a backend that announces anything is in need.
 
 use std::sync::Mutex;
 use std::time::Duration;
 
 use http::HeaderMap;
+use wharfquay_core::admission::RequestProgress;
+use wharfquay_core::priority::AdmissionKey;
+use wharfquay_core::rate_limit::ArrivalLimit;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::sync::lock;
 
@@ -12,20 +21,35 @@
 use crate::instance::InstanceId;
 use crate::log_event;
 
+/// Rate for an instance whose announcements are not known, in calls per second. It admits enough
+/// calls to learn them from the first response.
+const UNKNOWN_RATE: f64 = 2.0;
 /// Minimum time between two log lines about a changed rate limit.
 const CHANGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time and origin of a response that is read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResponseOrigin<'response> {
+    pub(super) instance: &'response InstanceId,
+    /// Time at which the request was sent.
+    pub(super) sent_at: Timestamp,
+    pub(super) received_at: Timestamp,
+}
+
 /// The announcements of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Announcements {
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    /// Limit in force, from the announced rate or because the announcements are unknown.
+    limit: Option<ArrivalLimit>,
     /// Announced rate limit in requests per second; `None` if there is none.
-    rate_limit: Option<f64>,
-    is_leaving: bool,
+    announced_rate: Option<f64>,
+    /// Time at which the rate in force was last received.
+    confirmed_at: Timestamp,
     log: LoggedState,
 }
 
@@ -38,61 +62,135 @@
 }
 
 impl Announcements {
+    /// Creates the announcements of an instance that has made none.
+    pub(super) fn none() -> Self {
+        Self {
+            state: Mutex::default(),
+        }
+    }
+
+    /// Creates the announcements of an instance that may have made some to an earlier process. It
+    /// gets few calls until its first response.
+    pub(super) fn unknown(now: Timestamp) -> Self {
+        let state = State {
+            limit: Some(ArrivalLimit::with_burst(now, UNKNOWN_RATE)),
+            ..State::default()
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
     /// Returns the announced rate limit in requests per second; `None` if there is none.
     pub(crate) fn rate_limit(&self) -> Option<f64> {
-        lock(&self.state).rate_limit
+        lock(&self.state).announced_rate
     }
 
-    /// Reads the headers of a response of the instance.
-    pub(super) fn read(
+    /// Returns whether a limit applies and leaves no room for a call.
+    pub(super) fn is_limited(
+        &self,
+        now: Timestamp,
+        key: AdmissionKey,
+        progress: RequestProgress,
+    ) -> bool {
+        let mut state = lock(&self.state);
+        let limit = state.limit.as_mut();
+        limit.is_some_and(|limit| !limit.wait(now, key, progress).is_zero())
+    }
+
+    /// Admits and counts a call that is about to be sent. Returns false if the limit leaves no room
+    /// for it.
+    pub(super) fn admit(
         &self,
         now: Timestamp,
-        instance: &InstanceId,
+        key: AdmissionKey,
+        progress: RequestProgress,
+    ) -> bool {
+        let mut state = lock(&self.state);
+        let limit = state.limit.as_mut();
+        limit.is_none_or(|limit| limit.admit(now, key, progress))
+    }
+
+    /// Returns the Retry-After of a call that the limit refused.
+    pub(super) fn retry_after(&self, now: Timestamp) -> Duration {
+        let mut state = lock(&self.state);
+        let limit = state.limit.as_mut();
+        limit.map_or(Duration::ZERO, |limit| {
+            limit.retry_after(now, rand::random())
+        })
+    }
+
+    /// Returns the time for which the limit leaves no room for any call; zero without a limit.
+    pub(super) fn limited_for(&self, now: Timestamp) -> Duration {
+        let mut state = lock(&self.state);
+        let limit = state.limit.as_mut();
+        limit.map_or(Duration::ZERO, |limit| {
+            limit.wait(now, AdmissionKey::FIRST, RequestProgress::InProgress)
+        })
+    }
+
+    /// Reads the headers of a response of the instance. Returns true if it announces that it is
+    /// leaving.
+    pub(super) fn read(
+        &self,
+        origin: ResponseOrigin<'_>,
         dialect: &Dialect,
         headers: &HeaderMap,
-    ) {
+    ) -> bool {
         let mut state = lock(&self.state);
         match dialect.rate_limit(headers) {
-            Announcement::Absent => state.rate_limit = None,
+            Announcement::Absent => state.record_rate(origin, None),
             Announcement::Valid(rate) => {
-                state.rate_limit = Some(rate);
+                state.record_rate(origin, Some(rate));
                 state.log.is_malformed = false;
             }
             Announcement::Malformed(value) => {
-                state.log_malformed(instance, dialect.rate_limit.as_str(), &value);
+                state.log_malformed(origin.instance, dialect.rate_limit.as_str(), &value);
             }
         }
-        match dialect.leaving(headers) {
-            Announcement::Absent => {}
-            Announcement::Valid(()) => state.record_leaving(instance),
-            Announcement::Malformed(value) => {
-                state.log_malformed(instance, dialect.leaving.as_str(), &value);
-            }
+        let leaving = dialect.leaving(headers);
+        if let Announcement::Malformed(value) = &leaving {
+            state.log_malformed(origin.instance, dialect.leaving.as_str(), value);
         }
-        state.log_rate_limit(now, instance);
+        leaving == Announcement::Valid(())
     }
 }
 
 impl State {
-    fn record_leaving(&mut self, instance: &InstanceId) {
-        if !std::mem::replace(&mut self.is_leaving, true) {
-            log_event!(Event::LeavingAnnounced, "instance={instance}");
+    fn record_rate(&mut self, origin: ResponseOrigin<'_>, rate: Option<f64>) {
+        let is_looser =
+            rate.unwrap_or(f64::INFINITY) > self.announced_rate.unwrap_or(f64::INFINITY);
+        if is_looser && origin.sent_at < self.confirmed_at {
+            return;
+        }
+        self.announced_rate = rate;
+        self.confirmed_at = origin.received_at;
+        self.apply_rate(origin.received_at);
+        self.log_rate(origin);
+    }
+
+    fn apply_rate(&mut self, now: Timestamp) {
+        match (self.announced_rate, &mut self.limit) {
+            (None, limit) => *limit = None,
+            (Some(rate), Some(limit)) => limit.set_rate(now, rate),
+            (Some(rate), limit) => *limit = Some(ArrivalLimit::new(now, rate)),
         }
     }
 
-    fn log_rate_limit(&mut self, now: Timestamp, instance: &InstanceId) {
-        let previous = self.log.rate_limit;
-        let is_change_of_value = previous.is_some() && self.rate_limit.is_some();
-        let is_too_early = now < self.log.changed_at + CHANGE_LOG_INTERVAL;
-        if previous == self.rate_limit || (is_change_of_value && is_too_early) {
+    fn log_rate(&mut self, origin: ResponseOrigin<'_>) {
+        let (rate, previous) = (self.announced_rate, self.log.rate_limit);
+        let is_change_of_value = previous.is_some() && rate.is_some();
+        let is_too_early = origin.received_at < self.log.changed_at + CHANGE_LOG_INTERVAL;
+        if previous == rate || (is_change_of_value && is_too_early) {
             return;
         }
-        self.log.rate_limit = self.rate_limit;
-        self.log.changed_at = now;
+        self.log.rate_limit = rate;
+        self.log.changed_at = origin.received_at;
         log_event!(
             Event::RateLimitAnnounced,
-            "instance={instance} per_second={} previous={}",
-            rate_text(self.rate_limit),
+            "instance={} per_second={} previous={}",
+            origin.instance,
+            rate_text(rate),
             rate_text(previous),
         );
     }
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// What is known of the announcements that an instance made before it receives work here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierAnnouncements {
+    /// It has sent no responses.
+    None,
+    /// An earlier process beside it may have received some.
+    Unknown,
+}
+
 /// Settings of the service from the configuration.
 #[derive(Clone, Debug)]
 struct Configured {
@@ -199,7 +208,8 @@
     }
 
     /// Starts sending work to an instance, or updates its slots if it already receives work.
-    pub fn open(&self, id: &InstanceId, slots: Option<u32>) {
+    /// `announcements` states what is known of the announcements that it made before.
+    pub fn open(&self, id: &InstanceId, slots: Option<u32>, announcements: EarlierAnnouncements) {
         let mut current = lock(&self.instance);
         if let Some(instance) = current.as_ref()
             && instance.id.may_be_same(id)
@@ -225,7 +235,10 @@
             gate,
             pool,
             termination: TerminationDetector::new(self.address, self.clock),
-            announcements: Announcements::default(),
+            announcements: match announcements {
+                EarlierAnnouncements::None => Announcements::none(),
+                EarlierAnnouncements::Unknown => Announcements::unknown(self.clock.now()),
+            },
             leaving: AtomicBool::new(false),
             slots: Mutex::new(slots),
             unreachable_until: Mutex::default(),
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -9,13 +9,15 @@
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::retry::Backoff;
+use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::backend_pool::{BackendError, Lease, SendError};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_response_headers};
 use wharfquay_daemon::response::Failure;
 
+use super::announcements::ResponseOrigin;
 use super::backend::OpenInstance;
-use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER};
+use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER, progress};
 use super::response::{ResponseClass, classify, is_from_instance};
 use super::termination_detector::{ExecutingRequest, InExecutionGuard, ProbeResult};
 use crate::body::{Collected, collect, remove_length};
@@ -87,16 +89,51 @@
             }
             let wait = SEND_BACKOFF.delay(repeat, &mut rand::rng());
             let is_too_late = call.context.remaining(self.clock.now()) <= wait;
-            if is_too_late || !self.backend.admit_repeat(call.context.priority) {
+            if is_too_late
+                || self.is_rate_limited(instance, call.context)
+                || !self.backend.admit_repeat(call.context.priority)
+            {
                 break;
             }
             tokio::time::sleep(wait).await;
             self.quarantine.check(call.context)?;
-            result = self.send(instance, call, RequestBody::Held(None)).await;
+            let repeated = self.send(instance, call, RequestBody::Held(None)).await;
+            if has_code(&repeated, ResultCode::RateLimited) {
+                // The call arrived before, which the earlier refusal shows.
+                break;
+            }
+            result = repeated;
         }
         result
     }
 
+    /// Refuses a call for which the rate limit of the instance leaves no room.
+    ///
+    /// # Errors
+    /// The refusal, with a Retry-After that spreads the return of refused calls.
+    pub(super) fn check_rate_limit(
+        &self,
+        instance: &OpenInstance,
+        context: &CallContext,
+    ) -> Result<(), Failure> {
+        if self.is_rate_limited(instance, context) {
+            return Err(self.rate_limited(instance));
+        }
+        Ok(())
+    }
+
+    fn is_rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> bool {
+        let (now, key) = (self.clock.now(), context.admission_key());
+        instance
+            .announcements
+            .is_limited(now, key, progress(context))
+    }
+
+    fn rate_limited(&self, instance: &OpenInstance) -> Failure {
+        let retry_after = instance.announcements.retry_after(self.clock.now());
+        Failure::with_retry_after(ResultCode::RateLimited, retry_after)
+    }
+
     /// Counts a call that is about to be sent to the backend.
     ///
     /// # Errors
@@ -162,7 +199,8 @@
 
     /// Sends the call to the instance. Tries another connection only while the call was certainly
     /// not sent. While the instance may be executing the call, `in_execution` holds the guard that
-    /// lists it among the requests in execution; dropping the guard removes it.
+    /// lists it among the requests in execution; dropping the guard removes it. The rate limit is
+    /// checked last, once nothing delays the call any more.
     async fn send_to_instance(
         &self,
         instance: &OpenInstance,
@@ -172,15 +210,28 @@
     ) -> Result<BackendResponse, Failure> {
         let mut request = call.head.to_request(body);
         self.set_target_instance(instance, request.headers_mut());
+        let mut is_admitted = false;
         for _ in 0..CONNECTION_ATTEMPTS {
             let mut lease = self.checkout(instance).await?;
+            let sent_at = self.clock.now();
+            let key = call.context.admission_key();
+            let progress = progress(call.context);
+            is_admitted = is_admitted || instance.announcements.admit(sent_at, key, progress);
+            if !is_admitted {
+                // The connection was not used.
+                BodyObserver::ended(Box::new(lease), BodyEnd::Complete);
+                return Err(self.rate_limited(instance));
+            }
             let remaining = call.context.remaining(self.clock.now());
             self.dialect.set_deadline(request.headers_mut(), remaining);
             *in_execution = call
                 .executing_request()
                 .map(|request| instance.termination.begin(request));
             match lease.send(request).await {
-                Ok(response) => return self.read(instance, call, response, lease).await,
+                Ok(response) => {
+                    self.read_announcements(instance, call, sent_at, &response);
+                    return self.read(instance, call, response, lease).await;
+                }
                 Err(SendError::Failed(error)) => return Err(Failure::new(result_code(error))),
                 Err(SendError::NotSent(unsent)) => {
                     *in_execution = None;
@@ -212,16 +263,23 @@
         &self,
         instance: &OpenInstance,
         call: &AdmittedCall<'_>,
+        sent_at: Timestamp,
         response: &Response<B>,
     ) {
         if !is_from_instance(&self.dialect, call.request_id, &instance.id, response) {
             return;
         }
-        let (now, headers) = (self.clock.now(), response.headers());
+        let origin = ResponseOrigin {
+            instance: &instance.id,
+            sent_at,
+            received_at: self.clock.now(),
+        };
+        let headers = response.headers();
         self.unread_headers.report(&self.dialect, headers);
-        instance
-            .announcements
-            .read(now, &instance.id, &self.dialect, headers);
+        let announcements = &instance.announcements;
+        if announcements.read(origin, &self.dialect, headers) && !instance.is_leaving() {
+            log_event!(Event::LeavingAnnounced, "instance={}", instance.id);
+        }
     }
 
     async fn read(
@@ -231,7 +289,6 @@
         response: Response<Incoming>,
         lease: Lease,
     ) -> Result<BackendResponse, Failure> {
-        self.read_announcements(instance, call, &response);
         match classify(&self.dialect, call.request_id, &response) {
             ResponseClass::Usable => {}
             ResponseClass::Refused => {
@@ -279,7 +336,11 @@
 
 /// True if the backend proved that it did not execute the call.
 fn is_refused(result: &Result<BackendResponse, Failure>) -> bool {
-    matches!(result, Err(failure) if failure.code == ResultCode::RefusedByBackend)
+    has_code(result, ResultCode::RefusedByBackend)
+}
+
+fn has_code(result: &Result<BackendResponse, Failure>, code: ResultCode) -> bool {
+    matches!(result, Err(failure) if failure.code == code)
 }
 
 /// Reads a short refusal to its end, which allows its connection to be reused.
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -128,6 +128,9 @@
         report: &mut CallReport,
     ) -> (Result<Response<ResponseBody>, Failure>, RetryAllowance) {
         let allowance = context.allowance;
+        if let Err(failure) = self.check_rate_limit(instance, &context) {
+            return (Err(failure), allowance);
+        }
         let suspect_permit = match self.quarantine.wait_for_permit(&context).await {
             Ok(suspect_permit) => suspect_permit,
             Err(failure) => return (Err(failure), allowance),
@@ -174,12 +177,13 @@
         unused_retries: RetryAllowance,
     ) -> ResponseMetadata {
         let below = self.routing.level_below(request_kind);
-        let (level, load) = match instance {
+        let (level, load, limited_for) = match instance {
             Some(instance) => {
                 let report = instance.gate.report();
-                (report.level, report.load)
+                let limited_for = instance.announcements.limited_for(self.clock.now());
+                (report.level, report.load, limited_for)
             }
-            None => (AdmissionLevel::OPEN, Load::default()),
+            None => (AdmissionLevel::OPEN, Load::default(), Duration::ZERO),
         };
         ResponseMetadata {
             unused_retries,
@@ -189,22 +193,32 @@
             in_flight: load.in_flight,
             limit: load.limit,
             queued: load.queued,
+            rate_limited_ms: round_up_millis(limited_for),
         }
     }
 }
 
-/// Returns the admission parameters of a call.
-fn admission_request(context: &CallContext) -> AdmissionRequest {
-    let progress = if context.depth > CLIENT_REQUEST_DEPTH {
+/// Rounds up, so that a limit that leaves no room never counts as one that does.
+fn round_up_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
+/// Returns whether work was already done for the originating request of a call.
+pub(super) fn progress(context: &CallContext) -> RequestProgress {
+    if context.depth > CLIENT_REQUEST_DEPTH {
         RequestProgress::InProgress
     } else {
         RequestProgress::New
-    };
+    }
+}
+
+/// Returns the admission parameters of a call.
+fn admission_request(context: &CallContext) -> AdmissionRequest {
     AdmissionRequest {
         key: context.admission_key(),
         deadline: context.deadline,
         max_queue_wait: Some(MAX_ADMISSION_WAIT),
-        progress,
+        progress: progress(context),
         admitted_below: context.admitted_below,
     }
 }
@@ -241,7 +255,8 @@
 
 const fn completion_for(code: ResultCode) -> Completion {
     match code {
-        ResultCode::DeadlineAfterDispatch => Completion::Cancelled,
+        // A call that was not sent shows nothing about the backend.
+        ResultCode::DeadlineAfterDispatch | ResultCode::RateLimited => Completion::Cancelled,
         _ => Completion::Failed,
     }
 }
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -13,7 +13,7 @@
     DepartureReaders, Heartbeat, InstanceId, InstanceStatus, InstanceTracker, TrackerDecision,
 };
 use crate::events::Event;
-use crate::inbound::backend::LocalBackend;
+use crate::inbound::backend::{EarlierAnnouncements, LocalBackend};
 use crate::log_event;
 use crate::platform::{Platform, PlatformError};
 
@@ -342,7 +342,8 @@
         if tracker.mark_verified(now, instance) {
             let slots = tracker.slots(instance);
             drop(tracker);
-            self.backend.open(instance, slots);
+            self.backend
+                .open(instance, slots, self.earlier_announcements());
             log_event!(
                 Event::InstanceServing,
                 "instance={instance} slots={slots:?}"
@@ -350,6 +351,16 @@
         }
     }
 
+    /// Returns what is known of the announcements that the instance to open made before. Only the
+    /// first instance of a process may have run beside an earlier one.
+    fn earlier_announcements(&self) -> EarlierAnnouncements {
+        if self.is_first_start || self.backend.instance().is_some() {
+            EarlierAnnouncements::None
+        } else {
+            EarlierAnnouncements::Unknown
+        }
+    }
+
     async fn is_confirmed_without_records(&self, instance: &InstanceId) -> bool {
         if !lock(&self.tracker).is_confirmed(instance) {
             return false;
--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -205,7 +205,10 @@
     /// Records the outcome of the attempt.
     pub(crate) fn finish(mut self, completed: &AttemptOutcome) {
         let now = self.clock.now();
+        self.record_rate_limit(now, completed);
         match &completed.result {
+            // The call was not sent, which shows nothing else about the endpoint.
+            Err(failure) if failure.code == ResultCode::RateLimited => {}
             Ok(response) => {
                 self.observe(now, completed, OutcomeClass::Run, response.status(), false)
             }
@@ -218,6 +221,19 @@
         }
     }
 
+    fn record_rate_limit(&self, now: Timestamp, completed: &AttemptOutcome) {
+        let Some(metadata) = &completed.metadata else {
+            return;
+        };
+        let limited_for = Duration::from_millis(u64::from(metadata.rate_limited_ms));
+        let retry_after = match &completed.result {
+            Err(failure) if failure.code == ResultCode::RateLimited => failure.retry_after,
+            _ => Duration::ZERO,
+        };
+        self.router
+            .record_rate_limit(now, &self.target.id, limited_for, retry_after);
+    }
+
     fn record_unavailable(&self, now: Timestamp, code: ResultCode) {
         match code {
             // The member list may not yet show that the endpoint is leaving.
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -34,6 +34,9 @@
 /// Maximum number of sidecars that a call is offered to after refusals that did not reach their
 /// backends.
 const MAX_OFFERS: usize = 3;
+/// Maximum number of sidecars that a call is offered to after refusals because of a rate limit. Each
+/// costs a round trip only, and the sidecar is not picked again while the limit leaves no room.
+const MAX_RATE_LIMITED_OFFERS: usize = 5;
 /// Retry-After if no sidecar of a service is known.
 const NO_SIDECAR_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -115,6 +118,7 @@
     admitted_below: AdmissionLevel,
     attempted: Vec<EndpointId>,
     offers: usize,
+    rate_limited_offers: usize,
     arrivals: u32,
     /// Number of backends that terminated while they executed the call.
     terminated_backends: u8,
@@ -128,6 +132,7 @@
             admitted_below,
             attempted: Vec::new(),
             offers: 0,
+            rate_limited_offers: 0,
             arrivals: 0,
             terminated_backends: 0,
             uncertain: None,
@@ -159,11 +164,18 @@
         }
         if reached_backend(failure.code) {
             self.arrivals += 1;
+        } else if failure.code == ResultCode::RateLimited {
+            self.rate_limited_offers += 1;
         } else {
             self.offers += 1;
         }
     }
 
+    /// True if the call may be offered to another sidecar after a refusal.
+    const fn may_offer(&self) -> bool {
+        self.offers < MAX_OFFERS && self.rate_limited_offers < MAX_RATE_LIMITED_OFFERS
+    }
+
     /// Returns the failure to report: "not executed" only if that holds for every attempt.
     fn conclude(&self, last: Failure) -> Failure {
         match self.uncertain {
@@ -419,7 +431,7 @@
         let sibling_available = body.can_resend() && router.can_pick(now, key, &attempts.attempted);
         if !reached_backend(failure.code) {
             return match sibling_available {
-                true if attempts.offers < MAX_OFFERS => Ok(Duration::ZERO),
+                true if attempts.may_offer() => Ok(Duration::ZERO),
                 true => Err(NoRetry::OffersSpent),
                 false => Err(NoRetry::GivenUp(GiveUpReason::NoSibling)),
             };
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -166,6 +166,20 @@
         lock(&self.state).router.refused_as_leaving(now, endpoint);
     }
 
+    /// Records for how long the rate limit of an endpoint leaves no room for calls, and the
+    /// Retry-After of a call that it refused; zero if it refused none.
+    pub fn record_rate_limit(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        limited_for: Duration,
+        retry_after: Duration,
+    ) {
+        lock(&self.state)
+            .router
+            .record_rate_limit(now, endpoint, limited_for, retry_after);
+    }
+
     /// Stops calls to an endpoint for a short time after it could not be reached.
     pub fn connection_refused(&self, now: Timestamp, endpoint: &EndpointId) {
         lock(&self.state).router.connection_refused(now, endpoint);
