Send no new call to a backend that announces its leaving in a response

What was seen: a backend that named its leaving only in its responses got 57 requests later than 100 ms after the first such response.

Only heartbeats and departure messages closed the gate.

Why this works: the response closes the gate of the instance that sent it; calls in execution go on, waiting ones go to other sidecars. The departure is recorded like an announced one, so a later process beside the backend knows it; writing the record is repeated until it is durable. A response of an earlier instance at the address concerns that instance only.

--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -128,6 +128,12 @@
         *lock(&self.unreachable_until) = now + UNREACHABLE_HOLD;
     }
 
+    /// Stops new calls. Calls in execution continue.
+    pub(super) fn close(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.gate.begin_drain();
+    }
+
     fn set_slots(&self, slots: u32) {
         let mut known = lock(&self.slots);
         if slots > 0 && *known != slots {
@@ -202,6 +208,12 @@
         lock(&self.instance).clone()
     }
 
+    /// True if this is the instance that has the gate.
+    pub(super) fn is_current(&self, instance: &OpenInstance) -> bool {
+        let current = self.instance();
+        current.is_some_and(|current| std::ptr::eq(&*current, instance))
+    }
+
     fn matching_instance(&self, id: &InstanceId) -> Option<Arc<OpenInstance>> {
         self.instance()
             .filter(|instance| instance.id.may_be_same(id))
@@ -249,8 +261,7 @@
     /// Stops new work for an instance. Calls in execution continue.
     pub fn close(&self, id: &InstanceId) {
         if let Some(instance) = self.matching_instance(id) {
-            instance.leaving.store(true, Ordering::Relaxed);
-            instance.gate.begin_drain();
+            instance.close();
         }
     }
 
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -279,6 +279,10 @@
         let announcements = &instance.announcements;
         if announcements.read(origin, &self.dialect, headers) && !instance.is_leaving() {
             log_event!(Event::LeavingAnnounced, "instance={}", instance.id);
+            instance.close();
+            if self.backend.is_current(instance) {
+                (self.observers.leaving)(&instance.id);
+            }
         }
     }
 
@@ -298,7 +302,7 @@
             }
             ResponseClass::Misdirected(found) => {
                 if found.as_deref() != Some(instance.id.name()) {
-                    (self.misdirected)(&instance.id);
+                    (self.observers.misdirected)(&instance.id);
                 }
                 let code = ResultCode::RefusedByBackend;
                 return Err(Failure::with_retry_after(code, UNAVAILABLE_RETRY_AFTER));
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -40,9 +40,16 @@
 /// Retry-After of a refusal because no instance can take work.
 pub(super) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Callback for a response showing that another instance than the addressed one has the backend's
-/// address.
-pub(crate) type MisdirectedObserver = Arc<dyn Fn(&InstanceId) + Send + Sync>;
+/// Callback for what a response shows about an instance.
+pub(crate) type InstanceObserver = Arc<dyn Fn(&InstanceId) + Send + Sync>;
+
+/// Callbacks for what responses show about the instances of the backend.
+pub(crate) struct InstanceObservers {
+    /// Another instance than the addressed one has the backend's address.
+    pub(crate) misdirected: InstanceObserver,
+    /// The instance that receives work announces that it is leaving.
+    pub(crate) leaving: InstanceObserver,
+}
 
 /// Outcome of a call and the metadata to return to its sender.
 pub(crate) struct Executed {
@@ -60,7 +67,7 @@
     pub(crate) clock: Clock,
     pub(crate) stopping: Arc<AtomicBool>,
     pub(crate) in_flight: Arc<AtomicUsize>,
-    pub(crate) misdirected: MisdirectedObserver,
+    pub(crate) observers: InstanceObservers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) unread_headers: UnreadHeaders,
 }
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -151,6 +151,24 @@
         log_event!(Event::InstanceReplaced, "instance={instance}");
     }
 
+    /// Closes the gate of an instance that announced in a response that it is leaving, and makes its
+    /// departure durable for later processes.
+    pub fn announced_leaving(self: &Arc<Self>, instance: &InstanceId) {
+        let decision = lock(&self.tracker).departure(self.clock.now(), instance);
+        self.backend.close(instance);
+        if decision != TrackerDecision::RecordDeparture {
+            return;
+        }
+        let (registry, instance) = (Arc::clone(self), instance.clone());
+        tokio::spawn(async move {
+            let mut pause = VERIFY_BACKOFF;
+            while registry.record_departure(&instance).await == Acknowledgement::NotAcknowledged {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_VERIFY_BACKOFF);
+            }
+        });
+    }
+
     async fn record_departure(&self, instance: &InstanceId) -> Acknowledgement {
         self.backend.close(instance);
         let recording = self.record_within_one_era(instance);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{Exchange, Peer};
 use crate::exchange_handler::LocalExchangeHandler;
 use crate::inbound::backend::LocalBackend;
-use crate::inbound::{InboundHandler, LocalExecutor, UnreadHeaders};
+use crate::inbound::{InboundHandler, InstanceObservers, LocalExecutor, UnreadHeaders};
 use crate::instance::{
     Acknowledgement, DepartureIndex, DepartureReaders, Heartbeat, InstanceId, Registry,
 };
@@ -240,7 +240,11 @@
         let refusing = Arc::new(AtomicBool::new(false));
         let in_flight = Arc::new(AtomicUsize::new(0));
         let outbound_in_flight = Arc::new(AtomicUsize::new(0));
-        let observer = Arc::clone(&registry);
+        let (misdirected, leaving) = (Arc::clone(&registry), Arc::clone(&registry));
+        let observers = InstanceObservers {
+            misdirected: Arc::new(move |instance: &InstanceId| misdirected.misdirected(instance)),
+            leaving: Arc::new(move |instance: &InstanceId| leaving.announced_leaving(instance)),
+        };
         let local = Arc::new(LocalExecutor {
             backend: Arc::clone(&backend),
             scopes: Arc::clone(&scopes),
@@ -250,7 +254,7 @@
             clock,
             stopping: Arc::clone(&stopping),
             in_flight: Arc::clone(&in_flight),
-            misdirected: Arc::new(move |instance: &InstanceId| observer.misdirected(instance)),
+            observers,
             metrics: Arc::clone(&metrics),
             unread_headers: UnreadHeaders::default(),
         });
