Refuse important calls last under an announced rate limit

Seen by a property test of the new limit: with four times as many less important calls as the rate allows, only 0.54 of the important ones were admitted although they wanted half of the rate.

Cause: a fixed share of the ranks (0.3) of every priority counted as important, so that no kind is starved. Of many unimportant calls that is more than the whole rate.

Change: the share follows how many of the offered calls are more important. Waits are rounded up to the resolution of the clock, so a call is admitted after the wait that it was given. A malformed first announcement counts as none.

Properties and socket tests: windows, use of the rate, order, starvation, lowest rates, return of refused calls, lifting, falling and rising rates, garbled values, restarts of the sidecar, new instances, responses that overtake each other.

--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -4,6 +4,7 @@
 //! Within a window, a burst of up to one second's worth is admitted, which uses the rate although
 //! calls arrive at random times. Part of that burst is reserved for important calls.
 
+mod offered;
 mod return_schedule;
 mod window;
 
@@ -14,6 +15,7 @@
 use crate::quota::{TokenBucket, TokenRate};
 use crate::time::Timestamp;
 
+use offered::OfferedCalls;
 use return_schedule::ReturnSchedule;
 use window::ArrivalWindow;
 pub use window::WINDOW;
@@ -25,13 +27,14 @@
 const BURST_SECONDS: f64 = 1.0;
 /// Smallest burst, in calls.
 const MINIMUM_BURST: f64 = 2.0;
-/// Share of the burst beyond one call that is reserved for calls of the highest priority.
+/// Share of the burst beyond the smallest one that is reserved for calls of the highest priority.
 const RESERVED_SHARE: f64 = 0.4;
 /// Part of the reserve that calls of the second priority may use.
 const SECOND_PRIORITY_PART: f64 = 0.5;
-/// Share of the ranks of each priority that are admitted like the highest priority, so that no
-/// request kind is refused entirely.
-const FAIR_RANK_SHARE: f64 = 0.3;
+/// Share of the ranks of a priority that are admitted like the highest one, if nearly all calls are
+/// more important; fewer in proportion to these calls. It lets each priority have more than a
+/// quarter of the mean share, however much is wanted of the others.
+const FAIR_RANK_SHARE: f64 = 0.45;
 
 /// Admits calls to one backend within the rate that it announces.
 #[derive(Clone, Debug)]
@@ -40,6 +43,7 @@
     bucket: TokenBucket,
     window: ArrivalWindow,
     returns: ReturnSchedule,
+    offered: OfferedCalls,
 }
 
 impl ArrivalLimit {
@@ -64,6 +68,7 @@
             bucket,
             window: ArrivalWindow::new(now, per_second),
             returns: ReturnSchedule::default(),
+            offered: OfferedCalls::default(),
         }
     }
 
@@ -87,15 +92,15 @@
     ) -> Duration {
         let needed = 1.0 + self.reserve(key, progress);
         let for_token = self.bucket.until(now, needed);
-        for_token.max(self.window.until_room(now, needed))
+        round_up(for_token.max(self.window.until_room(now, needed)))
     }
 
     /// Admits and counts a call that is about to be sent. Returns false if the limit leaves no room
-    /// for it.
-    #[must_use]
+    /// for it; the caller then reports the refusal with [`Self::refuse`].
     pub fn admit(&mut self, now: Timestamp, key: AdmissionKey, progress: RequestProgress) -> bool {
         let fits = self.wait(now, key, progress).is_zero();
         if fits {
+            self.offered.record(now, key.priority());
             self.bucket.take(now, 1);
             self.window.record_arrival(now);
         }
@@ -105,13 +110,15 @@
     /// Counts a refused call and returns its Retry-After. Refused calls return spread over the time
     /// in which the rate allows as many; `position` from 0.0 to 1.0 is the call's position in that
     /// time.
-    pub fn retry_after(&mut self, now: Timestamp, position: f64) -> Duration {
+    pub fn refuse(&mut self, now: Timestamp, key: AdmissionKey, position: f64) -> Duration {
+        self.offered.record(now, key.priority());
         self.returns.add(now, self.per_second, position)
     }
 
     /// Returns how much of the burst a call must leave to more important ones.
     fn reserve(&self, key: AdmissionKey, progress: RequestProgress) -> f64 {
-        let fair_ranks = f64::from(Rank::COUNT) * FAIR_RANK_SHARE;
+        let fair_share = FAIR_RANK_SHARE * self.offered.share_above(key.priority());
+        let fair_ranks = f64::from(Rank::COUNT) * fair_share;
         let is_fair_rank = f64::from(key.rank().number()) < fair_ranks;
         let part = match key.priority() {
             _ if is_fair_rank || progress == RequestProgress::InProgress => 0.0,
@@ -119,10 +126,16 @@
             priority if priority.raised() == Priority::HIGHEST => SECOND_PRIORITY_PART,
             _ => 1.0,
         };
-        (self.bucket.rate().capacity - 1.0) * RESERVED_SHARE * part
+        (self.bucket.rate().capacity - MINIMUM_BURST) * RESERVED_SHARE * part
     }
 }
 
+/// Rounds up to the resolution of [`Timestamp`].
+fn round_up(wait: Duration) -> Duration {
+    let micros = wait.as_nanos().div_ceil(1_000);
+    Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
 fn token_rate(per_second: f64) -> TokenRate {
     let per_second = per_second.max(MINIMUM_RATE);
     TokenRate {
--- a/crates/sidecar/src/inbound/announcements.rs
+++ b/crates/sidecar/src/inbound/announcements.rs
@@ -6,6 +6,9 @@
 //! may overtake each other. A malformed value is ignored, and the last valid one stays in force,
 //! because a backend that announces anything is in need.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -111,12 +114,12 @@
         limit.is_none_or(|limit| limit.admit(now, key, progress))
     }
 
-    /// Returns the Retry-After of a call that the limit refused.
-    pub(super) fn retry_after(&self, now: Timestamp) -> Duration {
+    /// Counts a call that the limit refused and returns its Retry-After.
+    pub(super) fn refuse(&self, now: Timestamp, key: AdmissionKey) -> Duration {
         let mut state = lock(&self.state);
         let limit = state.limit.as_mut();
         limit.map_or(Duration::ZERO, |limit| {
-            limit.retry_after(now, rand::random())
+            limit.refuse(now, key, rand::random())
         })
     }
 
@@ -145,6 +148,8 @@
                 state.log.is_malformed = false;
             }
             Announcement::Malformed(value) => {
+                let last_valid = state.announced_rate;
+                state.record_rate(origin, last_valid);
                 state.log_malformed(origin.instance, dialect.rate_limit.as_str(), &value);
             }
         }
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -117,7 +117,7 @@
         context: &CallContext,
     ) -> Result<(), Failure> {
         if self.is_rate_limited(instance, context) {
-            return Err(self.rate_limited(instance));
+            return Err(self.rate_limited(instance, context));
         }
         Ok(())
     }
@@ -129,8 +129,9 @@
             .is_limited(now, key, progress(context))
     }
 
-    fn rate_limited(&self, instance: &OpenInstance) -> Failure {
-        let retry_after = instance.announcements.retry_after(self.clock.now());
+    fn rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> Failure {
+        let (now, key) = (self.clock.now(), context.admission_key());
+        let retry_after = instance.announcements.refuse(now, key);
         Failure::with_retry_after(ResultCode::RateLimited, retry_after)
     }
 
@@ -220,7 +221,7 @@
             if !is_admitted {
                 // The connection was not used.
                 BodyObserver::ended(Box::new(lease), BodyEnd::Complete);
-                return Err(self.rate_limited(instance));
+                return Err(self.rate_limited(instance, call.context));
             }
             let remaining = call.context.remaining(self.clock.now());
             self.dialect.set_deadline(request.headers_mut(), remaining);
--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -40,11 +40,26 @@
         })
         .await;
     }
+    serves(&machines).await;
     (platform, machines)
 }
 
+/// Waits until the backends serve all requests.
+async fn serves(machines: &[Machine]) {
+    let end = Instant::now() + support::MAX_WAIT;
+    while refused(&load(machines, Duration::from_millis(100)).await) > 0 {
+        assert!(Instant::now() < end, "never served");
+    }
+}
+
+/// A request of the load.
+struct Served {
+    response: Response,
+    took: Duration,
+}
+
 /// Sends requests at a steady rate for a time, distributed over the machines.
-async fn load(machines: &[Machine], time: Duration) -> Vec<Response> {
+async fn load(machines: &[Machine], time: Duration) -> Vec<Served> {
     let mut sending = JoinSet::new();
     let end = Instant::now() + time;
     let mut interval = tokio::time::interval(LOAD_INTERVAL);
@@ -55,7 +70,14 @@
         }
         let id = format!("{:016x}", rand::random::<u64>());
         let (address, text) = (machine.outbound, request("GET", "/reads/x", &id, ""));
-        sending.spawn(async move { call(address, &text).await });
+        sending.spawn(async move {
+            let sent = Instant::now();
+            let response = call(address, &text).await;
+            Served {
+                response,
+                took: sent.elapsed(),
+            }
+        });
     }
     sending.join_all().await
 }
@@ -82,8 +104,7 @@
     let served = load(&machines, Duration::from_secs(6)).await;
     let most = most_in_window(&machines[0].backend.arrivals(), announced + LEARNED_WITHIN);
     assert!(most <= 4 * RATE + 1, "{most} arrivals in 4 s");
-    let refused = served.iter().filter(|one| one.status != 200);
-    assert_eq!(refused.count(), 0, "the other backend serves the rest");
+    assert_eq!(refused(&served), 0, "the other backend serves the rest");
 }
 
 /// Guards against new requests at a backend that announces its leaving only in its responses.
@@ -95,8 +116,7 @@
     machines[0].backend.announce(&[("test-leaving", "1")]);
     let announced = Instant::now();
     let served = load(&machines, Duration::from_secs(2)).await;
-    let failed = served.iter().filter(|one| one.status != 200);
-    assert_eq!(failed.count(), 0);
+    assert_eq!(refused(&served), 0);
     let arrivals = machines[0].backend.arrivals();
     let first = arrivals.iter().find(|at| **at >= announced);
     let first = first.expect("one response contains the announcement");
@@ -104,3 +124,177 @@
     assert_eq!(late.count(), 0, "requests after the announcement");
     assert_eq!(machines[0].backend.abandoned(), 0, "requests cut off");
 }
+
+/// Header with which a backend announces a rate limit.
+const RATE_LIMIT: &str = "test-rate-limit";
+const LEAVING: &str = "test-leaving";
+
+fn refused(served: &[Served]) -> usize {
+    served
+        .iter()
+        .filter(|one| one.response.status != 200)
+        .count()
+}
+
+/// Returns how many requests arrived at a backend from `since` on.
+fn arrivals_since(machine: &Machine, since: Instant) -> usize {
+    let arrivals = machine.backend.arrivals();
+    arrivals.iter().filter(|at| **at >= since).count()
+}
+
+/// Guards against a limit that is in force after the backend lifted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lifted_rate_limit_applies_no_more_within_a_second() {
+    let (_platform, machines) = machines(1).await;
+    machines[0].backend.announce(&[(RATE_LIMIT, "10")]);
+    load(&machines, Duration::from_secs(2)).await;
+    machines[0].backend.announce(&[]);
+    load(&machines, Duration::from_secs(1)).await;
+    let served = load(&machines, Duration::from_secs(1)).await;
+    assert_eq!(refused(&served), 0, "of {}", served.len());
+}
+
+/// Guards against a fraction that is rounded to nothing, and against a low limit that stays unused.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_limit_below_one_a_second_is_used() {
+    let (_platform, machines) = machines(1).await;
+    machines[0].backend.announce(&[(RATE_LIMIT, "0.5")]);
+    load(&machines, LEARNED_WITHIN).await;
+    let since = Instant::now();
+    load(&machines, Duration::from_secs(8)).await;
+    let arrivals = arrivals_since(&machines[0], since);
+    assert!((3..=5).contains(&arrivals), "{arrivals} in 8 s");
+}
+
+/// Guards against a limit that is kept as it was first announced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_limit_that_falls_and_rises_is_followed() {
+    let (_platform, machines) = machines(1).await;
+    for rate in [20, 5, 30] {
+        machines[0]
+            .backend
+            .announce(&[(RATE_LIMIT, &rate.to_string())]);
+        load(&machines, LEARNED_WITHIN).await;
+        let since = Instant::now();
+        load(&machines, Duration::from_secs(3)).await;
+        let arrivals = arrivals_since(&machines[0], since);
+        let least = rate * 3 * 9 / 10 - 1;
+        assert!(
+            (least..=rate * 4 + 1).contains(&arrivals),
+            "{arrivals} at {rate}"
+        );
+    }
+}
+
+/// Guards against a garbled announcement that breaks the response, lifts the limit or sets another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_garbled_rate_limit_changes_nothing_and_the_response_is_delivered() {
+    let long = "1".repeat(10_000);
+    let garbled = [
+        "", "many", "-1", "NaN", "inf", "0", "1e400", "5,5", "0x10", &long,
+    ];
+    let (_platform, machines) = machines(1).await;
+    for value in garbled {
+        machines[0]
+            .backend
+            .announce(&[(RATE_LIMIT, value), (LEAVING, "perhaps")]);
+        let served = load(&machines, Duration::from_millis(200)).await;
+        assert_eq!(refused(&served), 0, "{value:.20}");
+    }
+    machines[0].backend.announce(&[(RATE_LIMIT, "6")]);
+    load(&machines, LEARNED_WITHIN).await;
+    machines[0]
+        .backend
+        .announce(&[(RATE_LIMIT, "900"), (RATE_LIMIT, "800")]);
+    let since = Instant::now();
+    load(&machines, Duration::from_secs(3)).await;
+    let arrivals = arrivals_since(&machines[0], since);
+    assert!((15..=25).contains(&arrivals), "{arrivals} in 3 s");
+}
+
+/// Guards against refusals that are slow, or that ask all callers to return at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_fits_nowhere_is_refused_at_once_and_asked_to_return_spread_over_time() {
+    let (_platform, machines) = machines(2).await;
+    for machine in &machines {
+        machine.backend.announce(&[(RATE_LIMIT, "5")]);
+    }
+    load(&machines, LEARNED_WITHIN).await;
+    let served = load(&machines, Duration::from_secs(3)).await;
+    let mut waits: Vec<f64> = Vec::new();
+    let mut times: Vec<Duration> = Vec::new();
+    for Served { response, took } in served.iter().filter(|one| one.response.status != 200) {
+        assert_eq!(response.header("wharfquay-result"), Some("3022"));
+        waits.push(response.header("retry-after").unwrap().parse().unwrap());
+        times.push(*took);
+    }
+    assert!(times.len() > 100, "{}", times.len());
+    times.sort_unstable();
+    let median = times[times.len() / 2];
+    assert!(median < Duration::from_millis(5), "{median:?}");
+    waits.sort_by(f64::total_cmp);
+    let (early, late) = (waits[waits.len() / 4], waits[waits.len() * 3 / 4]);
+    assert!(
+        late - early > 0.5,
+        "a quarter until {early} s, three until {late} s"
+    );
+}
+
+/// Guards against a limit or a leaving that an instance inherits from an earlier one at its address.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_instance_at_the_address_has_no_earlier_announcements() {
+    let (_platform, machines) = machines(1).await;
+    for announcement in [(RATE_LIMIT, "2"), (LEAVING, "1")] {
+        machines[0].backend.announce(&[announcement]);
+        load(&machines, Duration::from_millis(500)).await;
+        machines[0].backend.announce(&[]);
+        machines[0]
+            .backend
+            .replace(&format!("after-{}", announcement.0));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        load(&machines, Duration::from_millis(500)).await;
+        let served = load(&machines, Duration::from_secs(1)).await;
+        assert_eq!(
+            refused(&served),
+            0,
+            "of {} after {announcement:?}",
+            served.len()
+        );
+    }
+}
+
+/// Guards against a restarted sidecar that sends a burst to a backend whose limit it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_sidecar_keeps_the_rate_limit_of_its_backend() {
+    const RATE: usize = 5;
+    let (platform, mut machines) = machines(1).await;
+    machines[0]
+        .backend
+        .announce(&[(RATE_LIMIT, &RATE.to_string())]);
+    machines[0]
+        .backend
+        .set_service_time(Duration::from_millis(300));
+    load(&machines, LEARNED_WITHIN * 2).await;
+    let since = Instant::now();
+    let backend = machines[0].backend.clone();
+    machines[0] = Machine::start_beside(&platform, "machine-0", SERVICE, backend, |_| {}).await;
+    machines[0].ready().await;
+    load(&machines, Duration::from_secs(4)).await;
+    let most = most_in_window(&machines[0].backend.arrivals(), since);
+    assert!(most <= 4 * RATE + 1, "{most} arrivals in 4 s");
+    assert!(most > 2 * RATE, "{most} arrivals in 4 s");
+}
+
+/// Guards against a restarted sidecar that sends work to a backend which announced its leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_sidecar_knows_that_its_backend_announced_its_leaving() {
+    let (platform, mut machines) = machines(1).await;
+    machines[0].backend.announce(&[(LEAVING, "1")]);
+    load(&machines, Duration::from_millis(500)).await;
+    machines[0].backend.announce(&[]);
+    let (backend, since) = (machines[0].backend.clone(), Instant::now());
+    machines[0] = Machine::start_beside(&platform, "machine-0", SERVICE, backend, |_| {}).await;
+    machines[0].ready().await;
+    load(&machines, Duration::from_secs(1)).await;
+    assert_eq!(arrivals_since(&machines[0], since), 0);
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -170,6 +170,17 @@
         adjust: impl Fn(&mut Settings),
     ) -> Self {
         let backend = EmulatedBackend::start(&format!("{name}-1")).await;
+        Self::start_beside(platform, name, service, backend, adjust).await
+    }
+
+    /// Starts a sidecar beside a backend that is running already.
+    pub async fn start_beside(
+        platform: &Arc<EmulatedPlatform>,
+        name: &str,
+        service: &str,
+        backend: EmulatedBackend,
+        adjust: impl Fn(&mut Settings),
+    ) -> Self {
         loop {
             let mut settings = settings(name, service, &backend);
             adjust(&mut settings);
@@ -180,7 +191,7 @@
                     let (outbound, inbound, control) = addresses;
                     return Self {
                         sidecar,
-                        backend,
+                        backend: backend.clone(),
                         outbound,
                         inbound,
                         control,
