Keep announced rate limits in the daemon, and let the emulator announce them

The same cause in the product's own daemon: nothing that its backend says in a response bounds what it gets. The state machine of the limit and the parsing of its header move to core and protocol, where daemon and sidecar use one copy: the daemon reads wharfquay-rate-limit, refuses with 3022, tells its callers in the response metadata and shows the rate in its status page. The emulator's backends announce a rate (--rate-limit) and garble it (--garble-rate-limit). Leaving is named at the health endpoint of these backends, which the daemon reads already.

--- a/crates/cli/src/daemon_status.rs
+++ b/crates/cli/src/daemon_status.rs
@@ -74,6 +74,8 @@
     pub(crate) in_flight: u32,
     /// Concurrency limit in force: the maximum number of calls in execution at the backend.
     pub(crate) limit: u32,
+    /// Rate limit that the backend announces, in requests per second; `None` if it announces none.
+    pub(crate) rate_limit: Option<f64>,
     /// Number of calls that wait for admission to the backend.
     pub(crate) queued: u32,
 }
@@ -87,6 +89,17 @@
     }
 }
 
+impl AdmissionStatus {
+    /// Describes the admission level and the announced rate limit.
+    pub(crate) fn describe(&self) -> String {
+        let level = describe_level(self.level);
+        match self.rate_limit {
+            Some(rate) => format!("{level}, {rate}/s"),
+            None => level,
+        }
+    }
+}
+
 /// An error that prevents a read of a status page.
 #[derive(Debug, Display)]
 pub(crate) enum StatusError {
--- a/crates/cli/src/status/daemons.rs
+++ b/crates/cli/src/status/daemons.rs
@@ -122,7 +122,7 @@
         status.pending_calls().to_string(),
         number(admission.map(|admission| admission.limit)),
         number(admission.map(|admission| admission.queued)),
-        admission.map_or_else(String::new, |admission| describe_level(admission.level)),
+        admission.map_or_else(String::new, |admission| admission.describe()),
     ]
 }
 
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -4,10 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::RequestProgress;
 use crate::priority::{AdmissionKey, AdmissionLevel, Priority, Rank};
 use crate::quarantine::RequestFingerprint;
 use crate::time::Timestamp;
 
+/// Depth of a request at the backend that its caller sent it to.
+const CALLER_REQUEST_DEPTH: u8 = 1;
+
 /// Identity of an originating request, a version 7 UUID. Every call of its call tree carries it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -150,6 +154,17 @@
         AdmissionKey::new(self.priority, Rank::of(self.origin))
     }
 
+    /// Returns whether work was already done for the originating request when the call reaches its
+    /// backend.
+    #[must_use]
+    pub const fn progress(&self) -> RequestProgress {
+        if self.depth > CALLER_REQUEST_DEPTH {
+            RequestProgress::InProgress
+        } else {
+            RequestProgress::New
+        }
+    }
+
     /// Returns the time left until the deadline; zero once it has passed.
     #[must_use]
     pub const fn remaining(&self, now: Timestamp) -> Duration {
--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -4,6 +4,7 @@
 //! Within a window, a burst of up to one second's worth is admitted, which uses the rate although
 //! calls arrive at random times. Part of that burst is reserved for important calls.
 
+mod announced;
 mod offered;
 mod return_schedule;
 mod window;
@@ -15,6 +16,7 @@
 use crate::quota::{TokenBucket, TokenRate};
 use crate::time::Timestamp;
 
+pub use announced::{AnnouncedLimit, ExchangeTimes};
 use offered::OfferedCalls;
 use return_schedule::ReturnSchedule;
 use window::ArrivalWindow;
--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -109,6 +109,10 @@
     PeerLost = "peer_lost", Info, ["peer", "error"], "The connection to another daemon closed; the next call opens a new one.";
     PeerConnectFailed = "peer_connect_failed", Warn, ["peer", "error"],
         "Connecting to another daemon failed; further attempts are delayed by up to 500 ms.";
+ BackendRateLimited = "backend_rate_limited", Warn, ["per_second"],
+        "The local backend announced a rate limit for the requests of all daemons together or, with `per_second=none`, lifted it.";
+    BackendRateLimitMalformed = "backend_rate_limit_malformed", Warn, ["value"],
+        "The local backend announced a rate limit that can't be used; the last valid one stays in force.";
     BackendHealthChanged = "backend_health_changed", Info, ["leaving"],
         "The health endpoint of the local backend changed its report on whether the backend is leaving.";
     HealthReadFailed = "health_read_failed", Debug, ["error"],
--- a/crates/daemon/src/inbound/dispatch.rs
+++ b/crates/daemon/src/inbound/dispatch.rs
@@ -9,7 +9,7 @@
 use wharfquay_protocol::headers as names;
 
 use crate::backend_pool::{BackendError, Lease, SendError};
-use crate::body::RequestBody;
+use crate::body::{BodyEnd, BodyObserver, RequestBody};
 use crate::headers::remove_hop_by_hop;
 use crate::inbound::LocalBackend;
 use crate::response::Failure;
@@ -43,17 +43,33 @@
 ) -> Result<BackendResponse, Failure> {
     let method = request.method().clone();
     let mut request = build(backend, scope, request)?;
+    let mut sent_at = None;
     for _ in 0..MAX_CONNECTIONS_PER_CALL {
         let checkout = backend.pool.checkout();
         let lease = tokio::time::timeout_at(deadline, checkout)
             .await
             .map_err(|_| Failure::new(ResultCode::DeadlineUnreachable))?;
         let mut lease = lease.map_err(|error| Failure::new(code_of(error)))?;
+        let admitted = match sent_at {
+            Some(sent_at) => Ok(sent_at),
+            None => backend.rate_limit.admit(&scope.scope().context),
+        };
+        let admitted_at = match admitted {
+            Ok(admitted_at) => *sent_at.insert(admitted_at),
+            Err(refusal) => {
+                // The connection was not used.
+                Box::new(lease).ended(BodyEnd::Complete);
+                return Err(refusal);
+            }
+        };
         let sent = tokio::time::timeout_at(deadline, lease.send(request))
             .await
             .map_err(|_| Failure::new(ResultCode::DeadlineAfterDispatch))?;
         match sent {
-            Ok(response) => return check_response(&method, response, lease),
+            Ok(response) => {
+                backend.rate_limit.read(admitted_at, response.headers());
+                return check_response(&method, response, lease);
+            }
             Err(SendError::Failed(error)) => return Err(Failure::new(code_of(error))),
             Err(SendError::NotSent(unsent)) => request = unsent,
         }
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -11,7 +11,7 @@
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_protocol::context::WireContext;
 use wharfquay_protocol::headers as names;
-use wharfquay_protocol::response::ResponseMetadata;
+use wharfquay_protocol::response::{ResponseMetadata, rate_limited_ms};
 use wharfquay_resources::kinds::Service;
 use wharfquay_resources::snapshot::Snapshot;
 
@@ -20,6 +20,7 @@
 use crate::headers::{remove_hop_by_hop, remove_internal_response_headers};
 use crate::inbound::dispatch::{self, BackendResponse};
 use crate::inbound::gate::{AdmissionGate, Permit};
+use crate::inbound::rate_limit::BackendRateLimit;
 use crate::metrics::{Admission, Side};
 use crate::node::Node;
 use crate::response::{Failure, set_metadata, set_result};
@@ -34,6 +35,7 @@
     pub(crate) service: String,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) pool: Arc<BackendPool>,
+    pub(crate) rate_limit: BackendRateLimit,
     /// True if one of the backend's connections is reserved for reading its health endpoint.
     pub(crate) reads_health: bool,
 }
@@ -127,6 +129,7 @@
         request: Request<Incoming>,
     ) -> Result<Execution, FailedCall> {
         self.check_open()?;
+        self.backend.rate_limit.check(&context)?;
         let key = context.admission_key();
         let deadline = context.deadline;
         let admitted = self.backend.gate.enter(key, deadline).await;
@@ -194,7 +197,7 @@
             in_flight: report.load.in_flight,
             limit: report.load.limit,
             queued: report.load.queued,
-            rate_limited_ms: 0,
+            rate_limited_ms: rate_limited_ms(self.backend.rate_limit.exhausted_for()),
         }
     }
 
@@ -253,7 +256,7 @@
 
 const fn completion_of(code: ResultCode) -> Completion {
     match code {
-        ResultCode::DeadlineUnreachable => Completion::Cancelled,
+        ResultCode::DeadlineUnreachable | ResultCode::RateLimited => Completion::Cancelled,
         _ => Completion::Failed,
     }
 }
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -187,6 +187,20 @@
         lock(&self.state).router.discard_attempt(endpoint);
     }
 
+    /// Records for how long the rate limit of an endpoint leaves no room for calls, and the Retry-After
+    /// of a call that it refused; zero if it refused none.
+    pub(crate) fn record_rate_limit(
+        &self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        limited_for: Duration,
+        retry_after: Duration,
+    ) {
+        lock(&self.state)
+            .router
+            .record_rate_limit(now, endpoint, limited_for, retry_after);
+    }
+
     /// Stops sending calls to an endpoint that refused one because it is leaving.
     pub(crate) fn refused_as_leaving(&self, now: Timestamp, endpoint: &EndpointId) {
         lock(&self.state).router.refused_as_leaving(now, endpoint);
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The state of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DaemonStatus {
     /// Id of the daemon.
     pub id: String,
@@ -74,7 +74,7 @@
 }
 
 /// Admission at the backend.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionStatus {
     /// Admission level, 0 (closed) to 32768 (open).
     pub level: u16,
@@ -82,6 +82,9 @@
     pub in_flight: u32,
     /// Concurrency limit in force: the maximum number of calls in execution.
     pub limit: u32,
+    /// Rate limit that the backend announces, in requests per second; `None` if it announces none.
+    #[serde(default)]
+    pub rate_limit: Option<f64>,
     /// Number of calls that wait for admission.
     pub queued: u32,
     /// Number of open connections to the backend.
--- /dev/null
+++ b/crates/daemon/tests/announced_rate_limit.rs
@@ -0,0 +1,64 @@
+//! A backend that announces a rate limit in its responses.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::client::Call;
+use support::deployment::Deployment;
+use wharfquay_core::outcome::ResultCode;
+
+/// Pause between two calls of the load.
+const LOAD_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Sends calls at a steady rate for a time and returns their result codes.
+async fn load(deployment: &Deployment, time: Duration) -> Vec<ResultCode> {
+    let mut codes = Vec::new();
+    let mut interval = tokio::time::interval(LOAD_INTERVAL);
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        interval.tick().await;
+        let response = deployment.send(Call::get("booking", "/work")).await;
+        codes.push(response.code().unwrap());
+    }
+    codes
+}
+
+/// Guards against a daemon that ignores the rate limit of its backend.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_keeps_the_rate_limit_and_the_other_backend_serves_the_rest() {
+    let deployment = Deployment::start(&["booking", "booking"]).await;
+    let backend = &deployment.members[0].backend;
+    backend.announce_rate_limit(Some("5"));
+    load(&deployment, Duration::from_secs(1)).await;
+    let before = backend.executions("/work");
+    let codes = load(&deployment, Duration::from_secs(4)).await;
+    let executed = backend.executions("/work") - before;
+    assert!(executed <= 21, "{executed} in 4 s at 5 a second");
+    assert!(executed >= 15, "{executed} in 4 s at 5 a second");
+    assert!(
+        codes.iter().all(|code| *code == ResultCode::Answered),
+        "{codes:?}"
+    );
+}
+
+/// Guards against a limit that a garbled value lifts, or that stays after the backend lifted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_keeps_the_last_valid_rate_limit_until_it_is_lifted() {
+    let deployment = Deployment::start(&["booking"]).await;
+    let backend = &deployment.members[0].backend;
+    backend.announce_rate_limit(Some("5"));
+    load(&deployment, Duration::from_secs(1)).await;
+    backend.announce_rate_limit(Some("NaN"));
+    let codes = load(&deployment, Duration::from_secs(2)).await;
+    let answered = codes.iter().filter(|code| **code == ResultCode::Answered);
+    assert!(answered.count() <= 16);
+    assert!(codes.contains(&ResultCode::RateLimited));
+    backend.announce_rate_limit(None);
+    load(&deployment, Duration::from_secs(1)).await;
+    let codes = load(&deployment, Duration::from_secs(1)).await;
+    assert!(
+        codes.iter().all(|code| *code == ResultCode::Answered),
+        "{codes:?}"
+    );
+}
--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -42,6 +42,8 @@
     failures_left: Arc<AtomicUsize>,
     refusing: Arc<AtomicBool>,
     health: Arc<Mutex<String>>,
+    /// Rate limit that responses announce.
+    rate_limit: Arc<Mutex<Option<&'static str>>>,
     /// Triggers the truncation of a response.
     pub truncate: Arc<Notify>,
 }
@@ -58,6 +60,7 @@
             failures_left: Arc::default(),
             refusing: Arc::default(),
             health: Arc::new(Mutex::new("live".to_owned())),
+            rate_limit: Arc::default(),
             truncate: Arc::default(),
         };
         let served = stub.clone();
@@ -91,6 +94,11 @@
         *self.health.lock().unwrap() = state.to_owned();
     }
 
+    /// Sets the rate limit that responses announce.
+    pub fn announce_rate_limit(&self, value: Option<&'static str>) {
+        *self.rate_limit.lock().unwrap() = value;
+    }
+
     /// Returns the number of executions of a path.
     pub fn executions(&self, path: &str) -> usize {
         let record = self.record.lock().unwrap();
@@ -160,8 +168,12 @@
         }
         self.record_execution(&path);
         let mut guard = CancelGuard(Some(Arc::clone(&self.record)));
-        let response = self.respond(&path, request).await;
+        let mut response = self.respond(&path, request).await;
         guard.0 = None;
+        if let (Ok(response), Some(value)) = (&mut response, *self.rate_limit.lock().unwrap()) {
+            let value = http::HeaderValue::from_static(value);
+            response.headers_mut().insert("wharfquay-rate-limit", value);
+        }
         response
     }
 
--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -15,10 +15,10 @@
     [--outbound IP:PORT] [--queue-limit N] [--seed N] [--warm]
     [--slow FACTOR] [--cut-answer SHARE] [--close-before SHARE] [--close-after SHARE]
     [--refuse SHARE] [--hang SHARE] [--end SHARE] [--report-lag-ms N] [--load-factor F]
-    [--health truthful|always_live|always_leaving]
+    [--rate-limit RATE] [--garble-rate-limit SHARE] [--health truthful|always_live|always_leaving]
 
 Executes the steps of one service; slower during the cold start, which --warm skips.
-SHARE is a probability from 0 to 1.
+SHARE is a probability from 0 to 1. RATE is announced in every response, in requests per second.
 Endpoints: GET /wharfquay/health, /wharfquay/load, /wharfquay/executions,
 GET and PUT /wharfquay/faults, POST and DELETE /wharfquay/drain.
 
@@ -80,6 +80,11 @@
         "close-after" => faults.close_after = share(parser, "close-after")?,
         "refuse" => faults.refuse = share(parser, "refuse")?,
         "hang" => faults.hang = share(parser, "hang")?,
+        "rate-limit" => {
+            faults.rate_limit =
+                arguments::number_in(parser, "rate-limit", 0.0..=1e6, "0 to 1000000")?;
+        }
+        "garble-rate-limit" => faults.garble_rate_limit = share(parser, "garble-rate-limit")?,
         "load-factor" => {
             faults.load_factor =
                 arguments::number_in(parser, "load-factor", 0.0..=1e3, "0 to 1000")?;
--- a/crates/emulator/src/backend/faults.rs
+++ b/crates/emulator/src/backend/faults.rs
@@ -35,6 +35,10 @@
     /// Share of requests, selected by a hash of their token, that terminate every backend that
     /// starts to execute them. The backend listens on the same address again after a second.
     pub end: f64,
+    /// Rate limit that every response announces, in requests per second; 0 announces none.
+    pub rate_limit: f64,
+    /// Share of responses in which the announced rate limit is garbled.
+    pub garble_rate_limit: f64,
     /// State that the health endpoint reports.
     pub health: HealthMode,
     /// Age of the state that the health and load endpoints report, in milliseconds. 0 to 600000.
@@ -53,6 +57,8 @@
             refuse: 0.0,
             hang: 0.0,
             end: 0.0,
+            rate_limit: 0.0,
+            garble_rate_limit: 0.0,
             health: HealthMode::Truthful,
             report_lag_ms: 0,
             load_factor: 1.0,
@@ -99,6 +105,7 @@
     pub fn validate(&self) -> Result<(), FaultError> {
         check("slow", self.slow, 0.01, 1_000.0, "0.01 to 1000")?;
         check("load_factor", self.load_factor, 0.0, 1_000.0, "0 to 1000")?;
+        check("rate_limit", self.rate_limit, 0.0, 1e6, "0 to 1000000")?;
         let lag = self.report_lag_ms as f64;
         check("report_lag_ms", lag, 0.0, MAX_LAG_MS, "0 to 600000")?;
         let shares = [
@@ -108,6 +115,7 @@
             ("refuse", self.refuse),
             ("hang", self.hang),
             ("end", self.end),
+            ("garble_rate_limit", self.garble_rate_limit),
         ];
         for (field, share) in shares {
             check(field, share, 0.0, 1.0, "0 to 1")?;
--- a/crates/emulator/src/backend/server.rs
+++ b/crates/emulator/src/backend/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use http::{Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use wharfquay_protocol::headers as names;
 
 use super::body::complete;
 use super::execution::{self, ResponseResult};
@@ -26,6 +27,8 @@
 
 /// Maximum size of a request body; a larger one gets status 413.
 const MAX_BODY_BYTES: usize = 1_024 * 1_024;
+/// Announced rate limit that is no number.
+const GARBLED_RATE_LIMIT: &str = "-many";
 /// Time from the termination of a backend until it listens again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time between two samples of the reported state.
@@ -261,5 +264,21 @@
         return Ok(endpoints::serve(&state, &head.method, path, &body));
     }
     let request = Request::from_parts(head, ());
-    execution::serve(state, BackendRequest::new(&request, body)).await
+    let request = BackendRequest::new(&request, body);
+    let mut response = execution::serve(Arc::clone(&state), request).await?;
+    announce_rate_limit(&state, response.headers_mut());
+    Ok(response)
+}
+
+/// Adds the announced rate limit, which may be garbled, to the headers of a response.
+fn announce_rate_limit(state: &BackendState, headers: &mut HeaderMap) {
+    let faults = state.faults();
+    let text = match faults.rate_limit > 0.0 {
+        _ if state.should_inject(faults.garble_rate_limit) => GARBLED_RATE_LIMIT.to_owned(),
+        true => faults.rate_limit.to_string(),
+        false => return,
+    };
+    if let Ok(value) = HeaderValue::from_str(&text) {
+        headers.insert(names::RATE_LIMIT, value);
+    }
 }
--- a/crates/emulator/tests/backend_contract/faults.rs
+++ b/crates/emulator/tests/backend_contract/faults.rs
@@ -228,3 +228,25 @@
         assert!(body.contains(part), "{text}: {body}");
     }
 }
+
+#[tokio::test]
+async fn responses_announce_the_rate_limit_and_a_garbled_one() {
+    let deep = start("deep").await;
+    let table = [
+        (0.0, 0.0, None),
+        (5.8, 0.0, Some("5.8")),
+        (5.8, 1.0, Some("-many")),
+    ];
+    for (rate_limit, garble_rate_limit, expected) in table {
+        deep.set_faults(Faults {
+            rate_limit,
+            garble_rate_limit,
+            ..Faults::default()
+        });
+        let request = request(Method::GET, deep.address(), "/look?token=t&call=t-1");
+        let response = client().request(request).await.expect("response");
+        let announced = response.headers().get("wharfquay-rate-limit");
+        let announced = announced.map(|value| value.to_str().unwrap());
+        assert_eq!(announced, expected);
+    }
+}
--- a/crates/protocol/src/headers.rs
+++ b/crates/protocol/src/headers.rs
@@ -21,5 +21,8 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("wharfquay-deadline-ms");
 /// Name of the service that a call is for. If absent, the request's host determines the service.
 pub const SERVICE: HeaderName = HeaderName::from_static("wharfquay-service");
+/// Requests per second that a backend accepts from all daemons together, for as long as its responses
+/// contain the header.
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("wharfquay-rate-limit");
 /// Concurrency reported by a backend, in requests in execution. The value may be outdated or wrong.
 pub const REPORTED_LOAD: HeaderName = HeaderName::from_static("wharfquay-load");
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -1,5 +1,7 @@
 //! Metadata that a daemon returns to the calling daemon along with a response.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use wharfquay_core::call::RetryAllowance;
 use wharfquay_core::priority::AdmissionLevel;
@@ -37,6 +39,13 @@
     pub rate_limited_ms: u32,
 }
 
+/// Returns the value of [`ResponseMetadata::rate_limited_ms`], rounded up so that a limit that leaves no
+/// room never counts as one that does.
+#[must_use]
+pub fn rate_limited_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 /// Most responses come from backends without a rate limit and omit the field.
 #[expect(
     clippy::trivially_copy_pass_by_ref,
--- a/crates/sidecar/src/dialect.rs
+++ b/crates/sidecar/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use wharfquay_protocol::announcement::{self, Announcement};
 
 /// Names of the headers used by a platform's callers and backends.
 #[derive(Clone, Debug)]
@@ -26,26 +27,10 @@
     /// Requests per second that the instance accepts from all senders together, for as long as its
     /// responses contain the header.
     pub rate_limit: HeaderName,
-    /// Present with the value [`LEAVING`] in the responses of an instance that is leaving.
+    /// Present with the value 1 in the responses of an instance that is leaving.
     pub leaving: HeaderName,
 }
 
-/// Value of the header with which an instance announces that it is leaving.
-const LEAVING: &str = "1";
-/// Maximum length of an announced rate limit, in bytes.
-const MAX_RATE_LIMIT_LENGTH: usize = 32;
-
-/// Value of a header in which an instance announces something about itself.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Announcement<T> {
-    /// The response does not have the header.
-    Absent,
-    /// The announced value.
-    Valid(T),
-    /// The header can't be used; contains the begin of its value.
-    Malformed(String),
-}
-
 impl Dialect {
     /// Returns the request id; `None` if it is missing, empty or not text.
     #[must_use]
@@ -60,30 +45,16 @@
         Some(Duration::from_millis(millis))
     }
 
-    /// Returns the rate limit that a response announces: a finite number above zero, in requests
-    /// per second. A header that occurs twice is malformed.
+    /// Returns the rate limit that a response announces, in requests per second.
     #[must_use]
     pub fn rate_limit(&self, headers: &HeaderMap) -> Announcement<f64> {
-        let mut values = headers.get_all(&self.rate_limit).iter();
-        let Some(value) = values.next() else {
-            return Announcement::Absent;
-        };
-        match parse_rate(value) {
-            Some(rate) if values.next().is_none() => Announcement::Valid(rate),
-            _ => Announcement::Malformed(excerpt(value)),
-        }
+        announcement::rate_limit(headers, &self.rate_limit)
     }
 
     /// Returns whether a response announces that its instance is leaving.
     #[must_use]
     pub fn leaving(&self, headers: &HeaderMap) -> Announcement<()> {
-        let values = headers.get_all(&self.leaving);
-        let is_leaving = |value: &HeaderValue| value.as_bytes() == LEAVING.as_bytes();
-        match values.iter().next() {
-            None => Announcement::Absent,
-            Some(_) if values.iter().any(is_leaving) => Announcement::Valid(()),
-            Some(value) => Announcement::Malformed(excerpt(value)),
-        }
+        announcement::leaving(headers, &self.leaving)
     }
 
     /// Returns the response headers of the backend that the sidecar reads.
@@ -106,19 +77,6 @@
     }
 }
 
-fn parse_rate(value: &HeaderValue) -> Option<f64> {
-    let text = value.to_str().ok()?.trim();
-    let rate: f64 = text.parse().ok()?;
-    let is_usable = text.len() <= MAX_RATE_LIMIT_LENGTH && rate.is_finite() && rate > 0.0;
-    is_usable.then_some(rate)
-}
-
-/// Returns the begin of a value for a log line.
-fn excerpt(value: &HeaderValue) -> String {
-    let text = String::from_utf8_lossy(value.as_bytes());
-    text.chars().take(MAX_RATE_LIMIT_LENGTH).collect()
-}
-
 /// Returns a header's value as text; `None` if it is missing or not visible ASCII.
 #[must_use]
 pub fn text<'headers>(headers: &'headers HeaderMap, name: &HeaderName) -> Option<&'headers str> {
--- a/crates/sidecar/src/inbound/announcements.rs
+++ b/crates/sidecar/src/inbound/announcements.rs
@@ -1,10 +1,5 @@
 //! What an instance of the backend announces about itself in its responses: a rate limit, and that
 //! it is leaving.
-//!
-//! A stricter rate limit applies at once. A looser one, or none, applies only if the request of the
-//! response was sent after the stricter one had been received: responses on different connections
-//! may overtake each other. A malformed value is ignored, and the last valid one stays in force,
-//! because a backend that announces anything is in need.
 
 #[cfg(test)]
 mod tests;
@@ -15,193 +10,147 @@
 use http::HeaderMap;
 use wharfquay_core::admission::RequestProgress;
 use wharfquay_core::priority::AdmissionKey;
-use wharfquay_core::rate_limit::ArrivalLimit;
+use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes};
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::sync::lock;
+use wharfquay_protocol::announcement::Announcement;
 
-use crate::dialect::{Announcement, Dialect};
+use crate::dialect::Dialect;
 use crate::events::Event;
 use crate::instance::InstanceId;
 use crate::log_event;
 
-/// Rate for an instance whose announcements are not known, in calls per second. It admits enough
-/// calls to learn them from the first response.
-const UNKNOWN_RATE: f64 = 2.0;
 /// Minimum time between two log lines about a changed rate limit.
 const CHANGE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time and origin of a response that is read.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ResponseOrigin<'response> {
-    pub(super) instance: &'response InstanceId,
-    /// Time at which the request was sent.
-    pub(super) sent_at: Timestamp,
-    pub(super) received_at: Timestamp,
-}
-
 /// The announcements of one instance.
 #[derive(Debug)]
 pub(crate) struct Announcements {
+    instance: InstanceId,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    /// Limit in force, from the announced rate or because the announcements are unknown.
-    limit: Option<ArrivalLimit>,
-    /// Announced rate limit in requests per second; `None` if there is none.
-    announced_rate: Option<f64>,
-    /// Time at which the rate in force was last received.
-    confirmed_at: Timestamp,
+    limit: AnnouncedLimit,
     log: LoggedState,
 }
 
 /// What was logged last.
 #[derive(Debug, Default)]
 struct LoggedState {
-    rate_limit: Option<f64>,
+    rate: Option<f64>,
     changed_at: Timestamp,
     is_malformed: bool,
 }
 
 impl Announcements {
     /// Creates the announcements of an instance that has made none.
-    pub(super) fn none() -> Self {
-        Self {
-            state: Mutex::default(),
-        }
+    pub(super) fn none(instance: InstanceId) -> Self {
+        Self::with_limit(instance, AnnouncedLimit::default())
     }
 
-    /// Creates the announcements of an instance that may have made some to an earlier process. It
-    /// gets few calls until its first response.
-    pub(super) fn unknown(now: Timestamp) -> Self {
+    /// Creates the announcements of an instance that may have made some to an earlier process.
+    pub(super) fn unknown(instance: InstanceId, now: Timestamp) -> Self {
+        Self::with_limit(instance, AnnouncedLimit::unknown(now))
+    }
+
+    fn with_limit(instance: InstanceId, limit: AnnouncedLimit) -> Self {
         let state = State {
-            limit: Some(ArrivalLimit::with_burst(now, UNKNOWN_RATE)),
+            limit,
             ..State::default()
         };
         Self {
+            instance,
             state: Mutex::new(state),
         }
     }
 
     /// Returns the announced rate limit in requests per second; `None` if there is none.
     pub(crate) fn rate_limit(&self) -> Option<f64> {
-        lock(&self.state).announced_rate
+        lock(&self.state).limit.rate()
     }
 
-    /// Returns whether a limit applies and leaves no room for a call.
-    pub(super) fn is_limited(
+    /// Returns true if the rate limit leaves no room for a call.
+    pub(super) fn is_exhausted(
         &self,
         now: Timestamp,
         key: AdmissionKey,
         progress: RequestProgress,
     ) -> bool {
-        let mut state = lock(&self.state);
-        let limit = state.limit.as_mut();
-        limit.is_some_and(|limit| !limit.wait(now, key, progress).is_zero())
+        lock(&self.state).limit.is_exhausted(now, key, progress)
     }
 
-    /// Admits and counts a call that is about to be sent. Returns false if the limit leaves no room
-    /// for it.
+    /// Admits and counts a call that is about to be sent. Returns false if the rate limit leaves no
+    /// room for it.
     pub(super) fn admit(
         &self,
         now: Timestamp,
         key: AdmissionKey,
         progress: RequestProgress,
     ) -> bool {
-        let mut state = lock(&self.state);
-        let limit = state.limit.as_mut();
-        limit.is_none_or(|limit| limit.admit(now, key, progress))
+        lock(&self.state).limit.admit(now, key, progress)
     }
 
-    /// Counts a call that the limit refused and returns its Retry-After.
+    /// Counts a call that the rate limit refused and returns its Retry-After.
     pub(super) fn refuse(&self, now: Timestamp, key: AdmissionKey) -> Duration {
-        let mut state = lock(&self.state);
-        let limit = state.limit.as_mut();
-        limit.map_or(Duration::ZERO, |limit| {
-            limit.refuse(now, key, rand::random())
-        })
+        lock(&self.state).limit.refuse(now, key, rand::random())
     }
 
-    /// Returns the time for which the limit leaves no room for any call; zero without a limit.
-    pub(super) fn limited_for(&self, now: Timestamp) -> Duration {
-        let mut state = lock(&self.state);
-        let limit = state.limit.as_mut();
-        limit.map_or(Duration::ZERO, |limit| {
-            limit.wait(now, AdmissionKey::FIRST, RequestProgress::InProgress)
-        })
+    /// Returns the time for which the rate limit leaves no room for any call.
+    pub(super) fn exhausted_for(&self, now: Timestamp) -> Duration {
+        lock(&self.state).limit.exhausted_for(now)
     }
 
     /// Reads the headers of a response of the instance. Returns true if it announces that it is
     /// leaving.
     pub(super) fn read(
         &self,
-        origin: ResponseOrigin<'_>,
+        times: ExchangeTimes,
         dialect: &Dialect,
         headers: &HeaderMap,
     ) -> bool {
         let mut state = lock(&self.state);
         match dialect.rate_limit(headers) {
-            Announcement::Absent => state.record_rate(origin, None),
+            Announcement::Absent => state.limit.record(times, None),
             Announcement::Valid(rate) => {
-                state.record_rate(origin, Some(rate));
+                state.limit.record(times, Some(rate));
                 state.log.is_malformed = false;
             }
             Announcement::Malformed(value) => {
-                let last_valid = state.announced_rate;
-                state.record_rate(origin, last_valid);
-                state.log_malformed(origin.instance, dialect.rate_limit.as_str(), &value);
+                state.limit.record_malformed(times);
+                self.log_malformed(&mut state.log, dialect.rate_limit.as_str(), &value);
             }
         }
         let leaving = dialect.leaving(headers);
         if let Announcement::Malformed(value) = &leaving {
-            state.log_malformed(origin.instance, dialect.leaving.as_str(), value);
+            self.log_malformed(&mut state.log, dialect.leaving.as_str(), value);
         }
+        self.log_rate(&mut state, times.received_at);
         leaving == Announcement::Valid(())
     }
-}
-
-impl State {
-    fn record_rate(&mut self, origin: ResponseOrigin<'_>, rate: Option<f64>) {
-        let is_looser =
-            rate.unwrap_or(f64::INFINITY) > self.announced_rate.unwrap_or(f64::INFINITY);
-        if is_looser && origin.sent_at < self.confirmed_at {
-            return;
-        }
-        self.announced_rate = rate;
-        self.confirmed_at = origin.received_at;
-        self.apply_rate(origin.received_at);
-        self.log_rate(origin);
-    }
-
-    fn apply_rate(&mut self, now: Timestamp) {
-        match (self.announced_rate, &mut self.limit) {
-            (None, limit) => *limit = None,
-            (Some(rate), Some(limit)) => limit.set_rate(now, rate),
-            (Some(rate), limit) => *limit = Some(ArrivalLimit::new(now, rate)),
-        }
-    }
 
-    fn log_rate(&mut self, origin: ResponseOrigin<'_>) {
-        let (rate, previous) = (self.announced_rate, self.log.rate_limit);
+    fn log_rate(&self, state: &mut State, now: Timestamp) {
+        let (rate, previous) = (state.limit.rate(), state.log.rate);
         let is_change_of_value = previous.is_some() && rate.is_some();
-        let is_too_early = origin.received_at < self.log.changed_at + CHANGE_LOG_INTERVAL;
+        let is_too_early = now < state.log.changed_at + CHANGE_LOG_INTERVAL;
         if previous == rate || (is_change_of_value && is_too_early) {
             return;
         }
-        self.log.rate_limit = rate;
-        self.log.changed_at = origin.received_at;
+        state.log.rate = rate;
+        state.log.changed_at = now;
         log_event!(
             Event::RateLimitAnnounced,
             "instance={} per_second={} previous={}",
-            origin.instance,
+            self.instance,
             rate_text(rate),
             rate_text(previous),
         );
     }
 
-    fn log_malformed(&mut self, instance: &InstanceId, header: &str, value: &str) {
-        if !std::mem::replace(&mut self.log.is_malformed, true) {
+    fn log_malformed(&self, log: &mut LoggedState, header: &str, value: &str) {
+        if !std::mem::replace(&mut log.is_malformed, true) {
+            let instance = &self.instance;
             log_event!(
                 Event::AnnouncementMalformed,
                 "instance={instance} header={header} value={value:?}"
@@ -211,6 +160,6 @@
 }
 
 /// Returns a rate limit as it is logged.
-pub(super) fn rate_text(rate_limit: Option<f64>) -> String {
-    rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+fn rate_text(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
 }
--- a/crates/sidecar/src/inbound/announcements/tests.rs
+++ b/crates/sidecar/src/inbound/announcements/tests.rs
@@ -1,7 +1,6 @@
 use http::HeaderValue;
 
 use super::*;
-use crate::dialect::Dialect;
 
 fn dialect() -> Dialect {
     let name = http::HeaderName::from_static;
@@ -29,18 +28,17 @@
     if let Some(rate) = rate {
         headers.insert("rate-limit", HeaderValue::from_str(rate).unwrap());
     }
-    let origin = ResponseOrigin {
-        instance: &InstanceId::from("i-1"),
+    let times = ExchangeTimes {
         sent_at: at(sent_at),
         received_at: at(received_at),
     };
-    announcements.read(origin, &dialect(), &headers);
+    announcements.read(times, &dialect(), &headers);
 }
 
 /// Guards against a limit that a response lifts although the backend sent it before the limit.
 #[test]
 fn a_response_to_an_earlier_request_does_not_loosen_a_limit() {
-    let announcements = Announcements::none();
+    let announcements = Announcements::none(InstanceId::from("i-1"));
     read(&announcements, 10, 20, Some("5"));
     read(&announcements, 15, 30, None);
     read(&announcements, 15, 30, Some("50"));
@@ -54,7 +52,7 @@
 /// Guards against a stricter limit that applies late.
 #[test]
 fn a_response_to_an_earlier_request_tightens_a_limit() {
-    let announcements = Announcements::none();
+    let announcements = Announcements::none(InstanceId::from("i-1"));
     read(&announcements, 10, 20, Some("50"));
     read(&announcements, 5, 30, Some("5"));
     assert_eq!(announcements.rate_limit(), Some(5.0));
@@ -63,7 +61,7 @@
 /// Guards against a garbled value that lifts a limit.
 #[test]
 fn a_malformed_rate_keeps_the_last_valid_one() {
-    let announcements = Announcements::none();
+    let announcements = Announcements::none(InstanceId::from("i-1"));
     read(&announcements, 10, 20, Some("5"));
     read(&announcements, 30, 40, Some("1e400"));
     assert_eq!(announcements.rate_limit(), Some(5.0));
@@ -75,7 +73,7 @@
 /// Guards against a burst at a backend whose limit an earlier process knew.
 #[test]
 fn an_instance_with_unknown_announcements_gets_few_calls_until_its_first_response() {
-    let announcements = Announcements::unknown(at(0));
+    let announcements = Announcements::unknown(InstanceId::from("i-1"), at(0));
     let admitted = |until: u64| {
         let times = (0..until).step_by(10);
         times
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -248,8 +248,10 @@
             pool,
             termination: TerminationDetector::new(self.address, self.clock),
             announcements: match announcements {
-                EarlierAnnouncements::None => Announcements::none(),
-                EarlierAnnouncements::Unknown => Announcements::unknown(self.clock.now()),
+                EarlierAnnouncements::None => Announcements::none(id.clone()),
+                EarlierAnnouncements::Unknown => {
+                    Announcements::unknown(id.clone(), self.clock.now())
+                }
             },
             leaving: AtomicBool::new(false),
             slots: Mutex::new(slots),
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::rate_limit::ExchangeTimes;
 use wharfquay_core::retry::Backoff;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::backend_pool::{BackendError, Lease, SendError};
@@ -15,9 +16,8 @@
 use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_response_headers};
 use wharfquay_daemon::response::Failure;
 
-use super::announcements::ResponseOrigin;
 use super::backend::OpenInstance;
-use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER, progress};
+use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER};
 use super::response::{ResponseClass, classify, is_from_instance};
 use super::termination_detector::{ExecutingRequest, InExecutionGuard, ProbeResult};
 use crate::body::{Collected, collect, remove_length};
@@ -126,7 +126,7 @@
         let (now, key) = (self.clock.now(), context.admission_key());
         instance
             .announcements
-            .is_limited(now, key, progress(context))
+            .is_exhausted(now, key, context.progress())
     }
 
     fn rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> Failure {
@@ -216,7 +216,7 @@
             let mut lease = self.checkout(instance).await?;
             let sent_at = self.clock.now();
             let key = call.context.admission_key();
-            let progress = progress(call.context);
+            let progress = call.context.progress();
             is_admitted = is_admitted || instance.announcements.admit(sent_at, key, progress);
             if !is_admitted {
                 // The connection was not used.
@@ -270,15 +270,14 @@
         if !is_from_instance(&self.dialect, call.request_id, &instance.id, response) {
             return;
         }
-        let origin = ResponseOrigin {
-            instance: &instance.id,
+        let times = ExchangeTimes {
             sent_at,
             received_at: self.clock.now(),
         };
         let headers = response.headers();
         self.unread_headers.report(&self.dialect, headers);
         let announcements = &instance.announcements;
-        if announcements.read(origin, &self.dialect, headers) && !instance.is_leaving() {
+        if announcements.read(times, &self.dialect, headers) && !instance.is_leaving() {
             log_event!(Event::LeavingAnnounced, "instance={}", instance.id);
             instance.close();
             if self.backend.is_current(instance) {
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use wharfquay_core::admission::{Completion, Load, RequestProgress};
+use wharfquay_core::admission::{Completion, Load};
 use wharfquay_core::call::{CallContext, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::AdmissionLevel;
@@ -17,7 +17,7 @@
 use wharfquay_daemon::clock::Clock;
 use wharfquay_daemon::inbound::gate::{AdmissionRequest, Permit};
 use wharfquay_daemon::response::Failure;
-use wharfquay_protocol::response::ResponseMetadata;
+use wharfquay_protocol::response::{ResponseMetadata, rate_limited_ms};
 
 use super::backend::{LocalBackend, OpenInstance};
 use super::dispatch::{AdmittedCall, BackendResponse};
@@ -32,8 +32,6 @@
 use crate::quarantine::Quarantine;
 use crate::scopes::{OpenScope, ScopeTable};
 
-/// Depth of a request at the backend that its client sent it to.
-const CLIENT_REQUEST_DEPTH: u8 = 1;
 /// Maximum time for which a call may wait for admission to the backend. A longer one for calls on
 /// behalf of requests in execution brought no benefit (docs/design/decisions.md).
 const MAX_ADMISSION_WAIT: Duration = Duration::from_millis(100);
@@ -187,7 +185,7 @@
         let (level, load, limited_for) = match instance {
             Some(instance) => {
                 let report = instance.gate.report();
-                let limited_for = instance.announcements.limited_for(self.clock.now());
+                let limited_for = instance.announcements.exhausted_for(self.clock.now());
                 (report.level, report.load, limited_for)
             }
             None => (AdmissionLevel::OPEN, Load::default(), Duration::ZERO),
@@ -200,32 +198,18 @@
             in_flight: load.in_flight,
             limit: load.limit,
             queued: load.queued,
-            rate_limited_ms: round_up_millis(limited_for),
+            rate_limited_ms: rate_limited_ms(limited_for),
         }
     }
 }
 
-/// Rounds up, so that a limit that leaves no room never counts as one that does.
-fn round_up_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
-}
-
-/// Returns whether work was already done for the originating request of a call.
-pub(super) fn progress(context: &CallContext) -> RequestProgress {
-    if context.depth > CLIENT_REQUEST_DEPTH {
-        RequestProgress::InProgress
-    } else {
-        RequestProgress::New
-    }
-}
-
 /// Returns the admission parameters of a call.
 fn admission_request(context: &CallContext) -> AdmissionRequest {
     AdmissionRequest {
         key: context.admission_key(),
         deadline: context.deadline,
         max_queue_wait: Some(MAX_ADMISSION_WAIT),
-        progress: progress(context),
+        progress: context.progress(),
         admitted_below: context.admitted_below,
     }
 }
