Offer a call that a rate limit refused to backends without a limit first

What callers would see: refusals although another backend of the service has room.

Cause: the response metadata said for how long there is no room for any call. Room is kept for important calls, so for the others that time was nearly always zero, and nobody preferred other sidecars. What was known expired after 250 ms, less than the time between two calls of one sidecar.

An endpoint without room is still picked if there is no other, since its sidecar decides by rank.

no_call_is_refused_while_one_backend_has_room and the tests of the router guard it.

--- a/crates/core/src/priority.rs
+++ b/crates/core/src/priority.rs
@@ -58,6 +58,8 @@
 impl Rank {
     /// Number of distinct ranks inside one priority.
     pub const COUNT: u16 = 4096;
+    /// Rank that is refused first.
+    pub const LAST: Self = Self(Self::COUNT - 1);
 
     /// Returns the rank of an originating request.
     #[must_use]
--- a/crates/core/src/rate_limit/announced.rs
+++ b/crates/core/src/rate_limit/announced.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::admission::RequestProgress;
-use crate::priority::AdmissionKey;
+use crate::priority::{AdmissionKey, Priority, Rank};
 use crate::time::Timestamp;
 
 use super::ArrivalLimit;
@@ -99,11 +99,13 @@
         limit.map_or(Duration::ZERO, |limit| limit.refuse(now, key, position))
     }
 
-    /// Returns the time for which the limit leaves no room for any call; zero without a limit.
-    pub fn exhausted_for(&mut self, now: Timestamp) -> Duration {
+    /// Returns the time for which the limit leaves no room for the calls of a priority; zero without a
+    /// limit.
+    pub fn exhausted_for(&mut self, now: Timestamp, priority: Priority) -> Duration {
+        let key = AdmissionKey::new(priority, Rank::LAST);
         let limit = self.limit.as_mut();
         limit.map_or(Duration::ZERO, |limit| {
-            limit.wait(now, AdmissionKey::FIRST, RequestProgress::InProgress)
+            limit.wait(now, key, RequestProgress::New)
         })
     }
 }
--- a/crates/core/src/routing/entry.rs
+++ b/crates/core/src/routing/entry.rs
@@ -18,6 +18,10 @@
 /// or lifted at any time.
 const MAX_RATE_LIMITED: Duration = Duration::from_millis(250);
 
+/// Time for which an endpoint whose rate limit left no room is the second choice for calls that another
+/// one refused because of its rate limit.
+const RATE_LIMIT_MEMORY: Duration = Duration::from_secs(5);
+
 /// Load that an endpoint reported last.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -34,41 +38,36 @@
     pub(super) local: bool,
     pub(super) in_flight: u32,
     pub(super) hold: Option<Hold>,
-    rate_limited: Option<RateLimited>,
+    rate_limited_until: Timestamp,
     pub(super) ejections: u32,
     level: ReceivedLevel,
     report: Option<Report>,
     stats: EndpointStats,
 }
 
-/// A rate limit that leaves an endpoint no room for calls.
-#[derive(Clone, Copy, Debug)]
-struct RateLimited {
-    until: Timestamp,
-    /// Retry-After of calls that no other endpoint can take.
-    retry_after: Duration,
-}
-
-/// Policy on using ejected endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum EjectedPolicy {
-    /// Use only endpoints that are not ejected.
-    Exclude,
-    /// Use ejected endpoints too: an unreliable endpoint is better than none.
-    Include,
+/// Endpoints that a pick may use; each tier includes the earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum PickTier {
+    /// Endpoints whose rate limit, if there is one, left room for all recent calls.
+    Unlimited,
+    /// Endpoints that are neither ejected nor short of room under a rate limit.
+    Preferred,
+    /// Also endpoints whose rate limit left no room for an earlier call. They decide about each call
+    /// themselves.
+    RateLimited,
+    /// Also ejected endpoints: an unreliable endpoint is better than none.
+    Ejected,
 }
 
 /// Reason for which an endpoint can't take a call now, with the time until it may.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum UnusableReason {
-    /// The endpoint refused a call as leaving, or is ejected.
+    /// The endpoint refused a call as leaving, is ejected, or has no room under a rate limit.
     Unavailable(Duration),
     /// All connections are in use.
     Connections(Duration),
     /// The admission level refuses the call.
     Level(Duration),
-    /// The rate limit that the backend announces leaves no room.
-    RateLimit(Duration),
 }
 
 impl Entry {
@@ -79,7 +78,7 @@
             local,
             in_flight: 0,
             hold: None,
-            rate_limited: None,
+            rate_limited_until: Timestamp::ZERO,
             ejections: 0,
             level: ReceivedLevel::default(),
             report: None,
@@ -119,16 +118,14 @@
         &self,
         now: Timestamp,
         key: AdmissionKey,
-        ejected: EjectedPolicy,
+        tier: PickTier,
         settings: &RouterSettings,
     ) -> Result<(), UnusableReason> {
-        self.check_hold(now, ejected)?;
+        self.check_hold(now, tier)?;
         if self.in_flight >= self.endpoint.connections {
             return Err(UnusableReason::Connections(settings.connection_hold));
         }
-        if let Some(limited) = self.rate_limited.filter(|limited| now < limited.until) {
-            return Err(UnusableReason::RateLimit(limited.retry_after));
-        }
+        self.check_rate_limit(now, tier)?;
         let wait = self.level.wait_for(now, settings.level_reopen, key);
         if wait > Duration::ZERO {
             return Err(UnusableReason::Level(wait));
@@ -136,14 +133,27 @@
         Ok(())
     }
 
-    fn check_hold(&self, now: Timestamp, ejected: EjectedPolicy) -> Result<(), UnusableReason> {
+    fn check_rate_limit(&self, now: Timestamp, tier: PickTier) -> Result<(), UnusableReason> {
+        let limited_until = match tier {
+            PickTier::Unlimited => self.rate_limited_until + RATE_LIMIT_MEMORY,
+            PickTier::Preferred => self.rate_limited_until,
+            PickTier::RateLimited | PickTier::Ejected => return Ok(()),
+        };
+        if self.rate_limited_until > Timestamp::ZERO && now < limited_until {
+            let wait = limited_until.saturating_since(now);
+            return Err(UnusableReason::Unavailable(wait));
+        }
+        Ok(())
+    }
+
+    fn check_hold(&self, now: Timestamp, tier: PickTier) -> Result<(), UnusableReason> {
         let Some(hold) = self.hold.filter(|hold| hold.is_active(now)) else {
             return Ok(());
         };
         let wait = hold.until.saturating_since(now);
         match hold.reason {
             HoldReason::ConnectionLimit => Err(UnusableReason::Connections(wait)),
-            HoldReason::Ejected if ejected == EjectedPolicy::Include => Ok(()),
+            HoldReason::Ejected if tier >= PickTier::Ejected => Ok(()),
             HoldReason::Ejected | HoldReason::Leaving => Err(UnusableReason::Unavailable(wait)),
         }
     }
@@ -190,23 +200,16 @@
         }
     }
 
-    /// Records for how long the rate limit of the endpoint leaves no room; zero if it has room. A
-    /// `retry_after` of zero keeps the previous one.
-    pub(super) fn record_rate_limit(
-        &mut self,
-        now: Timestamp,
-        limited_for: Duration,
-        retry_after: Duration,
-    ) {
-        let previous = self.rate_limited.map(|limited| limited.retry_after);
-        let retry_after = match retry_after.is_zero() {
-            true => previous.unwrap_or(limited_for),
-            false => retry_after,
+    /// Records for how long the rate limit of the endpoint leaves no room; zero if it has room.
+    pub(super) fn record_rate_limit(&mut self, now: Timestamp, limited_for: Duration) {
+        // A report of room ends an earlier report, not the memory of it.
+        let until = now + limited_for.min(MAX_RATE_LIMITED);
+        let had_report = self.rate_limited_until > Timestamp::ZERO;
+        self.rate_limited_until = match limited_for.is_zero() {
+            true if had_report => self.rate_limited_until.min(now),
+            true => Timestamp::ZERO,
+            false => until,
         };
-        self.rate_limited = (!limited_for.is_zero()).then(|| RateLimited {
-            until: now + limited_for.min(MAX_RATE_LIMITED),
-            retry_after,
-        });
     }
 
     /// Returns true if enough attempts failed to eject the endpoint.
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -10,7 +10,7 @@
 
 use super::balance::Pool;
 use super::endpoint::{Endpoint, EndpointId, EndpointState, Zone};
-use super::entry::{EjectedPolicy, Entry, UnusableReason};
+use super::entry::{Entry, PickTier, UnusableReason};
 use super::hold::HoldReason;
 use super::locality::{self, CandidateIndexes};
 use super::observation::Observation;
@@ -112,20 +112,46 @@
 
     /// Picks an endpoint for a call. The driver must report its use with [`Router::dispatched`].
     pub fn pick(&self, now: Timestamp, rng: &mut impl Rng, request: &PickRequest<'_>) -> Pick {
-        let others = self.pool(now, request, EjectedPolicy::Exclude);
-        let all = self.pool(now, request, EjectedPolicy::Include);
-        let picked = locality::pick(&others, &self.candidates, &self.settings, rng)
-            .or_else(|| locality::pick(&all, &self.candidates, &self.settings, rng));
-        match picked {
-            Some(candidate) => Pick::Endpoint(self.entries[candidate.index].endpoint.id.clone()),
-            None => self.no_endpoint(now, rng, request),
-        }
+        let tiers = [
+            PickTier::Preferred,
+            PickTier::RateLimited,
+            PickTier::Ejected,
+        ];
+        let picked = tiers
+            .into_iter()
+            .find_map(|tier| self.pick_in_tier(now, rng, request, tier));
+        picked.unwrap_or_else(|| self.no_endpoint(now, rng, request))
+    }
+
+    /// Picks an endpoint for a call that another one refused because of its rate limit: if possible,
+    /// one whose rate limit left room for all recent calls.
+    pub fn pick_after_rate_limit(
+        &self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        request: &PickRequest<'_>,
+    ) -> Pick {
+        self.pick_in_tier(now, rng, request, PickTier::Unlimited)
+            .unwrap_or_else(|| self.pick(now, rng, request))
+    }
+
+    fn pick_in_tier(
+        &self,
+        now: Timestamp,
+        rng: &mut impl Rng,
+        request: &PickRequest<'_>,
+        tier: PickTier,
+    ) -> Option<Pick> {
+        let pool = self.pool(now, request, tier);
+        let picked = locality::pick(&pool, &self.candidates, &self.settings, rng)?;
+        let id = self.entries[picked.index].endpoint.id.clone();
+        Some(Pick::Endpoint(id))
     }
 
     /// Returns true if some endpoint can take the call.
     #[must_use]
     pub fn can_pick(&self, now: Timestamp, request: &PickRequest<'_>) -> bool {
-        let pool = self.pool(now, request, EjectedPolicy::Include);
+        let pool = self.pool(now, request, PickTier::Ejected);
         self.candidate_indexes().any(|index| pool.is_usable(index))
     }
 
@@ -191,16 +217,15 @@
     }
 
     /// Records for how long the rate limit that a backend announces leaves no room for calls; zero if
-    /// it has room. `retry_after` is the Retry-After of a refused call; zero if none was refused.
+    /// it has room. Until then other endpoints are preferred.
     pub fn record_rate_limit(
         &mut self,
         now: Timestamp,
         endpoint: &EndpointId,
         limited_for: Duration,
-        retry_after: Duration,
     ) {
         if let Some(entry) = self.entry_mut(endpoint) {
-            entry.record_rate_limit(now, limited_for, retry_after);
+            entry.record_rate_limit(now, limited_for);
         }
     }
 
@@ -244,13 +269,13 @@
         &'view self,
         now: Timestamp,
         request: &'view PickRequest<'view>,
-        ejected: EjectedPolicy,
+        tier: PickTier,
     ) -> PoolView<'view> {
         PoolView {
             router: self,
             now,
             request,
-            ejected,
+            tier,
         }
     }
 
@@ -355,7 +380,7 @@
         let mut wait: Option<Duration> = None;
         for index in self.candidate_indexes() {
             let entry = &self.entries[index];
-            let check = entry.check(now, request.key, EjectedPolicy::Include, &self.settings);
+            let check = entry.check(now, request.key, PickTier::Ejected, &self.settings);
             let Err(unusable) = check else {
                 continue;
             };
@@ -363,7 +388,6 @@
                 UnusableReason::Unavailable(wait) => (ResultCode::NoBackend, wait),
                 UnusableReason::Connections(wait) => (ResultCode::ConnectionLimit, wait),
                 UnusableReason::Level(wait) => (ResultCode::RefusedByLevel, wait),
-                UnusableReason::RateLimit(wait) => (ResultCode::RateLimited, wait),
             };
             reason = more_specific(reason, found);
             wait = Some(wait.map_or(found_wait, |least| least.min(found_wait)));
@@ -380,7 +404,6 @@
 /// Returns the reason of the two that is closer to an endpoint being able to take the call.
 fn more_specific(left: ResultCode, right: ResultCode) -> ResultCode {
     let order = |code| match code {
-        ResultCode::RateLimited => 3,
         ResultCode::RefusedByLevel => 2,
         ResultCode::ConnectionLimit => 1,
         _ => 0,
@@ -397,7 +420,7 @@
     router: &'view Router,
     now: Timestamp,
     request: &'view PickRequest<'view>,
-    ejected: EjectedPolicy,
+    tier: PickTier,
 }
 
 impl Pool for PoolView<'_> {
@@ -407,7 +430,7 @@
             return false;
         }
         let settings = &self.router.settings;
-        let check = entry.check(self.now, self.request.key, self.ejected, settings);
+        let check = entry.check(self.now, self.request.key, self.tier, settings);
         check.is_ok()
     }
 
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -9,6 +9,7 @@
 use wharfquay_core::admission::{AdmissionSettings, Completion};
 use wharfquay_core::call::{CallContext, RetryAllowance};
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
 use wharfquay_protocol::context::WireContext;
 use wharfquay_protocol::headers as names;
 use wharfquay_protocol::response::{ResponseMetadata, rate_limited_ms};
@@ -109,6 +110,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Failure> {
         let kind = context.request_kind.clone();
+        let priority = context.priority;
         let allowance = context.allowance;
         let result = self.admit_and_dispatch(context, request).await;
         let (mut response, returned) = match result {
@@ -118,7 +120,7 @@
                 failed.returned.unwrap_or(allowance),
             ),
         };
-        let metadata = self.metadata(&kind, returned);
+        let metadata = self.metadata(&kind, priority, returned);
         set_metadata(response.headers_mut(), &metadata);
         Ok(response)
     }
@@ -185,7 +187,12 @@
         (Response::from_parts(parts, body), returned)
     }
 
-    fn metadata(&self, request_kind: &str, unused_retries: RetryAllowance) -> ResponseMetadata {
+    fn metadata(
+        &self,
+        request_kind: &str,
+        priority: Priority,
+        unused_retries: RetryAllowance,
+    ) -> ResponseMetadata {
         let report = self.backend.gate.report();
         let snapshot = self.node.control.snapshot.borrow().clone();
         let below = self.level_below(&snapshot, request_kind);
@@ -197,7 +204,7 @@
             in_flight: report.load.in_flight,
             limit: report.load.limit,
             queued: report.load.queued,
-            rate_limited_ms: rate_limited_ms(self.backend.rate_limit.exhausted_for()),
+            rate_limited_ms: rate_limited_ms(self.backend.rate_limit.exhausted_for(priority)),
         }
     }
 
--- a/crates/daemon/src/inbound/rate_limit.rs
+++ b/crates/daemon/src/inbound/rate_limit.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
 use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes};
 use wharfquay_core::time::Timestamp;
 use wharfquay_protocol::announcement::{self, Announcement};
@@ -69,9 +70,10 @@
         lock(&self.state).limit.rate()
     }
 
-    /// Returns the time for which the limit leaves no room for any call.
-    pub(crate) fn exhausted_for(&self) -> Duration {
-        lock(&self.state).limit.exhausted_for(self.clock.now())
+    /// Returns the time for which the limit leaves no room for the calls of a priority.
+    pub(crate) fn exhausted_for(&self, priority: Priority) -> Duration {
+        let now = self.clock.now();
+        lock(&self.state).limit.exhausted_for(now, priority)
     }
 
     /// Reads the headers of a response to a request that was sent at `sent_at`.
--- a/crates/daemon/src/outbound/attempt.rs
+++ b/crates/daemon/src/outbound/attempt.rs
@@ -186,34 +186,31 @@
     }
 
     /// Reports that the attempt failed without a response of the backend.
-    pub(crate) fn failed(mut self, failure: Failure) {
+    pub(crate) fn failed(mut self, code: ResultCode) {
         let now = self.clock.now();
-        let Failure { code, retry_after } = failure;
         match code {
             ResultCode::Draining => self.route.refused_as_leaving(now, &self.target.id),
             ResultCode::ConnectionLimit => self.route.connection_refused(now, &self.target.id),
             // The call was not sent, which shows nothing else about the endpoint.
-            ResultCode::RateLimited => return self.record_rate_limit(now, retry_after),
+            ResultCode::RateLimited => return self.record_rate_limit(now),
             _ => {}
         }
         self.observe(code.outcome(), is_overload(code));
     }
 
-    /// Records for how long the rate limit of the endpoint leaves no room. `retry_after` is the
-    /// Retry-After of a refused call; zero if it was not refused.
-    fn record_rate_limit(&self, now: Timestamp, retry_after: Duration) {
-        let limited_ms = self.metadata.map_or(0, |metadata| metadata.rate_limited_ms);
-        let limited_for = Duration::from_millis(u64::from(limited_ms));
-        self.route
-            .record_rate_limit(now, &self.target.id, limited_for, retry_after);
+    /// Records for how long the rate limit of the endpoint leaves no room.
+    fn record_rate_limit(&self, now: Timestamp) {
+        if let Some(metadata) = self.metadata {
+            let limited_for = Duration::from_millis(u64::from(metadata.rate_limited_ms));
+            self.route
+                .record_rate_limit(now, &self.target.id, limited_for);
+        }
     }
 
     fn observe(&mut self, outcome: OutcomeClass, overloaded: bool) {
         self.ended = true;
         let now = self.clock.now();
-        if self.metadata.is_some() {
-            self.record_rate_limit(now, Duration::ZERO);
-        }
+        self.record_rate_limit(now);
         let observation = Observation {
             latency: now.saturating_since(self.started),
             outcome,
--- a/crates/daemon/src/outbound/forward.rs
+++ b/crates/daemon/src/outbound/forward.rs
@@ -252,7 +252,7 @@
                 Ok(self.relay(call, response, flight))
             }
             Err(failure) => {
-                flight.failed(failure);
+                flight.failed(failure.code);
                 Err(failure)
             }
         }
--- a/crates/daemon/src/outbound/routes.rs
+++ b/crates/daemon/src/outbound/routes.rs
@@ -187,18 +187,17 @@
         lock(&self.state).router.discard_attempt(endpoint);
     }
 
-    /// Records for how long the rate limit of an endpoint leaves no room for calls, and the Retry-After
-    /// of a call that it refused; zero if it refused none.
+    /// Records for how long the rate limit of an endpoint leaves no room for calls. Until then others
+    /// are preferred.
     pub(crate) fn record_rate_limit(
         &self,
         now: Timestamp,
         endpoint: &EndpointId,
         limited_for: Duration,
-        retry_after: Duration,
     ) {
         lock(&self.state)
             .router
-            .record_rate_limit(now, endpoint, limited_for, retry_after);
+            .record_rate_limit(now, endpoint, limited_for);
     }
 
     /// Stops sending calls to an endpoint that refused one because it is leaving.
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -34,7 +34,7 @@
     #[serde(rename = "q")]
     pub queued: u32,
     /// Time in milliseconds for which the rate limit that the responding backend announces leaves no
-    /// room for calls; 0 if it has room or announces no limit.
+    /// room for calls of this priority; 0 if it has room or announces no limit.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
     pub rate_limited_ms: u32,
 }
--- a/crates/sidecar/src/inbound/announcements.rs
+++ b/crates/sidecar/src/inbound/announcements.rs
@@ -9,7 +9,7 @@
 
 use http::HeaderMap;
 use wharfquay_core::admission::RequestProgress;
-use wharfquay_core::priority::AdmissionKey;
+use wharfquay_core::priority::{AdmissionKey, Priority};
 use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes};
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::sync::lock;
@@ -97,9 +97,9 @@
         lock(&self.state).limit.refuse(now, key, rand::random())
     }
 
-    /// Returns the time for which the rate limit leaves no room for any call.
-    pub(super) fn exhausted_for(&self, now: Timestamp) -> Duration {
-        lock(&self.state).limit.exhausted_for(now)
+    /// Returns the time for which the rate limit leaves no room for the calls of a priority.
+    pub(super) fn exhausted_for(&self, now: Timestamp, priority: Priority) -> Duration {
+        lock(&self.state).limit.exhausted_for(now, priority)
     }
 
     /// Reads the headers of a response of the instance. Returns true if it announces that it is
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -97,7 +97,7 @@
             }
             Err(failure) => (None, Err(failure), allowance),
         };
-        let metadata = self.metadata(instance.as_ref(), report.request_kind(), returned);
+        let metadata = self.metadata(instance.as_ref(), &report, returned);
         let id = instance.as_ref().map(|open| &open.id);
         report.write(id, &result, &metadata, &self.metrics);
         Executed { result, metadata }
@@ -178,14 +178,15 @@
     fn metadata(
         &self,
         instance: Option<&Arc<OpenInstance>>,
-        request_kind: &str,
+        call: &CallReport,
         unused_retries: RetryAllowance,
     ) -> ResponseMetadata {
-        let below = self.routing.level_below(request_kind);
+        let below = self.routing.level_below(call.request_kind());
         let (level, load, limited_for) = match instance {
             Some(instance) => {
                 let report = instance.gate.report();
-                let limited_for = instance.announcements.exhausted_for(self.clock.now());
+                let now = self.clock.now();
+                let limited_for = instance.announcements.exhausted_for(now, call.priority());
                 (report.level, report.load, limited_for)
             }
             None => (AdmissionLevel::OPEN, Load::default(), Duration::ZERO),
--- a/crates/sidecar/src/inbound/report.rs
+++ b/crates/sidecar/src/inbound/report.rs
@@ -3,6 +3,7 @@
 use http::Response;
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::priority::Priority;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::body::ResponseBody;
 use wharfquay_daemon::clock::Clock;
@@ -41,6 +42,10 @@
         &self.context.request_kind
     }
 
+    pub(super) fn priority(&self) -> Priority {
+        self.context.priority
+    }
+
     /// Records that the gate admitted the call.
     pub(super) fn admitted(&mut self) {
         self.admitted = Some(self.clock.now());
--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -222,16 +222,11 @@
     }
 
     fn record_rate_limit(&self, now: Timestamp, completed: &AttemptOutcome) {
-        let Some(metadata) = &completed.metadata else {
-            return;
-        };
-        let limited_for = Duration::from_millis(u64::from(metadata.rate_limited_ms));
-        let retry_after = match &completed.result {
-            Err(failure) if failure.code == ResultCode::RateLimited => failure.retry_after,
-            _ => Duration::ZERO,
-        };
-        self.router
-            .record_rate_limit(now, &self.target.id, limited_for, retry_after);
+        if let Some(metadata) = &completed.metadata {
+            let limited_for = Duration::from_millis(u64::from(metadata.rate_limited_ms));
+            self.router
+                .record_rate_limit(now, &self.target.id, limited_for);
+        }
     }
 
     fn record_unavailable(&self, now: Timestamp, code: ResultCode) {
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -34,9 +34,9 @@
 /// Maximum number of sidecars that a call is offered to after refusals that did not reach their
 /// backends.
 const MAX_OFFERS: usize = 3;
-/// Maximum number of sidecars that a call is offered to after refusals because of a rate limit. Each
-/// costs a round trip only, and the sidecar is not picked again while the limit leaves no room.
-const MAX_RATE_LIMITED_OFFERS: usize = 5;
+/// Maximum number of sidecars that a call is offered to after refusals because of a rate limit. It
+/// finds one with room while others' limits are not known yet.
+const MAX_RATE_LIMITED_OFFERS: usize = 4;
 /// Retry-After if no sidecar of a service is known.
 const NO_SIDECAR_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -345,7 +345,10 @@
             return Err(Failure::new(ResultCode::DeadlineUnreachable));
         }
         let key = routing_key(&call.context);
-        let picked = router.pick(now, key, &attempts.attempted);
+        let picked = match attempts.rate_limited_offers {
+            0 => router.pick(now, key, &attempts.attempted),
+            _ => router.pick_after_rate_limit(now, key, &attempts.attempted),
+        };
         if picked.is_err() && attempts.uncertain.is_some() {
             return router.pick(now, key, &[]);
         }
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -63,6 +63,23 @@
     listed: Vec<ListedMember>,
 }
 
+impl RouterState {
+    /// Counts the attempt at a picked endpoint.
+    fn dispatch(&mut self, now: Timestamp, picked: Pick) -> Result<Target, Failure> {
+        let id = match picked {
+            Pick::Endpoint(id) => id,
+            Pick::None {
+                reason,
+                retry_after,
+            } => return Err(Failure::with_retry_after(reason, retry_after)),
+        };
+        let address = self.addresses.get(&id).copied();
+        let address = address.ok_or_else(|| Failure::new(ResultCode::NoBackend))?;
+        self.router.dispatched(now, &id);
+        Ok(Target { id, address })
+    }
+}
+
 /// The properties of a member that its router depends on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct ListedMember {
@@ -123,19 +140,28 @@
         key: AdmissionKey,
         excluded: &[EndpointId],
     ) -> Result<Target, Failure> {
+        let request = PickRequest { key, excluded };
         let mut state = lock(&self.state);
+        let picked = state.router.pick(now, &mut rand::rng(), &request);
+        state.dispatch(now, picked)
+    }
+
+    /// Picks an endpoint like [`Self::pick`] for a call that another one refused because of its rate
+    /// limit.
+    ///
+    /// # Errors
+    /// The failure to report if no endpoint can take the call.
+    pub fn pick_after_rate_limit(
+        &self,
+        now: Timestamp,
+        key: AdmissionKey,
+        excluded: &[EndpointId],
+    ) -> Result<Target, Failure> {
         let request = PickRequest { key, excluded };
-        let id = match state.router.pick(now, &mut rand::rng(), &request) {
-            Pick::Endpoint(id) => id,
-            Pick::None {
-                reason,
-                retry_after,
-            } => return Err(Failure::with_retry_after(reason, retry_after)),
-        };
-        let address = state.addresses.get(&id).copied();
-        let address = address.ok_or_else(|| Failure::new(ResultCode::NoBackend))?;
-        state.router.dispatched(now, &id);
-        Ok(Target { id, address })
+        let mut state = lock(&self.state);
+        let router = &state.router;
+        let picked = router.pick_after_rate_limit(now, &mut rand::rng(), &request);
+        state.dispatch(now, picked)
     }
 
     /// Returns true if an endpoint that is not excluded can take the call.
@@ -166,18 +192,12 @@
         lock(&self.state).router.refused_as_leaving(now, endpoint);
     }
 
-    /// Records for how long the rate limit of an endpoint leaves no room for calls, and the
-    /// Retry-After of a call that it refused; zero if it refused none.
-    pub fn record_rate_limit(
-        &self,
-        now: Timestamp,
-        endpoint: &EndpointId,
-        limited_for: Duration,
-        retry_after: Duration,
-    ) {
+    /// Records for how long the rate limit of an endpoint leaves no room for calls. Until then others
+    /// are preferred.
+    pub fn record_rate_limit(&self, now: Timestamp, endpoint: &EndpointId, limited_for: Duration) {
         lock(&self.state)
             .router
-            .record_rate_limit(now, endpoint, limited_for, retry_after);
+            .record_rate_limit(now, endpoint, limited_for);
     }
 
     /// Stops calls to an endpoint for a short time after it could not be reached.
--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -298,3 +298,15 @@
     load(&machines, Duration::from_secs(1)).await;
     assert_eq!(arrivals_since(&machines[0], since), 0);
 }
+
+/// Guards against a call that several limited backends refuse although another one has room.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_call_is_refused_while_one_backend_has_room() {
+    let (_platform, machines) = machines(6).await;
+    for machine in &machines[1..] {
+        machine.backend.announce(&[(RATE_LIMIT, "2")]);
+    }
+    load(&machines, LEARNED_WITHIN).await;
+    let served = load(&machines, Duration::from_secs(3)).await;
+    assert_eq!(refused(&served), 0, "of {}", served.len());
+}
