Begin the drain in its test once every call is executed

Cause: a fault of the test. It began the drain 100 ms after the calls were sent and took all four for running. One backend has usable slots for three calls; when the router gives it all four, the fourth waits in its queue for 100 ms, is refused (3004) and is offered to the other backend, which began to drain at that moment. It ran nowhere, and the refusal is true.

Change: the drain begins once the backends execute all four calls, and the test also requires that the draining one executes at least one of them. The calls take longer, so that they still run.

--- a/crates/sidecar/tests/call_path.rs
+++ b/crates/sidecar/tests/call_path.rs
@@ -288,19 +288,28 @@
     assert_eq!(response.status, 404);
 }
 
+/// Guards against calls that are cut off when their backend begins to drain. One backend has slots for
+/// three of the calls, so the draining one executes at least one of them.
 #[tokio::test]
 async fn a_draining_backend_gets_no_new_calls_and_completes_running_ones() {
+    const CALLS: usize = 4;
     let (_platform, mut first, second) = pair().await;
-    let slow = Duration::from_millis(300);
-    first.backend.expect(&[Behaviour::Slow(slow); 4]);
-    second.backend.expect(&[Behaviour::Slow(slow); 4]);
-    let running: Vec<_> = (0..4)
+    let slow = Duration::from_millis(600);
+    first.backend.expect(&[Behaviour::Slow(slow); CALLS]);
+    second.backend.expect(&[Behaviour::Slow(slow); CALLS]);
+    let executed = || [&first, &second].map(|machine| machine.backend.executed().len());
+    let earlier = executed();
+    let running: Vec<_> = (0..CALLS)
         .map(|number| {
             let text = request("POST", "/writes/1", &format!("w{number}"), "");
             tokio::spawn(call_owned(first.outbound, text))
         })
         .collect();
-    tokio::time::sleep(slow / 3).await;
+    eventually("the backends execute every call", || {
+        executed().iter().sum::<usize>() == earlier.iter().sum::<usize>() + CALLS
+    })
+    .await;
+    assert!(executed()[0] > earlier[0], "the first backend executes one");
     let acknowledgement = first.send_heartbeat(ReportedState::Draining).await;
     assert_eq!(acknowledgement, Acknowledgement::Acknowledged);
     for call in running {
