Read announcements in the responses of the health endpoint

What callers saw: a backend with a limit of 0.5 a second got 5 calls in 4 s around a restart of its sidecar (3 allowed); one that had begun to announce its leaving while no sidecar was there got a call; a limit of 0.1 a second was applied for up to ten seconds after it was lifted, and all of 63 calls in the second second were refused.

Cause: only responses to calls were read. After a restart nothing was known until the first one, and at a low rate the next one is far away.

Change: before it opens an instance that an earlier process may have known, the sidecar asks the health endpoint (150 ms at most) and applies the rate limit and the leaving in its response, whatever its status. Silence of the endpoint ends the time in which nothing is known; it lifts an announced limit only if the endpoint has announced one before. A rate that is learned after a restart starts without a burst, since the earlier process may have used it.

Tests: a_restarted_sidecar_keeps_a_rate_limit_below_one_a_second (5 arrivals before, 3 allowed), a_restarted_sidecar_sends_nothing_to_a_backend_that_announces_its_leaving (1 before, 0 allowed) and a_lifted_limit_below_one_a_second_applies_no_more_within_a_second (63 of 63 refused before) failed on the code before; all 14 tests of announced_limits.rs pass.

--- a/crates/core/src/rate_limit/mod.rs
+++ b/crates/core/src/rate_limit/mod.rs
@@ -16,7 +16,7 @@
 use crate::quota::{TokenBucket, TokenRate};
 use crate::time::Timestamp;
 
-pub use announced::{AnnouncedLimit, ExchangeTimes};
+pub use announced::{AnnouncedLimit, ExchangeTimes, ResponseSource};
 use offered::OfferedCalls;
 use return_schedule::ReturnSchedule;
 use window::ArrivalWindow;
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Applies the first announced rate, in calls per second, to a limit that was created without one.
+    /// An earlier process may have used the rate up to now, so nothing is saved up yet.
+    fn start_rate(&mut self, now: Timestamp, per_second: f64) {
+        let rate = token_rate(per_second);
+        self.per_second = rate.per_second;
+        self.bucket = TokenBucket::filled_since(now, now, rate);
+        self.window.set_rate(now, rate.per_second);
+    }
+
     /// Applies another rate, in calls per second.
     pub fn set_rate(&mut self, now: Timestamp, per_second: f64) {
         let rate = token_rate(per_second);
--- a/crates/daemon/src/inbound/rate_limit.rs
+++ b/crates/daemon/src/inbound/rate_limit.rs
@@ -7,7 +7,7 @@
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::Priority;
-use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes};
+use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes, ResponseSource};
 use wharfquay_core::time::Timestamp;
 use wharfquay_protocol::announcement::{self, Announcement};
 use wharfquay_protocol::headers as names;
@@ -82,16 +82,17 @@
             sent_at,
             received_at: self.clock.now(),
         };
+        let source = ResponseSource::Call;
         let mut state = lock(&self.state);
         let previous = state.limit.rate();
         match announcement::rate_limit(headers, &names::RATE_LIMIT) {
-            Announcement::Absent => state.limit.record(times, None),
+            Announcement::Absent => state.limit.record(source, times, None),
             Announcement::Valid(rate) => {
-                state.limit.record(times, Some(rate));
+                state.limit.record(source, times, Some(rate));
                 state.is_malformed = false;
             }
             Announcement::Malformed(value) => {
-                state.limit.record_malformed(times);
+                state.limit.record_malformed(source, times);
                 if !std::mem::replace(&mut state.is_malformed, true) {
                     log_event!(Event::BackendRateLimitMalformed, "value={}", Quoted(value));
                 }
--- a/crates/sidecar/src/inbound/announcements.rs
+++ b/crates/sidecar/src/inbound/announcements.rs
@@ -10,7 +10,7 @@
 use http::HeaderMap;
 use wharfquay_core::admission::RequestProgress;
 use wharfquay_core::priority::{AdmissionKey, Priority};
-use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes};
+use wharfquay_core::rate_limit::{AnnouncedLimit, ExchangeTimes, ResponseSource};
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::sync::lock;
 use wharfquay_protocol::announcement::Announcement;
@@ -102,23 +102,30 @@
         lock(&self.state).limit.exhausted_for(now, priority)
     }
 
+    /// Returns true if the caller should ask the health endpoint whether the rate limit still holds;
+    /// see [`AnnouncedLimit::begin_confirmation`].
+    pub(super) fn begin_confirmation(&self, now: Timestamp) -> bool {
+        lock(&self.state).limit.begin_confirmation(now)
+    }
+
     /// Reads the headers of a response of the instance. Returns true if it announces that it is
     /// leaving.
     pub(super) fn read(
         &self,
+        source: ResponseSource,
         times: ExchangeTimes,
         dialect: &Dialect,
         headers: &HeaderMap,
     ) -> bool {
         let mut state = lock(&self.state);
         match dialect.rate_limit(headers) {
-            Announcement::Absent => state.limit.record(times, None),
+            Announcement::Absent => state.limit.record(source, times, None),
             Announcement::Valid(rate) => {
-                state.limit.record(times, Some(rate));
+                state.limit.record(source, times, Some(rate));
                 state.log.is_malformed = false;
             }
             Announcement::Malformed(value) => {
-                state.limit.record_malformed(times);
+                state.limit.record_malformed(source, times);
                 self.log_malformed(&mut state.log, dialect.rate_limit.as_str(), &value);
             }
         }
--- a/crates/sidecar/src/inbound/announcements/tests.rs
+++ b/crates/sidecar/src/inbound/announcements/tests.rs
@@ -24,6 +24,22 @@
 
 /// Reads a response with this announced rate to a request sent at `sent_at`.
 fn read(announcements: &Announcements, sent_at: u64, received_at: u64, rate: Option<&str>) {
+    let source = ResponseSource::Call;
+    read_from(source, announcements, (sent_at, received_at), rate);
+}
+
+/// Reads a response of the health endpoint to a check at `sent_at`.
+fn read_health(announcements: &Announcements, sent_at: u64, received_at: u64, rate: Option<&str>) {
+    let source = ResponseSource::HealthEndpoint;
+    read_from(source, announcements, (sent_at, received_at), rate);
+}
+
+fn read_from(
+    source: ResponseSource,
+    announcements: &Announcements,
+    (sent_at, received_at): (u64, u64),
+    rate: Option<&str>,
+) {
     let mut headers = HeaderMap::new();
     if let Some(rate) = rate {
         headers.insert("rate-limit", HeaderValue::from_str(rate).unwrap());
@@ -32,7 +48,7 @@
         sent_at: at(sent_at),
         received_at: at(received_at),
     };
-    announcements.read(times, &dialect(), &headers);
+    announcements.read(source, times, &dialect(), &headers);
 }
 
 /// Guards against a limit that a response lifts although the backend sent it before the limit.
@@ -84,3 +100,40 @@
     read(&announcements, 990, 1_000, None);
     assert_eq!(admitted(1_000), 100);
 }
+
+/// Guards against a burst on top of what an earlier process sent within the rate.
+#[test]
+fn a_rate_that_is_learned_after_a_restart_starts_without_a_burst() {
+    let announcements = Announcements::unknown(InstanceId::from("i-1"), at(0));
+    read_health(&announcements, 0, 1, Some("5"));
+    let times = (1..=4_001).step_by(10);
+    let admitted = times
+        .filter(|now| announcements.admit(at(*now), AdmissionKey::FIRST, RequestProgress::New))
+        .count();
+    assert!((18..=20).contains(&admitted), "{admitted} in 4 s");
+}
+
+/// Guards against a limit that is lifted by a health endpoint which announces no limits.
+#[test]
+fn a_health_endpoint_that_announced_no_limit_lifts_none() {
+    let announcements = Announcements::none(InstanceId::from("i-1"));
+    read(&announcements, 10, 20, Some("5"));
+    read_health(&announcements, 30, 40, None);
+    assert_eq!(announcements.rate_limit(), Some(5.0));
+    read_health(&announcements, 50, 60, Some("7"));
+    assert_eq!(announcements.rate_limit(), Some(7.0));
+    read_health(&announcements, 70, 80, None);
+    assert_eq!(announcements.rate_limit(), None);
+}
+
+/// Guards against a health check for every refused call.
+#[test]
+fn a_limit_is_confirmed_only_after_a_time_without_responses() {
+    let announcements = Announcements::none(InstanceId::from("i-1"));
+    assert!(!announcements.begin_confirmation(at(5_000)), "no limit");
+    read(&announcements, 5_000, 5_010, Some("0.5"));
+    let asked = (5_010..7_010)
+        .step_by(10)
+        .filter(|now| announcements.begin_confirmation(at(*now)));
+    assert_eq!(asked.count(), 4);
+}
--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -6,11 +6,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http::{Request, StatusCode};
+use http::Request;
 use tokio_util::task::AbortOnDropHandle;
 use wharfquay_clock::since_boot;
 use wharfquay_core::admission::AdmissionSettings;
 use wharfquay_core::priority::Priority;
+use wharfquay_core::rate_limit::ExchangeTimes;
 use wharfquay_core::retry::RepeatWindow;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::backend_pool::BackendPool;
@@ -20,9 +21,10 @@
 use wharfquay_daemon::sync::lock;
 
 use super::announcements::Announcements;
+use super::health::HealthReport;
 use super::termination_detector::TerminationDetector;
 use crate::configuration::Service;
-use crate::dialect::{Dialect, text};
+use crate::dialect::Dialect;
 use crate::instance::InstanceId;
 use crate::settings::RetryBounds;
 
@@ -282,9 +284,8 @@
         }
     }
 
-    /// Queries the backend's health endpoint. Returns the responding instance if it is healthy and
-    /// not leaving.
-    pub async fn healthy_instance(&self) -> Option<InstanceId> {
+    /// Checks the backend's health endpoint. Returns what it shows about the responding instance.
+    pub async fn check_health(&self) -> Option<HealthReport> {
         let path = lock(&self.configured).health_path.clone()?;
         let pool = BackendPool::new(self.address, 1, CONNECT_TIMEOUT);
         let mut lease = pool.checkout().await.ok()?;
@@ -292,11 +293,22 @@
             .header(http::header::HOST, self.address.to_string())
             .body(RequestBody::held(bytes::Bytes::new()))
             .ok()?;
+        let sent_at = self.clock.now();
         let response = lease.send(request).await.ok()?;
-        let is_healthy = response.status() == StatusCode::OK;
-        let id = text(response.headers(), &self.dialect.instance).map(InstanceId::from);
+        let times = ExchangeTimes {
+            sent_at,
+            received_at: self.clock.now(),
+        };
+        let report = HealthReport::read(&self.dialect, times, &response);
         BodyObserver::ended(Box::new(lease), BodyEnd::Abandoned);
-        id.filter(|_| is_healthy)
+        report
+    }
+
+    /// Applies the rate limit that a health report announces to its instance.
+    pub fn read_health(&self, report: &HealthReport) {
+        if let Some(instance) = self.matching_instance(&report.instance) {
+            report.apply_to(&instance.announcements, &self.dialect);
+        }
     }
 }
 
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends an admitted call to the backend and classifies the outcome: a response, a refusal, a lost
 //! connection or the termination of the backend.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::header::HeaderMap;
@@ -8,7 +9,7 @@
 use hyper::body::Incoming;
 use wharfquay_core::call::CallContext;
 use wharfquay_core::outcome::ResultCode;
-use wharfquay_core::rate_limit::ExchangeTimes;
+use wharfquay_core::rate_limit::{ExchangeTimes, ResponseSource};
 use wharfquay_core::retry::Backoff;
 use wharfquay_core::time::Timestamp;
 use wharfquay_daemon::backend_pool::{BackendError, Lease, SendError};
@@ -39,6 +40,8 @@
 };
 /// Retry-After of a call that the backend itself refused.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Timeout of a health check that confirms a rate limit.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of fingerprints in the log line about a terminated instance.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
@@ -132,9 +135,23 @@
     fn rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> Failure {
         let (now, key) = (self.clock.now(), context.admission_key());
         let retry_after = instance.announcements.refuse(now, key);
+        if instance.announcements.begin_confirmation(now) {
+            self.confirm_rate_limit();
+        }
         Failure::with_retry_after(ResultCode::RateLimited, retry_after)
     }
 
+    /// Asks the backend's health endpoint whether the rate limit still holds.
+    fn confirm_rate_limit(&self) {
+        let backend = Arc::clone(&self.backend);
+        tokio::spawn(async move {
+            let check = backend.check_health();
+            if let Ok(Some(report)) = tokio::time::timeout(CONFIRMATION_TIMEOUT, check).await {
+                backend.read_health(&report);
+            }
+        });
+    }
+
     /// Counts a call that is about to be sent to the backend.
     ///
     /// # Errors
@@ -277,7 +294,8 @@
         let headers = response.headers();
         self.unread_headers.report(&self.dialect, headers);
         let announcements = &instance.announcements;
-        if announcements.read(times, &self.dialect, headers) && !instance.is_leaving() {
+        let source = ResponseSource::Call;
+        if announcements.read(source, times, &self.dialect, headers) && !instance.is_leaving() {
             log_event!(Event::LeavingAnnounced, "instance={}", instance.id);
             instance.close();
             if self.backend.is_current(instance) {
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -1,6 +1,7 @@
 //! The inbound side: calls for the local backend, from this sidecar or from others.
 
 pub mod backend;
+pub mod health;
 
 mod announcements;
 mod dispatch;
--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -14,6 +14,7 @@
 };
 use crate::events::Event;
 use crate::inbound::backend::{EarlierAnnouncements, LocalBackend};
+use crate::inbound::health::HealthReport;
 use crate::log_event;
 use crate::platform::{Platform, PlatformError};
 
@@ -38,6 +39,9 @@
 const LOOKUPS_BEFORE_FALLBACK: usize = 2;
 /// Timeout of a health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of the health check that shows what an instance announced to an earlier process. Calls
+/// wait for it.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Acknowledgement of a message of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -273,15 +277,15 @@
     /// readers of the departure records and the platform until one of them replies, the heartbeats
     /// and health of the instance replace the records, or the instance leaves. Departures that this
     /// process acknowledged are known to the tracker already.
-    async fn verify_not_departed(&self, instance: &InstanceId) {
+    async fn verify_not_departed(self: &Arc<Self>, instance: &InstanceId) {
         if self.is_first_start {
-            self.conclude(instance, false);
+            self.conclude(instance, false).await;
             return;
         }
         if self.readers.is_large_deployment() {
             for requests in 0..READER_REQUESTS_BEFORE_LOOKUP {
                 if let Some(departed) = self.readers.query(instance, requests, true).await {
-                    self.conclude(instance, departed);
+                    self.conclude(instance, departed).await;
                     return;
                 }
                 tokio::time::sleep(READER_REQUEST_INTERVAL).await;
@@ -294,7 +298,7 @@
                 return;
             }
             if let Some(departed) = self.look_up(instance, failures).await {
-                self.conclude(instance, departed);
+                self.conclude(instance, departed).await;
                 if !departed {
                     self.query_readers_again(instance).await;
                 }
@@ -305,7 +309,7 @@
                 && self.is_confirmed_without_records(instance).await
             {
                 log_event!(Event::InstanceConfirmed, "instance={instance}");
-                self.conclude(instance, false);
+                self.conclude(instance, false).await;
                 return;
             }
             tokio::time::sleep(pause).await;
@@ -316,12 +320,12 @@
     /// Queries the readers of the departure records a few more times whether the instance departed,
     /// after the platform had no record of it. A sidecar that has just started may not have
     /// discovered the readers yet.
-    async fn query_readers_again(&self, instance: &InstanceId) {
+    async fn query_readers_again(self: &Arc<Self>, instance: &InstanceId) {
         for requests in 0..READER_REQUESTS_AFTER_LOOKUP {
             tokio::time::sleep(READER_REQUEST_INTERVAL * 2).await;
             let next_reader = requests * REQUESTS_PER_READER;
             if self.readers.query(instance, next_reader, false).await == Some(true) {
-                self.conclude(instance, true);
+                self.conclude(instance, true).await;
                 return;
             }
         }
@@ -342,31 +346,53 @@
         }
     }
 
-    fn conclude(&self, instance: &InstanceId, departed: bool) {
+    async fn conclude(self: &Arc<Self>, instance: &InstanceId, departed: bool) {
         let now = self.clock.now();
-        let mut tracker = lock(&self.tracker);
-        if tracker.lacks_known_start_time(instance) {
+        if lock(&self.tracker).lacks_known_start_time(instance) {
             // The instance has reported its start time meanwhile. That identity is verified
             // separately.
             return;
         }
         if departed {
-            tracker.mark_departure_recorded(now, instance);
-            drop(tracker);
+            lock(&self.tracker).mark_departure_recorded(now, instance);
             self.backend.close(instance);
             log_event!(Event::InstanceDeparted, "instance={instance}");
             return;
         }
-        if tracker.mark_verified(now, instance) {
-            let slots = tracker.slots(instance);
-            drop(tracker);
-            self.backend
-                .open(instance, slots, self.earlier_announcements());
-            log_event!(
-                Event::InstanceServing,
-                "instance={instance} slots={slots:?}"
-            );
+        self.open(instance).await;
+    }
+
+    /// Starts sending work to an instance. One that may have announced a rate limit or its leaving to
+    /// an earlier process is asked for it first.
+    async fn open(self: &Arc<Self>, instance: &InstanceId) {
+        let announcements = self.earlier_announcements();
+        let report = match announcements {
+            EarlierAnnouncements::None => None,
+            EarlierAnnouncements::Unknown => self.check_health(ANNOUNCEMENT_TIMEOUT).await,
+        };
+        let report = report.filter(|report| report.instance.may_be_same(instance));
+        if report.as_ref().is_some_and(|report| report.is_leaving) {
+            log_event!(Event::LeavingAnnounced, "instance={instance}");
+            self.announced_leaving(instance);
+            return;
         }
+        let slots = {
+            let mut tracker = lock(&self.tracker);
+            if tracker.lacks_known_start_time(instance)
+                || !tracker.mark_verified(self.clock.now(), instance)
+            {
+                return;
+            }
+            tracker.slots(instance)
+        };
+        self.backend.open(instance, slots, announcements);
+        if let Some(report) = &report {
+            self.backend.read_health(report);
+        }
+        log_event!(
+            Event::InstanceServing,
+            "instance={instance} slots={slots:?}"
+        );
     }
 
     /// Returns what is known of the announcements that the instance to open made before. Only the
@@ -387,10 +413,12 @@
     }
 
     async fn healthy_instance(&self) -> Option<InstanceId> {
-        let query = self.backend.healthy_instance();
-        tokio::time::timeout(HEALTH_TIMEOUT, query)
-            .await
-            .ok()
-            .flatten()
+        let report = self.check_health(HEALTH_TIMEOUT).await?;
+        report.is_healthy.then_some(report.instance)
+    }
+
+    async fn check_health(&self, timeout: Duration) -> Option<HealthReport> {
+        let check = self.backend.check_health();
+        tokio::time::timeout(timeout, check).await.ok().flatten()
     }
 }
--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -154,6 +154,18 @@
     assert_eq!(refused(&served), 0, "of {}", served.len());
 }
 
+/// Guards against a low limit that holds until its next call is due although the backend lifted it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lifted_limit_below_one_a_second_applies_no_more_within_a_second() {
+    let (_platform, machines) = machines(1).await;
+    machines[0].backend.announce(&[(RATE_LIMIT, "0.1")]);
+    load(&machines, Duration::from_secs(2)).await;
+    machines[0].backend.announce(&[]);
+    load(&machines, Duration::from_secs(1)).await;
+    let served = load(&machines, Duration::from_secs(1)).await;
+    assert_eq!(refused(&served), 0, "of {}", served.len());
+}
+
 /// Guards against a fraction that is rounded to nothing, and against a low limit that stays unused.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rate_limit_below_one_a_second_is_used() {
@@ -285,6 +297,36 @@
     assert!(most > 2 * RATE, "{most} arrivals in 4 s");
 }
 
+/// Guards against a restarted sidecar that sends its first calls before it knows a low limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_sidecar_keeps_a_rate_limit_below_one_a_second() {
+    let (platform, mut machines) = machines(1).await;
+    machines[0].backend.announce(&[(RATE_LIMIT, "0.5")]);
+    machines[0].backend.set_service_time(Duration::from_secs(1));
+    load(&machines, LEARNED_WITHIN).await;
+    let since = Instant::now();
+    load(&machines, Duration::from_secs(4)).await;
+    let backend = machines[0].backend.clone();
+    machines[0] = Machine::start_beside(&platform, "machine-0", SERVICE, backend, |_| {}).await;
+    machines[0].ready().await;
+    load(&machines, Duration::from_secs(4)).await;
+    let most = most_in_window(&machines[0].backend.arrivals(), since);
+    assert!(most <= 3, "{most} arrivals in 4 s");
+}
+
+/// Guards against a restarted sidecar that sends work to a backend which began to announce its
+/// leaving while no sidecar was there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_sidecar_sends_nothing_to_a_backend_that_announces_its_leaving() {
+    let (platform, mut machines) = machines(1).await;
+    let (backend, since) = (machines[0].backend.clone(), Instant::now());
+    backend.announce(&[(LEAVING, "1")]);
+    machines[0] = Machine::start_beside(&platform, "machine-0", SERVICE, backend, |_| {}).await;
+    machines[0].ready().await;
+    load(&machines, Duration::from_secs(1)).await;
+    assert_eq!(arrivals_since(&machines[0], since), 0);
+}
+
 /// Guards against a restarted sidecar that sends work to a backend which announced its leaving.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_sidecar_knows_that_its_backend_announced_its_leaving() {
