Send no new call to a daemon's backend that announces its leaving

What callers would see: the daemon read a leaving at its backend's health endpoint and from drains and the machine list only. A backend that announces it in its responses got calls until the health endpoint said so, which may lag or be wrong.

Change: wharfquay-leaving: 1 in any response marks the local backend as leaving (a source of its own, so a healthy report does not withdraw it); a response without it to a later request withdraws it, which is how a new backend at the address is seen. The health poller reads rate limit and leaving in the headers of the health responses, so a restarted daemon knows them with its first poll, and a lifted limit with the next one.

--- a/crates/core/src/drain/leaving.rs
+++ b/crates/core/src/drain/leaving.rs
@@ -13,16 +13,19 @@
     MachineList,
     /// The backend's health endpoint reports it as leaving.
     HealthEndpoint,
+    /// The backend announces it in its responses.
+    Announcement,
     /// Its daemon was instructed to stop. This can't be withdrawn.
     Shutdown,
 }
 
 impl LeavingSource {
     /// All sources.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Resource,
         Self::MachineList,
         Self::HealthEndpoint,
+        Self::Announcement,
         Self::Shutdown,
     ];
 
@@ -37,7 +40,8 @@
             Self::Resource => 0,
             Self::MachineList => 1,
             Self::HealthEndpoint => 2,
-            Self::Shutdown => 3,
+            Self::Announcement => 3,
+            Self::Shutdown => 4,
         }
     }
 }
--- a/crates/core/tests/drain_leaving.rs
+++ b/crates/core/tests/drain_leaving.rs
@@ -6,7 +6,7 @@
 use wharfquay_core::routing::EndpointId;
 use wharfquay_core::time::Timestamp;
 
-use LeavingSource::{HealthEndpoint, MachineList, Resource, Shutdown};
+use LeavingSource::{Announcement, HealthEndpoint, MachineList, Resource, Shutdown};
 
 enum Update {
     Mark(u64, LeavingSource),
@@ -19,7 +19,7 @@
 fn an_endpoint_is_leaving_until_a_new_incarnation_or_withdrawal_by_all() {
     // Name, updates in order, incarnation to query, whether it is leaving.
     #[rustfmt::skip]
-    let cases: [(&str, &[Update], u64, bool); 14] = [
+    let cases: [(&str, &[Update], u64, bool); 16] = [
         ("no updates", &[], 1, false),
         ("one source is sufficient", &[Mark(1, MachineList)], 1, true),
         ("an earlier incarnation is covered", &[Mark(2, MachineList)], 1, true),
@@ -33,6 +33,8 @@
         ("a shutdown outlasts the others", &[Mark(1, Shutdown), Mark(1, Resource), Unmark(Resource)], 1, true),
         ("a late update on an old incarnation", &[Mark(3, MachineList), Mark(1, MachineList)], 3, true),
         ("old shutdown, new mark withdrawn", &[Mark(1, Shutdown), Mark(2, Resource), Unmark(Resource)], 2, false),
+        ("an announcement outlasts a healthy report", &[Mark(1, Announcement), Unmark(HealthEndpoint)], 1, true),
+        ("a withdrawn announcement", &[Mark(1, Announcement), Unmark(Announcement)], 1, false),
         ("marked again", &[Mark(1, Resource), Unmark(Resource), Mark(1, Resource)], 1, true),
     ];
     let endpoint = EndpointId::from("slot-1");
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -79,7 +79,7 @@
             level: report.level.number(),
             in_flight: report.load.in_flight,
             limit: report.load.limit,
-            rate_limit: backend.rate_limit.rate(),
+            rate_limit: backend.announcements.rate(),
             queued: report.load.queued,
             open_connections: backend.pool.open_connections(),
             open_scopes: self.node.scopes.len(),
--- a/crates/daemon/src/control/endpoints.rs
+++ b/crates/daemon/src/control/endpoints.rs
@@ -119,17 +119,19 @@
     }
 }
 
-/// Sets or clears the leaving mark of the local backend by its health endpoint.
-pub(super) fn mark_health(
+/// Sets or clears the leaving mark of the local backend by what the backend itself reports, at its
+/// health endpoint or in its responses.
+pub(super) fn mark_backend(
     leaving: &mut LeavingSet,
     id: &EndpointId,
+    source: LeavingSource,
     is_leaving: bool,
     incarnation: u64,
 ) {
     if is_leaving {
-        leaving.mark(id, incarnation, LeavingSource::HealthEndpoint);
+        leaving.mark(id, incarnation, source);
     } else {
-        leaving.unmark(id, LeavingSource::HealthEndpoint);
+        leaving.unmark(id, source);
     }
 }
 
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -1,7 +1,8 @@
-//! Polls the health endpoint of the local backend. The endpoint may lag or be wrong, so it is only
+//! Polls the health endpoint of the local backend and reads what its responses announce. The endpoint may lag or be wrong, so it is only
 //! one of several sources for whether the backend is leaving.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,9 +13,11 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::sync::watch;
+use wharfquay_core::rate_limit::ResponseSource;
 
 use crate::connect::connect;
 use crate::events::{Event, Quoted, log_event};
+use crate::inbound::BackendAnnouncements;
 
 /// Largest accepted response of a health endpoint, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024;
@@ -25,6 +28,7 @@
     pub(super) path: String,
     pub(super) interval: Duration,
     pub(super) leaving: watch::Sender<bool>,
+    pub(super) announcements: Arc<BackendAnnouncements>,
 }
 
 /// The response of a health endpoint; other fields are ignored.
@@ -77,7 +81,10 @@
             .body(Empty::<Bytes>::new())
             .map_err(exchange_error)?;
         let exchange = async move {
+            let sent_at = self.announcements.now();
             let response = sender.send_request(request).await.map_err(exchange_error)?;
+            let (source, headers) = (ResponseSource::HealthEndpoint, response.headers());
+            self.announcements.read(source, sent_at, headers);
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
             let body = body.collect().await.map_err(HealthError::Exchange)?;
             Ok(body.to_bytes())
--- a/crates/daemon/src/control/machines.rs
+++ b/crates/daemon/src/control/machines.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use tokio::sync::watch;
-use wharfquay_core::drain::LeavingSet;
+use wharfquay_core::drain::{LeavingSet, LeavingSource};
 use wharfquay_core::routing::EndpointId;
 use wharfquay_membership::member::{MemberId, ZoneName};
 use wharfquay_membership::table::MemberTable;
@@ -47,6 +47,8 @@
     pub(super) members: watch::Receiver<MemberTable>,
     /// True if the backend's health endpoint reports that the backend is leaving.
     pub(super) backend_leaving: watch::Receiver<bool>,
+    /// True if the backend's responses announce that the backend is leaving.
+    pub(super) announced_leaving: watch::Receiver<bool>,
     /// True once a stop of this daemon was requested.
     pub(super) stopping: watch::Receiver<bool>,
 }
@@ -107,8 +109,14 @@
         let snapshot = self.sources.snapshot.borrow().clone();
         let members = self.sources.members.borrow().clone();
         let incarnation = self.incarnation(&members);
-        let backend_leaving = *self.sources.backend_leaving.borrow();
-        endpoints::mark_health(leaving, &self.local.id, backend_leaving, incarnation);
+        let reports = [
+            (LeavingSource::HealthEndpoint, &self.sources.backend_leaving),
+            (LeavingSource::Announcement, &self.sources.announced_leaving),
+        ];
+        for (source, report) in reports {
+            let is_leaving = *report.borrow();
+            endpoints::mark_backend(leaving, &self.local.id, source, is_leaving, incarnation);
+        }
         let sources = endpoints::Sources {
             snapshot: &snapshot,
             machines,
@@ -151,6 +159,7 @@
             changed = self.snapshot.changed() => changed,
             () = changed_or_pending(&mut self.members) => Ok(()),
             () = changed_or_pending(&mut self.backend_leaving) => Ok(()),
+            () = changed_or_pending(&mut self.announced_leaving) => Ok(()),
             () = changed_or_pending(&mut self.stopping) => Ok(()),
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -32,6 +32,7 @@
 use crate::control::claims::Claims;
 use crate::control::gossip::{ControlSockets, GossipTask, StreamInbox};
 use crate::events::PlatformHealth;
+use crate::inbound::BackendAnnouncements;
 use crate::metrics::Metrics;
 use crate::peers::PeerPool;
 use crate::settings::Settings;
@@ -54,6 +55,8 @@
     pub endpoints: watch::Receiver<Arc<EndpointTable>>,
     /// True while the local backend is leaving.
     pub leaving: watch::Receiver<bool>,
+    /// What the local backend announces in its responses.
+    pub(crate) announcements: Arc<BackendAnnouncements>,
     /// Claims on idempotency keys.
     pub claims: Arc<Claims>,
     /// The members known from gossip; empty without a control listener.
@@ -116,6 +119,7 @@
         tasks.clone(),
     ));
     let (health_sender, backend_leaving) = watch::channel(false);
+    let announcements = Arc::new(BackendAnnouncements::new(clock));
     let channels = gossip::Channels {
         snapshot: snapshot_sender,
         members: members_sender,
@@ -137,6 +141,7 @@
             snapshot: snapshot.clone(),
             members: members.clone(),
             backend_leaving,
+            announced_leaving: announcements.leaving(),
             stopping: stopping_receiver,
         },
         outputs: machines::Outputs {
@@ -147,7 +152,7 @@
         platform: Arc::clone(&platform),
     };
     spawn_until(tasks, stop, poller.run());
-    if let Some(poller) = health_poller(settings, health_sender) {
+    if let Some(poller) = health_poller(settings, health_sender, &announcements) {
         spawn_until(tasks, stop, poller.run());
     }
     spawn_until(tasks, stop, claims::run_replica(Arc::clone(&claims)));
@@ -155,6 +160,7 @@
         snapshot,
         endpoints,
         leaving,
+        announcements,
         claims,
         inbox,
         stopping,
@@ -167,6 +173,7 @@
 fn health_poller(
     settings: &Settings,
     leaving: watch::Sender<bool>,
+    announcements: &Arc<BackendAnnouncements>,
 ) -> Option<health::HealthPoller> {
     let backend = settings.backend.as_ref()?;
     (!backend.health_path.is_empty()).then(|| health::HealthPoller {
@@ -174,6 +181,7 @@
         path: backend.health_path.clone(),
         interval: Duration::from_millis(backend.health_interval_ms),
         leaving,
+        announcements: Arc::clone(announcements),
     })
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::edge::EdgeHandler;
 use crate::events::{self, Event, Quoted, log_event};
 use crate::inbound::gate::AdmissionGate;
-use crate::inbound::{BackendRateLimit, InboundHandler, LocalBackend};
+use crate::inbound::{InboundHandler, LocalBackend};
 use crate::listener::BoundListener;
 use crate::listeners::{Addresses, Listeners, StartError};
 use crate::metrics::{Direction, Metrics, Transport};
@@ -124,7 +124,7 @@
         service: settings.service.clone(),
         gate: AdmissionGate::new(AdmissionSettings::default(), node.clock),
         pool: BackendPool::new(settings.address, limit, connect_timeout),
-        rate_limit: BackendRateLimit::new(node.clock),
+        announcements: Arc::clone(&node.control.announcements),
         reads_health: !settings.health_path.is_empty(),
     })
 }
--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -48,7 +48,7 @@
     Stopping = "stopping", Info, ["calls_in_flight"], "A stop was requested; new calls are refused.";
     Stopped = "stopped", Info, ["calls_cut"], "The daemon has stopped; `calls_cut` is the number of calls that had not completed at the drain limit.";
     DrainStarted = "drain_started", Info, ["calls_in_flight"],
-        "The local backend is marked as leaving by a drain, the machine list or its health endpoint; new calls are refused.";
+        "The local backend is marked as leaving by a drain, the machine list, its health endpoint or its responses; new calls are refused.";
     DrainFinished = "drain_finished", Info, ["after_ms"], "The last call in flight of the leaving backend has completed.";
     DrainWithdrawn = "drain_withdrawn", Info, ["after_ms"], "The local backend is no longer marked as leaving.";
     ConfigurationAdopted = "configuration_adopted", Info, ["revision", "previous"],
@@ -109,10 +109,12 @@
     PeerLost = "peer_lost", Info, ["peer", "error"], "The connection to another daemon closed; the next call opens a new one.";
     PeerConnectFailed = "peer_connect_failed", Warn, ["peer", "error"],
         "Connecting to another daemon failed; further attempts are delayed by up to 500 ms.";
- BackendRateLimited = "backend_rate_limited", Warn, ["per_second"],
+    BackendRateLimited = "backend_rate_limited", Warn, ["per_second"],
         "The local backend announced a rate limit for the requests of all daemons together or, with `per_second=none`, lifted it.";
-    BackendRateLimitMalformed = "backend_rate_limit_malformed", Warn, ["value"],
-        "The local backend announced a rate limit that can't be used; the last valid one stays in force.";
+    BackendLeavingAnnounced = "backend_leaving_announced", Info, ["leaving"],
+        "The local backend announced in a response that it is leaving or, with `leaving=false`, no longer announces it.";
+    BackendAnnouncementMalformed = "backend_announcement_malformed", Warn, ["value"],
+        "The local backend announced something that can't be used; the last valid rate limit stays in force. Logged once until the next valid one.";
     BackendHealthChanged = "backend_health_changed", Info, ["leaving"],
         "The health endpoint of the local backend changed its report on whether the backend is leaving.";
     HealthReadFailed = "health_read_failed", Debug, ["error"],
--- a/crates/daemon/src/inbound/dispatch.rs
+++ b/crates/daemon/src/inbound/dispatch.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use wharfquay_core::outcome::ResultCode;
+use wharfquay_core::rate_limit::ResponseSource;
 use wharfquay_protocol::headers as names;
 
 use crate::backend_pool::{BackendError, Lease, SendError};
@@ -52,7 +53,7 @@
         let mut lease = lease.map_err(|error| Failure::new(code_of(error)))?;
         let admitted = match sent_at {
             Some(sent_at) => Ok(sent_at),
-            None => backend.rate_limit.admit(&scope.scope().context),
+            None => backend.announcements.admit(&scope.scope().context),
         };
         let admitted_at = match admitted {
             Ok(admitted_at) => *sent_at.insert(admitted_at),
@@ -67,7 +68,8 @@
             .map_err(|_| Failure::new(ResultCode::DeadlineAfterDispatch))?;
         match sent {
             Ok(response) => {
-                backend.rate_limit.read(admitted_at, response.headers());
+                let (source, headers) = (ResponseSource::Call, response.headers());
+                backend.announcements.read(source, admitted_at, headers);
                 return check_response(&method, response, lease);
             }
             Err(SendError::Failed(error)) => return Err(Failure::new(code_of(error))),
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -19,16 +19,16 @@
 use crate::backend_pool::BackendPool;
 use crate::body::{BodyEnd, BodyObserver, ResponseBody};
 use crate::headers::{remove_hop_by_hop, remove_internal_response_headers};
+use crate::inbound::announcements::BackendAnnouncements;
 use crate::inbound::dispatch::{self, BackendResponse};
 use crate::inbound::gate::{AdmissionGate, Permit};
-use crate::inbound::rate_limit::BackendRateLimit;
 use crate::metrics::{Admission, Side};
 use crate::node::Node;
 use crate::response::{Failure, set_metadata, set_result};
 use crate::scopes::OpenScope;
 
 /// Retry-After of refusals while this daemon is leaving or not ready.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The backend beside this daemon, with its admission gate and connections.
 #[derive(Debug)]
@@ -36,7 +36,7 @@
     pub(crate) service: String,
     pub(crate) gate: Arc<AdmissionGate>,
     pub(crate) pool: Arc<BackendPool>,
-    pub(crate) rate_limit: BackendRateLimit,
+    pub(crate) announcements: Arc<BackendAnnouncements>,
     /// True if one of the backend's connections is reserved for reading its health endpoint.
     pub(crate) reads_health: bool,
 }
@@ -131,7 +131,7 @@
         request: Request<Incoming>,
     ) -> Result<Execution, FailedCall> {
         self.check_open()?;
-        self.backend.rate_limit.check(&context)?;
+        self.backend.announcements.check(&context)?;
         let key = context.admission_key();
         let deadline = context.deadline;
         let admitted = self.backend.gate.enter(key, deadline).await;
@@ -204,7 +204,7 @@
             in_flight: report.load.in_flight,
             limit: report.load.limit,
             queued: report.load.queued,
-            rate_limited_ms: rate_limited_ms(self.backend.rate_limit.exhausted_for(priority)),
+            rate_limited_ms: rate_limited_ms(self.backend.announcements.exhausted_for(priority)),
         }
     }
 
--- a/crates/daemon/src/inbound/mod.rs
+++ b/crates/daemon/src/inbound/mod.rs
@@ -1,9 +1,9 @@
 //! The inbound side: calls of other daemons to the local backend.
 
+mod announcements;
 mod dispatch;
 pub mod gate;
 mod handler;
-mod rate_limit;
 
+pub(crate) use announcements::BackendAnnouncements;
 pub(crate) use handler::{InboundHandler, LocalBackend};
-pub(crate) use rate_limit::BackendRateLimit;
--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -42,8 +42,8 @@
     failures_left: Arc<AtomicUsize>,
     refusing: Arc<AtomicBool>,
     health: Arc<Mutex<String>>,
-    /// Rate limit that responses announce.
-    rate_limit: Arc<Mutex<Option<&'static str>>>,
+    /// Names and values of the headers that responses announce.
+    announced: Arc<Mutex<Vec<(&'static str, &'static str)>>>,
     /// Triggers the truncation of a response.
     pub truncate: Arc<Notify>,
 }
@@ -60,7 +60,7 @@
             failures_left: Arc::default(),
             refusing: Arc::default(),
             health: Arc::new(Mutex::new("live".to_owned())),
-            rate_limit: Arc::default(),
+            announced: Arc::default(),
             truncate: Arc::default(),
         };
         let served = stub.clone();
@@ -94,9 +94,9 @@
         *self.health.lock().unwrap() = state.to_owned();
     }
 
-    /// Sets the rate limit that responses announce.
-    pub fn announce_rate_limit(&self, value: Option<&'static str>) {
-        *self.rate_limit.lock().unwrap() = value;
+    /// Sets the headers that all responses contain, also those of the health endpoint.
+    pub fn announce(&self, headers: &[(&'static str, &'static str)]) {
+        *self.announced.lock().unwrap() = headers.to_vec();
     }
 
     /// Returns the number of executions of a path.
@@ -170,9 +170,11 @@
         let mut guard = CancelGuard(Some(Arc::clone(&self.record)));
         let mut response = self.respond(&path, request).await;
         guard.0 = None;
-        if let (Ok(response), Some(value)) = (&mut response, *self.rate_limit.lock().unwrap()) {
-            let value = http::HeaderValue::from_static(value);
-            response.headers_mut().insert("wharfquay-rate-limit", value);
+        if let Ok(response) = &mut response {
+            for (name, value) in self.announced.lock().unwrap().iter() {
+                let value = http::HeaderValue::from_static(value);
+                response.headers_mut().insert(*name, value);
+            }
         }
         response
     }
--- a/crates/protocol/src/headers.rs
+++ b/crates/protocol/src/headers.rs
@@ -24,5 +24,8 @@
 /// Requests per second that a backend accepts from all daemons together, for as long as its responses
 /// contain the header.
 pub const RATE_LIMIT: HeaderName = HeaderName::from_static("wharfquay-rate-limit");
+/// Present with the value 1 in all responses of a backend that is leaving, also in those of its
+/// health endpoint.
+pub const LEAVING: HeaderName = HeaderName::from_static("wharfquay-leaving");
 /// Concurrency reported by a backend, in requests in execution. The value may be outdated or wrong.
 pub const REPORTED_LOAD: HeaderName = HeaderName::from_static("wharfquay-load");
