Let emulated backends announce courses of rate limits and their leaving

A draining emulated backend announces its leaving in every response.

Tests: announced_rate_limits_are_kept_and_used, backends_that_announce_their_leaving_get_no_new_calls.

--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -6,6 +6,7 @@
 use lexopt::Parser;
 
 use super::faults::{Faults, HealthMode};
+use super::limit_course::LimitCourse;
 use super::state::BackendSettings;
 use crate::arguments::{self, ArgumentError, Command};
 
@@ -15,10 +16,12 @@
     [--outbound IP:PORT] [--queue-limit N] [--seed N] [--warm]
     [--slow FACTOR] [--cut-answer SHARE] [--close-before SHARE] [--close-after SHARE]
     [--refuse SHARE] [--hang SHARE] [--end SHARE] [--report-lag-ms N] [--load-factor F]
-    [--rate-limit RATE] [--garble-rate-limit SHARE] [--health truthful|always_live|always_leaving]
+    [--rate-limit RATE] [--garble-rate-limit SHARE] [--limit-course COURSE] [--health truthful|always_live|always_leaving]
 
 Executes the steps of one service; slower during the cold start, which --warm skips.
 SHARE is a probability from 0 to 1. RATE is announced in every response, in requests per second.
+COURSE: the announced rate is low, fraction, falling, rising, lifted or garbled.
+A draining backend announces its leaving in every response.
 Endpoints: GET /wharfquay/health, /wharfquay/load, /wharfquay/executions,
 GET and PUT /wharfquay/faults, POST and DELETE /wharfquay/drain.
 
@@ -84,6 +87,13 @@
             faults.rate_limit =
                 arguments::number_in(parser, "rate-limit", 0.0..=1e6, "0 to 1000000")?;
         }
+        "limit-course" => {
+            faults.limit_course = Some(arguments::value(
+                parser,
+                "limit-course",
+                LimitCourse::ALLOWED,
+            )?);
+        }
         "garble-rate-limit" => faults.garble_rate_limit = share(parser, "garble-rate-limit")?,
         "load-factor" => {
             faults.load_factor =
--- a/crates/emulator/src/backend/faults.rs
+++ b/crates/emulator/src/backend/faults.rs
@@ -3,6 +3,8 @@
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
+use super::limit_course::LimitCourse;
+
 /// State that the health endpoint reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -37,6 +39,8 @@
     pub end: f64,
     /// Rate limit that every response announces, in requests per second; 0 announces none.
     pub rate_limit: f64,
+    /// Course of the announced rate limit from the time at which the faults are set; replaces `rate_limit`.
+    pub limit_course: Option<LimitCourse>,
     /// Share of responses in which the announced rate limit is garbled.
     pub garble_rate_limit: f64,
     /// State that the health endpoint reports.
@@ -58,6 +62,7 @@
             hang: 0.0,
             end: 0.0,
             rate_limit: 0.0,
+            limit_course: None,
             garble_rate_limit: 0.0,
             health: HealthMode::Truthful,
             report_lag_ms: 0,
--- a/crates/emulator/src/backend/mod.rs
+++ b/crates/emulator/src/backend/mod.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod execution;
 pub mod faults;
+mod limit_course;
 pub mod record;
 mod request;
 pub mod server;
@@ -14,6 +15,7 @@
 pub mod speed;
 mod state;
 
+pub use limit_course::LimitCourse;
 pub use server::{RunningBackend, StartError};
 pub use state::BackendSettings;
 
--- a/crates/emulator/src/backend/server.rs
+++ b/crates/emulator/src/backend/server.rs
@@ -261,24 +261,27 @@
     };
     if endpoints::handles(head.uri.path()) {
         let path = head.uri.path();
-        return Ok(endpoints::serve(&state, &head.method, path, &body));
+        let mut response = endpoints::serve(&state, &head.method, path, &body);
+        announce(&state, response.headers_mut());
+        return Ok(response);
     }
     let request = Request::from_parts(head, ());
     let request = BackendRequest::new(&request, body);
     let mut response = execution::serve(Arc::clone(&state), request).await?;
-    announce_rate_limit(&state, response.headers_mut());
+    announce(&state, response.headers_mut());
     Ok(response)
 }
 
-/// Adds the announced rate limit, which may be garbled, to the headers of a response.
-fn announce_rate_limit(state: &BackendState, headers: &mut HeaderMap) {
-    let faults = state.faults();
-    let text = match faults.rate_limit > 0.0 {
-        _ if state.should_inject(faults.garble_rate_limit) => GARBLED_RATE_LIMIT.to_owned(),
-        true => faults.rate_limit.to_string(),
-        false => return,
+/// Adds what the backend announces about itself to the headers of a response.
+fn announce(state: &BackendState, headers: &mut HeaderMap) {
+    if state.time_since_drain_started().is_some() {
+        headers.insert(names::LEAVING, HeaderValue::from_static("1"));
+    }
+    let text = match state.should_inject(state.faults().garble_rate_limit) {
+        true => Some(GARBLED_RATE_LIMIT.to_owned()),
+        false => state.announced_rate_limit(),
     };
-    if let Ok(value) = HeaderValue::from_str(&text) {
+    if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
         headers.insert(names::RATE_LIMIT, value);
     }
 }
--- a/crates/emulator/src/backend/state.rs
+++ b/crates/emulator/src/backend/state.rs
@@ -92,7 +92,8 @@
     /// Notified when a request terminates the backend.
     pub(super) terminate: Notify,
     started: Instant,
-    faults: RwLock<Faults>,
+    /// The injected faults and the time at which they were set.
+    faults: RwLock<(Faults, Instant)>,
     /// Start of the drain; `None` while the backend isn't draining.
     drain_started: RwLock<Option<Instant>>,
     rng: Mutex<Pcg64Mcg>,
@@ -110,7 +111,7 @@
             connections: AtomicUsize::new(0),
             terminate: Notify::new(),
             started: Instant::now(),
-            faults: RwLock::new(settings.faults),
+            faults: RwLock::new((settings.faults, Instant::now())),
             drain_started: RwLock::new(None),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(settings.seed)),
             reports: Mutex::new(Vec::new()),
@@ -120,11 +121,21 @@
     }
 
     pub(super) fn faults(&self) -> Faults {
-        *self.faults.read().unwrap_or_else(PoisonError::into_inner)
+        self.faults.read().unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    /// Returns the text of the rate limit to announce; `None` if there is none.
+    pub(super) fn announced_rate_limit(&self) -> Option<String> {
+        let (faults, since) = *self.faults.read().unwrap_or_else(PoisonError::into_inner);
+        match faults.limit_course {
+            Some(course) => course.value(since.elapsed()),
+            None => (faults.rate_limit > 0.0).then(|| faults.rate_limit.to_string()),
+        }
     }
 
     pub(super) fn set_faults(&self, faults: Faults) {
-        *self.faults.write().unwrap_or_else(PoisonError::into_inner) = faults;
+        let mut current = self.faults.write().unwrap_or_else(PoisonError::into_inner);
+        *current = (faults, Instant::now());
     }
 
     /// Starts the drain, or withdraws it if `leaving` is false. A drain in progress keeps its start
--- a/crates/emulator/src/experiment/surge/arguments.rs
+++ b/crates/emulator/src/experiment/surge/arguments.rs
@@ -9,7 +9,9 @@
 use crate::arguments::{ArgumentError, Command, invalid, read, text, unknown_option, value};
 use crate::scenario::Scenario;
 use crate::simulator::call_path::policy::{Policy, RankSource};
-use crate::simulator::call_path::settings::{RunSettings, SlowService};
+use crate::simulator::call_path::settings::{
+    Announcement, AnnouncingBackends, RunSettings, SlowService,
+};
 
 /// The usage text.
 pub const USAGE: &str = "\
@@ -23,6 +25,9 @@
   --seconds S            seconds of the surge (10)
   --after S              seconds after the surge (10)
   --slow SERVICE=F       makes a service slow during the surge; may be repeated
+  --limit SERVICE=COURSE[:N]  N backends (1) announce a rate limit during the surge: low, fraction,
+                         falling, rising, lifted or garbled; may be repeated
+  --leave SERVICE[:N]    N backends (1) announce during the surge that they are leaving; may be repeated
   --policy P             wharfquay, none, static, oracle or all (all)
   --json                 prints JSON
   --services             lists services and priorities in the table too
@@ -104,7 +109,7 @@
 
 fn settings(raw: RawArguments) -> Result<SurgeSettings, ArgumentError> {
     let scenario = raw.scenario.ok_or(ArgumentError::Missing("scenario"))?;
-    check_slow(&scenario, &raw.run)?;
+    check_services(&scenario, &raw.run)?;
     Ok(SurgeSettings {
         scenario,
         run: raw.run,
@@ -127,6 +132,8 @@
         "seconds" => run.surge = seconds(parser, "seconds")?,
         "after" => run.after = seconds(parser, "after")?,
         "slow" => run.slow.push(parse_slow(text(parser)?)?),
+        "limit" => run.announcing.push(parse_limit(text(parser)?)?),
+        "leave" => run.announcing.push(parse_leave(text(parser)?)?),
         "lost-requests" => {
             run.faults.lost_requests = number(parser, "lost-requests", 0.0, 1.0)?;
         }
@@ -244,15 +251,59 @@
     parsed.ok_or_else(|| invalid("slow", input, "malformed", allowed))
 }
 
-fn check_slow(scenario: &Scenario, run: &RunSettings) -> Result<(), ArgumentError> {
-    let unknown = run
-        .slow
-        .iter()
-        .find(|slow| scenario.service(&slow.service).is_none());
-    unknown.map_or(Ok(()), |slow| {
-        let input = slow.service.clone();
+fn parse_limit(input: String) -> Result<AnnouncingBackends, ArgumentError> {
+    let parsed = input.split_once('=').and_then(|(service, limit)| {
+        let (course, backends) = split_count(limit)?;
+        let course = course.parse().ok()?;
+        Some((service.to_owned(), backends, course))
+    });
+    let malformed = || {
+        let allowed = "SERVICE=COURSE[:N] with low, fraction, falling, rising, lifted or garbled";
+        invalid("limit", input, "malformed", allowed)
+    };
+    let (service, backends, course) = parsed.ok_or_else(malformed)?;
+    Ok(AnnouncingBackends {
+        service,
+        backends,
+        announcement: Announcement::RateLimit(course),
+    })
+}
+
+fn parse_leave(input: String) -> Result<AnnouncingBackends, ArgumentError> {
+    let Some((service, backends)) = split_count(&input) else {
+        return Err(invalid("leave", input, "malformed", "SERVICE[:N]"));
+    };
+    Ok(AnnouncingBackends {
+        service: service.to_owned(),
+        backends,
+        announcement: Announcement::Leaving,
+    })
+}
+
+/// Splits `NAME:N`; without a number it is one.
+fn split_count(text: &str) -> Option<(&str, usize)> {
+    match text.split_once(':') {
+        Some((name, count)) => Some((name, count.parse().ok()?)),
+        None => Some((text, 1)),
+    }
+}
+
+/// Checks that the scenario has every service that an option names.
+fn check_services(scenario: &Scenario, run: &RunSettings) -> Result<(), ArgumentError> {
+    let slow = run.slow.iter().map(|slow| ("slow", &slow.service));
+    let announcing = run.announcing.iter().map(|announcing| {
+        let option = match announcing.announcement {
+            Announcement::RateLimit(_) => "limit",
+            Announcement::Leaving => "leave",
+        };
+        (option, &announcing.service)
+    });
+    let mut named = slow.chain(announcing);
+    let unknown = named.find(|(_, service)| scenario.service(service).is_none());
+    unknown.map_or(Ok(()), |(option, service)| {
+        let input = service.clone();
         Err(invalid(
-            "slow",
+            option,
             input,
             "no such service",
             "a listed service",
--- a/crates/emulator/src/experiment/surge/measure.rs
+++ b/crates/emulator/src/experiment/surge/measure.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use wharfquay_core::time::Timestamp;
 
+use super::announced::{AnnouncingMeasurements, measure_announcing};
 use super::oracle::OracleGoodput;
 use crate::simulator::call_path::Layout;
 use crate::simulator::call_path::record::{KindRecord, RunRecord, ServiceRecord, SessionRecord};
@@ -74,6 +75,9 @@
     pub kinds: Vec<KindMeasurements>,
     /// Measurements by service and priority, for those with calls during the surge.
     pub services: Vec<ServiceMeasurements>,
+    /// Measurements of the announcing backends.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub announcing: Vec<AnnouncingMeasurements>,
 }
 
 /// Measurements of the calls of one priority to one service during the surge.
@@ -140,6 +144,7 @@
         goodput_ratio: rounded(capped / bound.max(1.0)),
         uncapped_goodput_ratio: rounded(completed / bound.max(1.0)),
         services: service_measures(layout, settings, record),
+        announcing: measure_announcing(layout, settings, record),
         recovery_seconds: recovery(settings, &record.sessions, rate, |_| true),
         wasted_work_ratio: total_work.wasted_ratio(),
         kinds,
--- a/crates/emulator/src/experiment/surge/mod.rs
+++ b/crates/emulator/src/experiment/surge/mod.rs
@@ -1,6 +1,7 @@
 //! The experiment `surge`: goodput and recovery of each policy under a surge of requests, optionally with
 //! slow services.
 
+mod announced;
 mod arguments;
 mod measure;
 mod oracle;
@@ -17,6 +18,7 @@
 use crate::simulator::call_path::settings::RunSettings;
 use crate::simulator::call_path::{Layout, simulate};
 
+pub use announced::AnnouncingMeasurements;
 pub use arguments::{SurgeSettings, USAGE, parse};
 pub use measure::{KindMeasurements, PolicyMeasurements, ServiceMeasurements, measure};
 pub use oracle::{OracleGoodput, oracle_goodput};
--- a/crates/emulator/src/experiment/surge/report.rs
+++ b/crates/emulator/src/experiment/surge/report.rs
@@ -99,6 +99,7 @@
     );
     for policy in &report.policies {
         render_policy(&mut text, report, policy);
+        render_announcing(&mut text, policy);
         if with_services {
             render_services(&mut text, policy);
         }
@@ -141,6 +142,23 @@
     );
 }
 
+fn render_announcing(text: &mut String, policy: &PolicyMeasurements) {
+    for backend in &policy.announcing {
+        let _ = writeln!(
+            text,
+            "{:<10} backend={} announces={} arrivals={} excess={} used={} after_leaving={} cancelled={}",
+            policy.policy,
+            backend.backend,
+            backend.announcement,
+            backend.arrivals,
+            format_optional(backend.excess),
+            format_optional(backend.used_share),
+            backend.after_leaving,
+            backend.cancelled
+        );
+    }
+}
+
 fn render_services(text: &mut String, policy: &PolicyMeasurements) {
     for service in &policy.services {
         let _ = writeln!(
--- a/crates/emulator/src/simulator/call_path/call.rs
+++ b/crates/emulator/src/simulator/call_path/call.rs
@@ -70,6 +70,8 @@
     /// Endpoints whose attempts failed; a retry prefers others.
     pub(super) failed_endpoints: Vec<EndpointId>,
     pub(super) retries: u32,
+    /// True if a backend refused an attempt because of its announced rate limit.
+    pub(super) is_rate_limited: bool,
     /// Result code of the last attempt that may have run.
     pub(super) uncertain: Option<ResultCode>,
     /// The attempt in flight.
@@ -114,6 +116,8 @@
     /// Time at which the attempt arrived at the daemon; while it is in transit, the time at which it was
     /// sent.
     pub(super) arrived_at: Timestamp,
+    /// Time at which the daemon sent the call to the backend; zero before.
+    pub(super) dispatched_at: Timestamp,
     /// Retry allowance for the downstream calls.
     pub(super) ledger: Ledger,
     /// Incarnation of the backend when the attempt arrived.
--- a/crates/emulator/src/simulator/call_path/engine/execution.rs
+++ b/crates/emulator/src/simulator/call_path/engine/execution.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use wharfquay_core::admission::{CallTicket, Cancellation, Completion};
+use wharfquay_core::rate_limit::ResponseSource;
 
 use super::Engine;
 use super::caller::splitmix64;
@@ -182,6 +183,8 @@
         if failure.is_none() {
             self.record_effect(&execution);
         }
+        let (node, sent_at) = (execution.node, execution.dispatched_at);
+        self.read_announcements(node, ResponseSource::Call, sent_at);
         self.release_resources(id, &execution, Completion::Succeeded);
         let (result, retry_after) = match failure {
             None => (AttemptResult::Complete, None),
@@ -268,6 +271,7 @@
             .as_mut()
             .map(|admission| admission.cancel(now, ticket));
         if found != Some(Cancellation::RemovedFromQueue) {
+            self.record_cancelled(execution);
             self.release_resources(id, execution, Completion::Cancelled);
         }
     }
--- a/crates/emulator/src/simulator/call_path/engine/inbound.rs
+++ b/crates/emulator/src/simulator/call_path/engine/inbound.rs
@@ -36,6 +36,10 @@
         if self.refuse_for_downstream(id) {
             return;
         }
+        if let Some((code, retry_after)) = self.check_announcements(id) {
+            self.refuse(id, code, Some(retry_after));
+            return;
+        }
         let Some(call) = self.offered_call(id) else {
             return;
         };
@@ -139,10 +143,16 @@
 
     /// Dispatches a call to the backend, over an idle connection or a new one.
     fn dispatch(&mut self, id: ExecutionId) {
+        if let Some((code, retry_after)) = self.admit_by_announcements(id) {
+            self.refuse(id, code, Some(retry_after));
+            return;
+        }
+        let now = self.now;
         let Some(execution) = self.executions.get_mut(id) else {
             return;
         };
         execution.stage = Stage::Dispatched;
+        execution.dispatched_at = now;
         let (node, service) = (execution.node, execution.service);
         let (arrived_at, request) = (execution.arrived_at, execution.request);
         if let Some(request) = self.requests.get(request) {
@@ -154,6 +164,7 @@
             record.dispatched += 1;
             record.waited += waited;
         }
+        self.record_arrival(node);
         match self.backend_mut(node).acquire_connection() {
             ConnectionOutcome::Idle => self.connected(id),
             ConnectionOutcome::Opening => {
@@ -190,10 +201,11 @@
         let response = if self.is_lost(self.settings.faults.lost_responses) {
             lost_response()
         } else {
+            let metadata = self.metadata(execution);
             let origin = self.requests.get(execution.request);
             Response {
                 result,
-                metadata: self.metadata(execution),
+                metadata,
                 retry_after,
                 origin: origin.map_or(0, |request| request.origin),
             }
@@ -206,8 +218,11 @@
         self.events.add(at, event);
     }
 
-    fn metadata(&self, execution: &mut Execution) -> Option<Metadata> {
+    fn metadata(&mut self, execution: &mut Execution) -> Option<Metadata> {
         let request = self.requests.get(execution.request)?;
+        let priority = request.key.priority();
+        let limit = &mut self.nodes[execution.node].limit;
+        let rate_limited_for = limit.exhausted_for(self.now, priority);
         let node = &self.nodes[execution.node];
         let returned = execution.ledger.close();
         let admission = node.admission.as_ref();
@@ -228,6 +243,7 @@
             level,
             path_level,
             load,
+            rate_limited_for,
         })
     }
 }
--- a/crates/emulator/src/simulator/call_path/engine/mod.rs
+++ b/crates/emulator/src/simulator/call_path/engine/mod.rs
@@ -1,5 +1,6 @@
 //! Event loop and state of a simulated deployment.
 
+mod announcements;
 mod caller;
 mod execution;
 mod faults;
@@ -13,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use wharfquay_core::admission::{AdmissionController, AdmissionSettings, PathLevels};
 use wharfquay_core::priority::Priority;
+use wharfquay_core::rate_limit::AnnouncedLimit;
 use wharfquay_core::retry::DestinationBudget;
 use wharfquay_core::routing::{Endpoint, EndpointState, Router, RouterSettings, Zone};
 use wharfquay_core::time::Timestamp;
@@ -82,6 +84,7 @@
                 sessions: arrivals.iter().map(session).collect(),
                 services: vec![Default::default(); layout.services.len()],
                 kinds: vec![KindRecord::default(); layout.kinds.len()],
+                announcements: announcements::records(layout, settings),
                 events: 0,
             },
             arrivals,
@@ -115,6 +118,8 @@
         let routers = (0..services).map(|service| self.new_router(node, service));
         Node {
             admission: self.new_admission(node),
+            limit: AnnouncedLimit::default(),
+            is_leaving: false,
             wake_at: None,
             routers: routers.collect(),
             budgets: vec![DestinationBudget::new(BUDGET_RATIO, self.now); services],
--- a/crates/emulator/src/simulator/call_path/engine/outgoing.rs
+++ b/crates/emulator/src/simulator/call_path/engine/outgoing.rs
@@ -63,6 +63,7 @@
             parent,
             failed_endpoints: Vec::new(),
             retries: 0,
+            is_rate_limited: false,
             uncertain: None,
             attempt: None,
         });
@@ -114,7 +115,10 @@
             outgoing.failed_endpoints.as_slice()
         };
         let pick_request = PickRequest { key, excluded };
-        let mut pick = router.pick(self.now, &mut self.routing_rng, &pick_request);
+        let mut pick = match outgoing.is_rate_limited {
+            true => router.pick_after_rate_limit(self.now, &mut self.routing_rng, &pick_request),
+            false => router.pick(self.now, &mut self.routing_rng, &pick_request),
+        };
         if matches!(pick, Pick::None { .. }) && outgoing.uncertain.is_some() {
             let pick_request = PickRequest { key, excluded: &[] };
             pick = router.pick(self.now, &mut self.routing_rng, &pick_request);
@@ -149,6 +153,7 @@
             service,
             stage: Stage::InTransit,
             arrived_at: self.now,
+            dispatched_at: Timestamp::ZERO,
             ledger: Ledger::new(grant.allowance()),
             incarnation: 0,
             work_started: self.now,
@@ -307,8 +312,24 @@
         let naive = self.settings.policy.is_naive();
         let metadata = response.metadata.filter(|_| !naive);
         let node = &mut self.nodes[outgoing.node];
-        let observation = observation(self.now, attempt, response.result, metadata);
-        node.routers[outgoing.service].observe(self.now, &attempt.endpoint, observation);
+        let router = &mut node.routers[outgoing.service];
+        match response.result {
+            // The call was not sent, which shows nothing else about the endpoint.
+            AttemptResult::Failed(ResultCode::RateLimited) if !naive => {
+                router.discard_attempt(&attempt.endpoint);
+            }
+            result => {
+                let observation = observation(self.now, attempt, result, metadata);
+                router.observe(self.now, &attempt.endpoint, observation);
+            }
+        }
+        if let Some(metadata) = metadata {
+            let limited_for = metadata.rate_limited_for;
+            router.record_rate_limit(self.now, &attempt.endpoint, limited_for);
+        }
+        if response.result == AttemptResult::Failed(ResultCode::Draining) {
+            router.refused_as_leaving(self.now, &attempt.endpoint);
+        }
         if response.result == AttemptResult::Complete {
             node.budgets[outgoing.service].record_success(self.now);
         }
--- a/crates/emulator/src/simulator/call_path/engine/retries.rs
+++ b/crates/emulator/src/simulator/call_path/engine/retries.rs
@@ -35,6 +35,7 @@
             return;
         };
         outgoing.failed_endpoints.push(attempt.endpoint);
+        outgoing.is_rate_limited |= code == ResultCode::RateLimited;
         if code.outcome() == OutcomeClass::Unknown {
             outgoing.uncertain = Some(code);
         }
--- a/crates/emulator/src/simulator/call_path/node.rs
+++ b/crates/emulator/src/simulator/call_path/node.rs
@@ -7,6 +7,7 @@
 use wharfquay_core::call::RetryAllowance;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::AdmissionLevel;
+use wharfquay_core::rate_limit::AnnouncedLimit;
 use wharfquay_core::retry::DestinationBudget;
 use wharfquay_core::routing::Router;
 use wharfquay_core::time::Timestamp;
@@ -46,6 +47,8 @@
     pub(super) path_level: AdmissionLevel,
     /// Load of the responding daemon.
     pub(super) load: Load,
+    /// Time for which the announced rate limit of the backend leaves no room.
+    pub(super) rate_limited_for: Duration,
 }
 
 /// State of one daemon.
@@ -53,6 +56,10 @@
 pub(super) struct Node {
     /// Absent at an edge and under [`Policy::None`](super::policy::Policy::None).
     pub(super) admission: Option<AdmissionController>,
+    /// Rate limit that the backend announces.
+    pub(super) limit: AnnouncedLimit,
+    /// True if the backend has announced that it is leaving.
+    pub(super) is_leaving: bool,
     /// Time of the earliest scheduled wakeup of the admission controller.
     pub(super) wake_at: Option<Timestamp>,
     /// Routers by service.
--- a/crates/emulator/src/simulator/call_path/record.rs
+++ b/crates/emulator/src/simulator/call_path/record.rs
@@ -7,6 +7,8 @@
 use wharfquay_core::priority::Priority;
 use wharfquay_core::time::Timestamp;
 
+use super::settings::Announcement;
+
 /// One session: a caller's request with all attempts that the caller makes for it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SessionRecord {
@@ -60,6 +62,24 @@
     pub refused: BTreeMap<ResultCode, u64>,
 }
 
+/// Calls that were sent to a backend while it announced something.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnnouncementRecord {
+    /// Index of the backend.
+    pub backend: usize,
+    /// What the backend announced.
+    pub announcement: Announcement,
+    /// Time of the first response with an announcement; `None` if there was none.
+    pub first_announced_at: Option<Timestamp>,
+    /// Rates that responses announced, in requests per second, each with the time of the first such
+    /// response; `None` for none.
+    pub rates: Vec<(Timestamp, Option<f64>)>,
+    /// Times at which calls were sent to the backend during the surge.
+    pub arrivals: Vec<Timestamp>,
+    /// Calls that were broken off at the backend during the surge.
+    pub cancelled: u64,
+}
+
 /// The record of a whole run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RunRecord {
@@ -69,6 +89,8 @@
     pub services: Vec<[ServiceRecord; Priority::COUNT]>,
     /// Counters by request kind.
     pub kinds: Vec<KindRecord>,
+    /// Records of the announcing backends.
+    pub announcements: Vec<AnnouncementRecord>,
     /// Number of simulated events.
     pub events: u64,
 }
--- a/crates/emulator/src/simulator/call_path/settings.rs
+++ b/crates/emulator/src/simulator/call_path/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::policy::{Mechanisms, Policy};
+use crate::backend::LimitCourse;
 
 /// Faults of the network and of backends.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,6 +26,26 @@
     pub factor: f64,
 }
 
+/// What backends of a service announce in their responses during the surge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnnouncingBackends {
+    /// Name of the service.
+    pub service: String,
+    /// Number of its backends that announce it, the first ones.
+    pub backends: usize,
+    /// What they announce.
+    pub announcement: Announcement,
+}
+
+/// What a backend announces in its responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announcement {
+    /// A rate limit.
+    RateLimit(LimitCourse),
+    /// That it is leaving.
+    Leaving,
+}
+
 /// Settings of one run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunSettings {
@@ -44,6 +65,8 @@
     pub factor: f64,
     /// Services that are slower during the surge.
     pub slow: Vec<SlowService>,
+    /// Backends that announce something during the surge.
+    pub announcing: Vec<AnnouncingBackends>,
     /// Injected faults.
     pub faults: FaultSettings,
 }
@@ -61,6 +84,7 @@
             after: Duration::from_secs(10),
             factor,
             slow: Vec::new(),
+            announcing: Vec::new(),
             faults: FaultSettings::default(),
         }
     }
--- a/crates/emulator/tests/surge_experiment.rs
+++ b/crates/emulator/tests/surge_experiment.rs
@@ -229,3 +229,43 @@
         assert!(message.contains(expected), "{line}: {message}");
     }
 }
+
+/// Guards against calls beyond the rate limit that a backend announces, and against one that is not
+/// used although calls want it.
+#[test]
+fn announced_rate_limits_are_kept_and_used() {
+    for course in ["low", "fraction", "falling", "rising", "lifted", "garbled"] {
+        let line =
+            format!("--scenario lagos --factor 1 --limit slot={course}:2 --policy wharfquay");
+        let report = run(&format!("{line} --before 1 --seconds 12 --after 2"));
+        let [policy] = &report.policies[..] else {
+            panic!("one policy ran");
+        };
+        assert_eq!(policy.announcing.len(), 2, "{course}");
+        for backend in &policy.announcing {
+            let excess = backend.excess.expect("a limit was announced");
+            assert!(excess <= 1.0 + 1e-3, "{course}: {backend:?}");
+            assert_eq!(backend.used_share.is_none(), course == "lifted");
+            let used = backend.used_share.unwrap_or(1.0);
+            assert!(used >= 0.9, "{course}: {backend:?}");
+        }
+    }
+}
+
+/// Guards against new calls at a backend that announces its leaving, and against calls in progress that
+/// are broken off there.
+#[test]
+fn backends_that_announce_their_leaving_get_no_new_calls() {
+    let line = "--scenario lagos --factor 1 --leave slot:2 --policy wharfquay";
+    let report = run(&format!("{line} --before 1 --seconds 4 --after 2"));
+    for backend in &report.policies[0].announcing {
+        assert_eq!(backend.after_leaving, 0, "{backend:?}");
+        assert_eq!(backend.cancelled, 0, "{backend:?}");
+    }
+    let before = run("--scenario lagos --factor 1 --limit slot=low --leave slot:2 --policy none");
+    let announcing = &before.policies[0].announcing;
+    assert!(
+        announcing.iter().any(|one| one.after_leaving > 0),
+        "{announcing:?}"
+    );
+}
