--- a/crates/cli/src/explain/candidates.rs
+++ b/crates/cli/src/explain/candidates.rs
@@ -4,6 +4,28 @@
 use wharfquay_platform::wire::{Machine, MachineState};
 use wharfquay_resources::snapshot::Snapshot;
 
+use crate::daemon_status::DaemonStatus;
+use crate::status::daemons::DaemonView;
+
+/// What decides about the candidates.
+#[derive(Clone, Copy)]
+pub(super) struct Found<'a> {
+    /// The configuration.
+    pub(super) snapshot: &'a Snapshot,
+    /// The machine list.
+    pub(super) machines: &'a [Machine],
+    /// Status of some daemons.
+    pub(super) daemons: &'a [DaemonView],
+}
+
+impl Found<'_> {
+    /// Returns the status of the daemon on a machine; `None` if it was not read.
+    fn status(&self, machine: &Machine) -> Option<&DaemonStatus> {
+        let statuses = self.daemons.iter().filter_map(|view| view.status.as_ref());
+        statuses.into_iter().find(|status| status.id == machine.id)
+    }
+}
+
 /// A backend of the service.
 #[derive(Debug, Serialize)]
 pub(super) struct Candidate {
@@ -21,15 +43,14 @@
 
 /// Returns the service's backends in order of preference: usable ones of the edge's zone first.
 pub(super) fn list_candidates(
-    snapshot: &Snapshot,
+    found: &Found<'_>,
     service: &str,
     zone: Option<&str>,
-    machines: &[Machine],
 ) -> Vec<Candidate> {
-    let machines = machines.iter();
+    let machines = found.machines.iter();
     let mut candidates: Vec<Candidate> = machines
         .filter(|machine| machine.service.as_deref() == Some(service))
-        .map(|machine| evaluate_candidate(snapshot, service, zone, machine))
+        .map(|machine| evaluate_candidate(found, service, zone, machine))
         .collect();
     candidates.sort_by_key(|candidate| {
         let is_remote = Some(candidate.zone.as_str()) != zone;
@@ -39,14 +60,24 @@
 }
 
 fn evaluate_candidate(
-    snapshot: &Snapshot,
+    found: &Found<'_>,
     service: &str,
     zone: Option<&str>,
     machine: &Machine,
 ) -> Candidate {
-    let leaving = leaving_reason(snapshot, service, machine);
+    let status = found.status(machine);
+    let leaving = leaving_reason(found.snapshot, service, machine).or_else(|| {
+        let is_leaving = status.is_some_and(|status| status.leaving);
+        is_leaving.then(|| "leaving by its daemon".to_owned())
+    });
     let usable = leaving.is_none();
-    let reason = leaving.unwrap_or_else(|| zone_preference(zone, &machine.zone));
+    let mut reason = leaving.unwrap_or_else(|| zone_preference(zone, &machine.zone));
+    let admission = status.and_then(|status| status.admission);
+    if let Some(rate) = admission.and_then(|admission| admission.rate_limit) {
+        reason.push_str(&format!(
+            "; announces a limit of {rate} requests a second, refuses others (3022)"
+        ));
+    }
     Candidate {
         id: machine.id.clone(),
         zone: machine.zone.clone(),
--- a/crates/cli/src/explain/mod.rs
+++ b/crates/cli/src/explain/mod.rs
@@ -17,12 +17,14 @@
 use crate::commands::{CommandSpec, Example, Flag, JSON, Positionals};
 use crate::configuration::{FILE, read_configuration};
 use crate::connection::{
-    PLATFORM, TIMEOUT, block_on, connect, platform_is_specified, with_progress,
+    PLATFORM, TIMEOUT, block_on, connect, platform_is_specified, timeout, with_progress,
 };
+use crate::daemon_status::{DAEMON, daemon_addresses};
 use crate::error::{CliError, ExitStatus};
-use crate::explain::candidates::{Candidate, list_candidates};
+use crate::explain::candidates::{Candidate, Found, list_candidates};
 use crate::explain::request::read_request;
 use crate::output::Output;
+use crate::status::daemons::{DaemonView, read_daemons};
 use crate::table::TextTable;
 
 const ALLOWED_LEVEL: &str = "0 (closed) to 32768 (open)";
@@ -34,7 +36,8 @@
     details: "\
 The request is specified by its request line and headers. The output has the request kinds that
 were considered, the priority, the deadline, the retry allowance, the decision at the edge, and,
-with --platform, each backend of the service and why it may or may not be chosen.",
+with --platform, each backend of the service and why it may or may not be chosen. With --daemon, this
+includes what the backends announced to these daemons: a rate limit, or that they are leaving.",
     positionals: Positionals {
         usage: "'METHOD PATH'",
         minimum: 1,
@@ -59,6 +62,7 @@
         ),
         FILE,
         PLATFORM,
+        DAEMON,
         TIMEOUT,
         JSON,
     ],
@@ -71,6 +75,10 @@
             line: "wharfquay explain 'POST /appointments' --header 'wharfquay-service: booking' --zone ikeja --platform 127.0.0.1:7000",
             description: "Explain a request under the configuration in force, with the candidate backends.",
         },
+        Example {
+            line: "wharfquay explain 'GET /slots' --header 'host: slot' --platform 127.0.0.1:7000 --daemon 127.0.0.1:7203",
+            description: "Show also what the backend of a daemon announces.",
+        },
     ],
     run,
 };
@@ -92,6 +100,9 @@
     chain: Option<Vec<String>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     candidates: Option<Vec<Candidate>>,
+    /// Daemons whose status can't be read, each with the reason.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    unread_daemons: Vec<String>,
 }
 
 fn run(arguments: &Arguments, output: &mut Output) -> Result<ExitStatus, CliError> {
@@ -107,15 +118,22 @@
         endpoint: None,
     };
     let decision = decide(&snapshot, &request, &context);
+    let daemons = read_statuses(arguments)?;
     let candidates = machines.map(|machines| {
         let zone = arguments.text("zone");
-        list_candidates(&snapshot, &request.service, zone.as_deref(), &machines)
+        let found = Found {
+            snapshot: &snapshot,
+            machines: &machines,
+            daemons: &daemons,
+        };
+        list_candidates(&found, &request.service, zone.as_deref())
     });
     let explanation = Explanation {
         kinds: match_kinds(&snapshot, &request),
         retry_budget: retry_budget_name(&snapshot, &decision),
         chain: heaviest_chain(&snapshot, &request.service, |_| 1),
         candidates,
+        unread_daemons: daemons.iter().filter_map(describe_unread).collect(),
         decision,
         request,
     };
@@ -132,6 +150,11 @@
     })
 }
 
+fn read_statuses(arguments: &Arguments) -> Result<Vec<DaemonView>, CliError> {
+    let (addresses, timeout) = (daemon_addresses(arguments)?, timeout(arguments)?);
+    block_on(async { Ok(read_daemons(&addresses, timeout).await) })
+}
+
 fn read_machines(arguments: &Arguments) -> Result<Option<Vec<Machine>>, CliError> {
     if !platform_is_specified(arguments) {
         return Ok(None);
@@ -212,9 +235,18 @@
         Some(candidates) => text.push_str(&render_candidates(candidates)),
         None => text.push_str("backends: not known without --platform\n"),
     }
+    for daemon in &explanation.unread_daemons {
+        text.push_str(&format!("not read: {daemon}\n"));
+    }
     text
 }
 
+/// Describes a daemon whose status can't be read.
+fn describe_unread(view: &DaemonView) -> Option<String> {
+    let error = view.error.as_ref()?;
+    Some(format!("{}: {error}", view.address))
+}
+
 fn render_policy(explanation: &Explanation) -> String {
     let Some(policy) = &explanation.decision.treatment else {
         return String::new();
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use serde_json::Value;
-use support::{TestPlatform, repository_file, run};
+use serde_json::{Value, json};
+use support::{TestDaemon, TestPlatform, closed_address, repository_file, run};
 use wharfquay_platform::wire::{Machine, MachineState};
 
 fn lagos() -> String {
@@ -194,3 +194,48 @@
     ];
     assert_eq!(shown, expected);
 }
+
+/// Guards against an explanation that calls a backend usable although it announces its leaving, or hides
+/// the announced rate limit by which it refuses calls.
+#[test]
+fn announcements_of_the_backends_are_explained() {
+    let platform = TestPlatform::start();
+    assert_eq!(platform.run(&["apply", &lagos()]).code, 0);
+    let mut addresses = vec![closed_address()];
+    for (id, leaving, rate_limit) in [("slot-1", false, Some(5.8)), ("slot-2", true, None)] {
+        let machine = machine(id, "ikeja", MachineState::Live);
+        let client = platform.client();
+        platform
+            .block_on(client.put_machine(&machine))
+            .expect("the machine is added");
+        let page = json!({
+            "id": id, "zone": "ikeja", "service": "slot", "ready": true, "leaving": leaving,
+            "admission": {"level": 32_768, "rate_limit": rate_limit},
+        });
+        let daemon = TestDaemon::start(&page);
+        addresses.push(daemon.address());
+    }
+    let explained = platform.run(&[
+        "explain",
+        "GET /slots",
+        "--header",
+        "host: slot",
+        "--daemon",
+        &addresses.join(","),
+        "--json",
+    ]);
+    assert_eq!(explained.code, 0, "{}", explained.stderr);
+    let explanation: Value = serde_json::from_str(&explained.stdout).expect("JSON");
+    let candidates = &explanation["candidates"];
+    assert_eq!(candidates[0]["id"], "slot-1");
+    assert_eq!(candidates[0]["usable"], true);
+    let reason = candidates[0]["reason"].as_str().expect("a reason");
+    assert!(
+        reason.contains("limit of 5.8 requests a second"),
+        "{reason}"
+    );
+    assert_eq!(candidates[1]["usable"], false);
+    assert_eq!(candidates[1]["reason"], "leaving by its daemon");
+    let unread = explanation["unread_daemons"][0].as_str().expect("a daemon");
+    assert!(unread.starts_with(&addresses[0]), "{unread}");
+}
