Offer a call to more sidecars while some may have room under their limits

Cause: a call was offered to four sidecars at most, whatever was known of the others. Limits are learned from refusals, so right after they are announced the next pick is as likely to be a limited one as the first.

Change: up to sixteen offers while an endpoint is not known to be short of room; four, as before, once all are.

Test: no_call_is_refused_before_the_limits_of_most_backends_are_known (11 of 12 backends at 0.5 a second). trace shows the lines in which sidecars learned limits and leavings.

--- a/crates/cli/src/trace/collector.rs
+++ b/crates/cli/src/trace/collector.rs
@@ -10,7 +10,7 @@
 /// Events about one request or call.
 const REQUEST_EVENTS: [&str; 2] = ["request_ended", "call_ended"];
 /// Log events that report a change of a sidecar's state.
-const STATE_EVENTS: [&str; 13] = [
+const STATE_EVENTS: [&str; 15] = [
     "started",
     "ready",
     "stopping",
@@ -24,6 +24,8 @@
     "instance_replaced",
     "departure_acknowledged",
     "departure_not_durable",
+    "rate_limit_announced",
+    "leaving_announced",
 ];
 /// Event that reports how many lines the logger dropped.
 const DROPPED_EVENT: &str = "log_dropped";
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -12,6 +12,8 @@
 event=log_dropped time=2026-12-02T10:00:09.000+00:00 level=WARN lines=12
 ";
 const BACKEND_LOG: &str = "\
+  4.0 machine-b event=rate_limit_announced time=2026-12-02T10:00:04.000+00:00 level=WARN instance=i per_second=9 previous=none
+  4.5 machine-b event=rate_limit_announced time=2026-12-02T10:00:04.500+00:00 level=WARN instance=i per_second=5.8 previous=9
   5.1 machine-b event=request_ended time=2026-12-02T10:00:05.200+00:00 level=INFO request=77aa.01 origin=1 route=inner result=3006 name=NoBackend status=503 attempts=none
   5.3 machine-b event=call_ended time=2026-12-02T10:00:05.290+00:00 level=INFO request=77aa origin=1 instance=i result=1000 name=Answered status=500
   5.3 machine-b event=call_ended time=2026-12-02T10:00
@@ -49,7 +51,8 @@
     };
     assert!(position("name=NoBackend") < position("attempts=b:1000:300.0"));
     assert!(position("version=7") < position("name=NoBackend"));
-    for absent in ["77ab", "version=6", "version=8"] {
+    assert!(position("per_second=5.8") < position("name=NoBackend"));
+    for absent in ["77ab", "version=6", "version=8", "per_second=9 "] {
         assert!(!text.contains(absent), "{absent} in {text}");
     }
     assert!(text.contains("edge.log: 12 lines were dropped"), "{text}");
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -135,6 +135,13 @@
             .unwrap_or_else(|| self.pick(now, rng, request))
     }
 
+    /// Returns true if an endpoint can take the call whose rate limit, if there is one, left room for
+    /// all recent calls.
+    #[must_use]
+    pub fn can_pick_unlimited(&self, now: Timestamp, request: &PickRequest<'_>) -> bool {
+        self.can_pick_in_tier(now, request, PickTier::Unlimited)
+    }
+
     fn pick_in_tier(
         &self,
         now: Timestamp,
@@ -151,7 +158,11 @@
     /// Returns true if some endpoint can take the call.
     #[must_use]
     pub fn can_pick(&self, now: Timestamp, request: &PickRequest<'_>) -> bool {
-        let pool = self.pool(now, request, PickTier::Ejected);
+        self.can_pick_in_tier(now, request, PickTier::Ejected)
+    }
+
+    fn can_pick_in_tier(&self, now: Timestamp, request: &PickRequest<'_>, tier: PickTier) -> bool {
+        let pool = self.pool(now, request, tier);
         self.candidate_indexes().any(|index| pool.is_usable(index))
     }
 
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -1,5 +1,5 @@
-//! Polls the health endpoint of the local backend and reads what its responses announce. The endpoint may lag or be wrong, so it is only
-//! one of several sources for whether the backend is leaving.
+//! Polls the health endpoint of the local backend and reads what its responses announce. The reported
+//! state may lag or be wrong, so it is only one of several sources for whether the backend is leaving.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -34,9 +34,12 @@
 /// Maximum number of sidecars that a call is offered to after refusals that did not reach their
 /// backends.
 const MAX_OFFERS: usize = 3;
-/// Maximum number of sidecars that a call is offered to after refusals because of a rate limit. It
-/// finds one with room while others' limits are not known yet.
-const MAX_RATE_LIMITED_OFFERS: usize = 4;
+/// Number of sidecars that refuse a call because of a rate limit before it is refused to its caller, if
+/// every other one is known to be short of room too.
+const RATE_LIMITED_OFFERS: usize = 4;
+/// The same number while others may have room: limits are learned from refusals, and each takes less
+/// than a millisecond.
+const MAX_RATE_LIMITED_OFFERS: usize = 16;
 /// Retry-After if no sidecar of a service is known.
 const NO_SIDECAR_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -171,9 +174,14 @@
         }
     }
 
-    /// True if the call may be offered to another sidecar after a refusal.
-    const fn may_offer(&self) -> bool {
-        self.offers < MAX_OFFERS && self.rate_limited_offers < MAX_RATE_LIMITED_OFFERS
+    /// True if the call may be offered to another sidecar after a refusal. `others_unlimited` is true if
+    /// one of them is not known to be short of room under a rate limit.
+    const fn may_offer(&self, others_unlimited: bool) -> bool {
+        let rate_limited_offers = match others_unlimited {
+            true => MAX_RATE_LIMITED_OFFERS,
+            false => RATE_LIMITED_OFFERS,
+        };
+        self.offers < MAX_OFFERS && self.rate_limited_offers < rate_limited_offers
     }
 
     /// Returns the failure to report: "not executed" only if that holds for every attempt.
@@ -433,8 +441,10 @@
         let key = routing_key(&call.context);
         let sibling_available = body.can_resend() && router.can_pick(now, key, &attempts.attempted);
         if !reached_backend(failure.code) {
+            let others_unlimited = attempts.rate_limited_offers > 0
+                && router.can_pick_unlimited(now, key, &attempts.attempted);
             return match sibling_available {
-                true if attempts.may_offer() => Ok(Duration::ZERO),
+                true if attempts.may_offer(others_unlimited) => Ok(Duration::ZERO),
                 true => Err(NoRetry::OffersSpent),
                 false => Err(NoRetry::GivenUp(GiveUpReason::NoSibling)),
             };
--- a/crates/sidecar/src/outbound/routing.rs
+++ b/crates/sidecar/src/outbound/routing.rs
@@ -170,6 +170,18 @@
         lock(&self.state).router.can_pick(now, &request)
     }
 
+    /// Returns true if an endpoint that is not excluded can take the call whose rate limit, if there is
+    /// one, left room for all recent calls.
+    pub fn can_pick_unlimited(
+        &self,
+        now: Timestamp,
+        key: AdmissionKey,
+        excluded: &[EndpointId],
+    ) -> bool {
+        let request = PickRequest { key, excluded };
+        lock(&self.state).router.can_pick_unlimited(now, &request)
+    }
+
     /// Returns the common admission level of the service's endpoints ([`AdmissionLevel::common`]).
     /// Endpoints that receive no calls for a while after a refusal or a termination are not
     /// counted. Open if there are no others.
--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -352,3 +352,15 @@
     let served = load(&machines, Duration::from_secs(3)).await;
     assert_eq!(refused(&served), 0, "of {}", served.len());
 }
+
+/// Guards against a call that is refused after four limited backends, before it is known which others
+/// have room.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_call_is_refused_before_the_limits_of_most_backends_are_known() {
+    let (_platform, machines) = machines(12).await;
+    for machine in &machines[1..] {
+        machine.backend.announce(&[(RATE_LIMIT, "0.5")]);
+    }
+    let served = load(&machines, Duration::from_secs(2)).await;
+    assert_eq!(refused(&served), 0, "of {}", served.len());
+}
