Complete responses to callers before a stopping sidecar ends

What callers saw: a response that ended early while the sidecar on their machine was stopped as planned, if the response was long or was read slowly. The backend had executed the request.

Cause: the stop waited for handlers, and a handler is done once the head of the response is known. Up to 192 KB of a body are then held in memory, and longer ones are relayed. Both were written to the caller after the last point at which the stop looked. A request that runs at the local backend was safe, since its scope is open until the body ends; one that runs elsewhere was not.

Change: a request counts as in flight until its connection has written the response. The log event of the stop has the number of responses that the grace period cut.

Looked for elsewhere: the daemon counts a call until its body ends and then waits for its connections, so it is not affected.

--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -52,7 +52,8 @@
     Ready = "ready", Info, ["version"], "The first configuration is in force and confirmed by peers.";
     Stopping = "stopping", Info, ["calls_in_flight"],
         "The sidecar is stopping; new work is directed elsewhere.";
-    Stopped = "stopped", Info, ["calls_cut"], "The sidecar has stopped; `calls_cut` calls did not complete within the grace period.";
+    Stopped = "stopped", Info, ["calls_cut", "responses_cut"],
+        "The sidecar has stopped; `calls_cut` calls did not complete within the grace period, and `responses_cut` responses were not completely written to callers.";
     MachineSuspended = "machine_suspended", Warn, ["length_ms"],
         "The machine was suspended for this long: its monotonic clock and its timers stopped, leases and deadlines did not.";
     SettingsRead = "settings_read", Info, [], "The settings were reloaded without an error.";
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -25,6 +25,7 @@
 use super::unread_headers::UnreadHeaders;
 use crate::body::Collected;
 use crate::dialect::Dialect;
+use crate::in_flight::InFlight;
 use crate::instance::InstanceId;
 use crate::message::RequestHead;
 use crate::metrics::Metrics;
@@ -270,22 +271,6 @@
     }
 }
 
-/// Counts a call at the backend until it is dropped.
-pub(crate) struct InFlight(Arc<AtomicUsize>);
-
-impl InFlight {
-    pub(crate) fn begin(counter: &Arc<AtomicUsize>) -> Self {
-        counter.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(counter))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Separates a request from its body. The body is `Held(None)` if the request has none, and
 /// otherwise a stream that has not been read yet.
 pub(crate) fn split_body(request: Request<Incoming>) -> (Request<()>, RequestBody) {
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -12,7 +12,7 @@
 mod termination_detector;
 mod unread_headers;
 
-pub(crate) use execution::{InFlight, InstanceObservers, LocalExecutor};
+pub(crate) use execution::{InstanceObservers, LocalExecutor};
 pub(crate) use handler::InboundHandler;
 pub(crate) use termination_detector::ExecutingRequest;
 pub(crate) use unread_headers::UnreadHeaders;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,6 +30,7 @@
 mod exchange_handler;
 mod fingerprint;
 mod importance;
+mod in_flight;
 mod listeners;
 mod message;
 mod metered_platform;
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -1,7 +1,6 @@
 //! The listeners of a sidecar and their accept loops.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -25,16 +24,9 @@
 /// Pause after a failed accept, which prevents a lack of file descriptors from occupying a core.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
-/// The outbound handler with a counter of the requests in progress.
-pub(crate) struct CountedHandler {
-    pub(crate) handler: OutboundHandler,
-    pub(crate) in_flight: Arc<AtomicUsize>,
-}
-
-impl RequestHandler for CountedHandler {
+impl RequestHandler for OutboundHandler {
     async fn handle(&self, request: Request<RequestBody>) -> Response<ResponseBody> {
-        let _in_flight = crate::inbound::InFlight::begin(&self.in_flight);
-        self.handler.handle(request).await
+        Self::handle(self, request).await
     }
 }
 
@@ -105,7 +97,7 @@
 /// Serves callers on this machine and the local backend.
 pub(crate) fn spawn_outbound(
     listener: TcpListener,
-    handler: CountedHandler,
+    handler: OutboundHandler,
     settings: ConnectionSettings,
 ) {
     let handler = Arc::new(handler);
--- a/crates/sidecar/src/outbound/connection.rs
+++ b/crates/sidecar/src/outbound/connection.rs
@@ -28,6 +28,7 @@
 use super::response::refusal;
 use crate::configuration::ConnectionLimits;
 use crate::fingerprint::BodyPrefix;
+use crate::in_flight::InFlight;
 
 /// Maximum number of requests in progress on one connection.
 const MAX_PIPELINED: usize = 64;
@@ -57,6 +58,8 @@
     pub limits: watch::Receiver<ConnectionLimits>,
     /// True while the process is stopping: each response then closes its connection.
     pub closing: watch::Receiver<bool>,
+    /// Number of requests, on all connections, whose response is not completely written.
+    pub in_flight: Arc<AtomicUsize>,
 }
 
 /// A pending response, in the order of the requests.
@@ -64,6 +67,7 @@
     response: AbortOnDropHandle<Response<ResponseBody>>,
     method: Method,
     keep_alive: bool,
+    in_flight: InFlight,
 }
 
 /// Reason why reading ended.
@@ -89,6 +93,7 @@
         buffer: BytesMut::new(),
         handler,
         in_progress: Arc::clone(&in_progress),
+        in_flight: Arc::clone(&settings.in_flight),
         limits: settings.limits.clone(),
     };
     let writer = write_responses(write_half, receiver, &in_progress, settings.closing.clone());
@@ -106,6 +111,7 @@
     buffer: BytesMut,
     handler: Arc<H>,
     in_progress: Arc<AtomicUsize>,
+    in_flight: Arc<AtomicUsize>,
     limits: watch::Receiver<ConnectionLimits>,
 }
 
@@ -251,6 +257,7 @@
             response: AbortOnDropHandle::new(task),
             method,
             keep_alive: head.keep_alive,
+            in_flight: InFlight::begin(&self.in_flight),
         };
         let sent = responses.send(pending).await;
         sent.map_err(|_| ReadStop::End(ReadEnd::Gone))
@@ -314,6 +321,7 @@
             response: AbortOnDropHandle::new(task),
             method: Method::GET,
             keep_alive: false,
+            in_flight: InFlight::begin(&self.in_flight),
         };
         let _ = responses.send(pending).await;
     }
@@ -359,6 +367,7 @@
         };
         let keep_alive = pending.keep_alive && !*closing.borrow();
         write_response(&mut half, &pending.method, response, keep_alive).await?;
+        drop(pending.in_flight);
         in_progress.fetch_sub(1, Ordering::Relaxed);
         if !keep_alive {
             break;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -29,7 +29,7 @@
 use crate::instance::{
     Acknowledgement, DepartureIndex, DepartureReaders, Heartbeat, InstanceId, Registry,
 };
-use crate::listeners::{CountedHandler, Listeners, spawn_control, spawn_inbound, spawn_outbound};
+use crate::listeners::{Listeners, spawn_control, spawn_inbound, spawn_outbound};
 use crate::log_event;
 use crate::log_output;
 use crate::metered_platform::MeteredPlatform;
@@ -283,10 +283,7 @@
             scopes: Arc::clone(&scopes),
             refusing: Arc::clone(&refusing),
         };
-        let counted = CountedHandler {
-            handler,
-            in_flight: Arc::clone(&outbound_in_flight),
-        };
+        let connection_in_flight = Arc::clone(&outbound_in_flight);
         let sidecar = Arc::new(Self {
             settings,
             metrics,
@@ -308,9 +305,12 @@
             in_flight,
             outbound_in_flight,
         });
-        let limits = sidecar.spawn_updates(routing, forwarder, owner_selector);
-        let connection_settings = ConnectionSettings { limits, closing };
-        spawn_outbound(listeners.outbound, counted, connection_settings);
+        let connection_settings = ConnectionSettings {
+            limits: sidecar.spawn_updates(routing, forwarder, owner_selector),
+            closing,
+            in_flight: connection_in_flight,
+        };
+        spawn_outbound(listeners.outbound, handler, connection_settings);
         spawn_inbound(listeners.inbound, inbound);
         spawn_control(listeners.control, inbox);
         sidecar.log_start();
@@ -380,7 +380,8 @@
     }
 
     /// Stops in order: first callers are directed elsewhere, then other sidecars. Requests in
-    /// progress are completed, until the grace period is over at the latest.
+    /// progress are completed and their responses written, until the grace period is over at the
+    /// latest.
     pub async fn stop(&self) {
         let started = self.clock.now();
         let grace = self.settings.bounds.stop_grace;
@@ -399,8 +400,12 @@
         while self.is_busy() && self.clock.now() < end {
             tokio::time::sleep(STOP_POLL).await;
         }
-        let left = self.in_flight.load(Ordering::Relaxed);
-        log_event!(Event::Stopped, "calls_cut={left}");
+        let calls = self.in_flight.load(Ordering::Relaxed);
+        let responses = self.outbound_in_flight.load(Ordering::Relaxed);
+        log_event!(
+            Event::Stopped,
+            "calls_cut={calls} responses_cut={responses}"
+        );
     }
 
     async fn sleep_until(&self, time: Timestamp) {
