Refuse what arrives at the end of a stop instead of resetting its connection

What callers saw: a reset connection for a request that they had sent while a daemon or a sidecar ended its planned stop. Nothing had executed it, but no caller can tell; a request that is not repeatable is then lost.

Change: a listener that closes accepts its queue first. Connections are served for 50 ms (sidecars: 20 ms) after the stop, so what has arrived is refused as not executed, and are then closed in an orderly way. A sidecar waits up to 200 ms for that, within its grace period.

Probes of health carry no request of a caller.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! All decisions are made by `wharfquay_core`, which performs no I/O. This crate turns network
 //! messages and timers into its inputs and executes its effects.
 
+pub mod accept_queue;
 mod admin;
 pub mod backend_pool;
 pub mod body;
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -16,6 +16,9 @@
 use crate::events::{Event, Quoted, log_event};
 use crate::settings::LimitSettings;
 
+#[cfg(test)]
+mod tests;
+
 /// HTTP/2 flow-control window of each stream, in bytes.
 const STREAM_WINDOW: u32 = 1024 * 1024;
 /// HTTP/2 flow-control window of each connection, in bytes.
@@ -25,6 +28,9 @@
 /// Request heads of up to this many times the limit are read, which allows a refusal with a result
 /// code.
 const HEAD_LIMIT_FACTOR: u32 = 4;
+/// Time for which an open connection is still served after the stop: the request that a caller has
+/// sent meanwhile is then refused as not executed instead of being lost with its connection.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of reset streams that the server has not processed yet. The limit is generous
 /// because many callers that time out simultaneously are no attack.
 const MAX_PENDING_RESETS: usize = 1_024;
@@ -63,7 +69,8 @@
     builder
 }
 
-/// Serves one connection until it closes; after `stop` is cancelled no further request is accepted.
+/// Serves one connection until it closes. It is closed shortly after `stop` is cancelled, once its
+/// requests are completed.
 pub(crate) async fn serve<H, F>(
     builder: auto::Builder<TokioExecutor>,
     stream: TcpStream,
@@ -80,7 +87,7 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
+        () = delayed(&stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -89,3 +96,9 @@
         log_event!(Event::ConnectionEnded, "error={}", Quoted(error));
     }
 }
+
+/// Completes [`CLOSE_DELAY`] after `stop` is cancelled.
+async fn delayed(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(CLOSE_DELAY).await;
+}
--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -11,7 +11,7 @@
 use support::UnusedPort;
 use support::backend::BackendStub;
 use wharfquay_clock::since_boot;
-use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease};
+use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease, SendError};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -156,3 +156,20 @@
         assert_eq!(pool.open_connections(), 0);
     }
 }
+
+/// Guards against an untrue "not executed": a request that was written to a connection in the accept
+/// queue of a listener that closes looks like one that was lost during its execution.
+#[tokio::test]
+async fn a_request_lost_with_the_accept_queue_may_have_been_executed() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let pool = BackendPool::new(address, 1, CONNECT_TIMEOUT);
+    let mut lease = pool.checkout().await.unwrap();
+    let closing = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        drop(listener);
+    };
+    let (sent, ()) = tokio::join!(lease.send(request("/echo")), closing);
+    let lost = matches!(sent, Err(SendError::Failed(BackendError::Lost)));
+    assert!(lost, "{sent:?}");
+}
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -1,6 +1,9 @@
 //! The listeners of a sidecar and their accept loops.
 
+use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -9,11 +12,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+use wharfquay_daemon::accept_queue::take_queued;
 use wharfquay_daemon::body::{RequestBody, ResponseBody};
 use wharfquay_daemon::connect::set_keepalive_options;
 
 use crate::control::StreamInbox;
 use crate::events::Event;
+use crate::in_flight::InFlight;
 use crate::inbound::InboundHandler;
 use crate::log_event;
 use crate::outbound::OutboundHandler;
@@ -24,12 +30,46 @@
 /// Pause after a failed accept, which prevents a lack of file descriptors from occupying a core.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for which connections are still served after the end of a stop: a request that was sent
+/// meanwhile is then refused as not executed instead of being lost with its connection.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
 impl RequestHandler for OutboundHandler {
     async fn handle(&self, request: Request<RequestBody>) -> Response<ResponseBody> {
         Self::handle(self, request).await
     }
 }
 
+/// The end of a stop, as the listeners and their connections receive it.
+#[derive(Clone, Debug)]
+pub(crate) struct Closing {
+    /// True once everything is to be closed.
+    signal: watch::Receiver<bool>,
+    /// Number of open connections of peers.
+    connections: Arc<AtomicUsize>,
+}
+
+impl Closing {
+    pub(crate) fn new(signal: watch::Receiver<bool>) -> Self {
+        Self {
+            signal,
+            connections: Arc::default(),
+        }
+    }
+
+    /// Returns the number of connections of peers that are still open.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Completes when everything is to be closed.
+    async fn begins(&mut self) {
+        if self.signal.wait_for(|closing| *closing).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
+
 /// The bound listeners of one sidecar.
 pub(crate) struct Listeners {
     pub(crate) outbound: TcpListener,
@@ -71,27 +111,39 @@
     }
 }
 
-/// Accepts connections until the process terminates; failed accepts are logged. Options other than
-/// `TCP_NODELAY` are inherited from the listener: most connections carry one request, and each
-/// option costs a system call.
-async fn accept(listener: TcpListener, serve: impl Fn(TcpStream)) {
+/// Accepts connections until everything is to be closed, then those in the accept queue; failed
+/// accepts are logged. Options other than `TCP_NODELAY` are inherited from the listener: most
+/// connections carry one request, and each option costs a system call.
+async fn accept(listener: TcpListener, mut closing: Closing, serve: impl Fn(TcpStream)) {
+    let serve = move |stream: TcpStream| {
+        // If this fails, small writes are only slower.
+        let _ = stream.set_nodelay(true);
+        serve(stream);
+    };
+    let address = listener.local_addr().ok();
+    let log_failure = |error| {
+        log_event!(
+            Event::AcceptFailed,
+            "listener={address:?} error=\"{error}\""
+        );
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                // If this fails, small writes are only slower.
-                let _ = stream.set_nodelay(true);
-                serve(stream);
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.begins() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
-                let address = listener.local_addr().ok();
-                log_event!(
-                    Event::AcceptFailed,
-                    "listener={address:?} error=\"{error}\""
-                );
+                log_failure(error);
                 tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
             }
         }
     }
+    match take_queued(listener) {
+        Ok(queued) => queued.into_iter().for_each(serve),
+        Err(error) => log_failure(error),
+    }
 }
 
 /// Serves callers on this machine and the local backend.
@@ -99,51 +151,69 @@
     listener: TcpListener,
     handler: OutboundHandler,
     settings: ConnectionSettings,
+    closing: Closing,
 ) {
     let handler = Arc::new(handler);
     let settings = Arc::new(settings);
-    tokio::spawn(accept(listener, move |stream| {
+    tokio::spawn(accept(listener, closing, move |stream| {
         let (handler, settings) = (Arc::clone(&handler), Arc::clone(&settings));
         tokio::spawn(async move { serve(stream, handler, &settings).await });
     }));
 }
 
 /// Serves calls from other sidecars.
-pub(crate) fn spawn_inbound(listener: TcpListener, handler: InboundHandler) {
-    tokio::spawn(accept(listener, move |stream| {
+pub(crate) fn spawn_inbound(listener: TcpListener, handler: InboundHandler, closing: Closing) {
+    spawn_server(listener, closing, move |request| {
         let handler = handler.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let handler = handler.clone();
-            async move { handler.handle(request).await }
-        });
-        tokio::spawn(async move {
-            // Each call is reported separately. The result only shows how the peer closed the
-            // connection.
-            let _ = server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }));
+        async move { handler.handle(request).await }
+    });
 }
 
 /// Receives control messages over streams.
-pub(crate) fn spawn_control(listener: TcpListener, inbox: StreamInbox) {
-    tokio::spawn(accept(listener, move |stream| {
+pub(crate) fn spawn_control(listener: TcpListener, inbox: StreamInbox, closing: Closing) {
+    spawn_server(listener, closing, move |request| {
         let inbox = inbox.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let inbox = inbox.clone();
-            async move { inbox.serve(request).await }
-        });
-        tokio::spawn(async move {
-            // Each message is handled separately. The result only shows how the peer closed the
-            // connection.
-            let _ = server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
+        async move { inbox.serve(request).await }
+    });
+}
+
+/// Serves the connections of peers.
+fn spawn_server<H, F>(listener: TcpListener, closing: Closing, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Response<ResponseBody>, Infallible>> + Send + 'static,
+{
+    tokio::spawn(accept(listener, closing.clone(), move |stream| {
+        let (handle, closing) = (handle.clone(), closing.clone());
+        tokio::spawn(serve_peer(stream, handle, closing));
     }));
 }
 
+/// Serves one connection of a peer until it closes, or until its requests are completed after
+/// everything is to be closed.
+async fn serve_peer<H, F>(stream: TcpStream, handle: H, mut closing: Closing)
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Result<Response<ResponseBody>, Infallible>>,
+{
+    let _open = InFlight::begin(&closing.connections);
+    let connection = server().serve_connection(TokioIo::new(stream), service_fn(handle));
+    let mut connection = pin!(connection);
+    let delayed = async {
+        closing.begins().await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    };
+    // Each request is reported separately. The result only shows how the peer closed the
+    // connection.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = delayed => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
 fn server() -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(None);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -29,7 +29,7 @@
 use crate::instance::{
     Acknowledgement, DepartureIndex, DepartureReaders, Heartbeat, InstanceId, Registry,
 };
-use crate::listeners::{Listeners, spawn_control, spawn_inbound, spawn_outbound};
+use crate::listeners::{Closing, Listeners, spawn_control, spawn_inbound, spawn_outbound};
 use crate::log_event;
 use crate::log_output;
 use crate::metered_platform::MeteredPlatform;
@@ -52,6 +52,8 @@
 /// Share of the stop grace period during which requests of callers are still accepted, which spares
 /// callers that have not noticed the stop yet any failure.
 const CALLER_NOTICE_SHARE: f64 = 0.43;
+/// Maximum time for connections to close after the last response was written.
+const CLOSE_LIMIT: Duration = Duration::from_millis(200);
 /// Share of the stop grace period that is reserved for the termination of the process.
 const RESERVE_SHARE: f64 = 0.1;
 /// Maximum time that a starting sidecar waits until it has discovered a sidecar of each service.
@@ -104,6 +106,9 @@
     refusing: Arc<AtomicBool>,
     stop_sender: watch::Sender<bool>,
     closing_sender: watch::Sender<bool>,
+    /// Set at the end of a stop: listeners and connections of peers are closed.
+    end_sender: watch::Sender<bool>,
+    closing: Closing,
     in_flight: Arc<AtomicUsize>,
     outbound_in_flight: Arc<AtomicUsize>,
 }
@@ -284,6 +289,8 @@
             refusing: Arc::clone(&refusing),
         };
         let connection_in_flight = Arc::clone(&outbound_in_flight);
+        let (end_sender, end) = watch::channel(false);
+        let peers_closing = Closing::new(end);
         let sidecar = Arc::new(Self {
             settings,
             metrics,
@@ -302,6 +309,8 @@
             refusing,
             stop_sender,
             closing_sender,
+            end_sender,
+            closing: peers_closing.clone(),
             in_flight,
             outbound_in_flight,
         });
@@ -310,9 +319,14 @@
             closing,
             in_flight: connection_in_flight,
         };
-        spawn_outbound(listeners.outbound, handler, connection_settings);
-        spawn_inbound(listeners.inbound, inbound);
-        spawn_control(listeners.control, inbox);
+        spawn_outbound(
+            listeners.outbound,
+            handler,
+            connection_settings,
+            peers_closing.clone(),
+        );
+        spawn_inbound(listeners.inbound, inbound, peers_closing.clone());
+        spawn_control(listeners.control, inbox, peers_closing);
         sidecar.log_start();
         Ok(sidecar)
     }
@@ -381,7 +395,7 @@
 
     /// Stops in order: first callers are directed elsewhere, then other sidecars. Requests in
     /// progress are completed and their responses written, until the grace period is over at the
-    /// latest.
+    /// latest. Listeners and connections are closed last.
     pub async fn stop(&self) {
         let started = self.clock.now();
         let grace = self.settings.bounds.stop_grace;
@@ -400,6 +414,7 @@
         while self.is_busy() && self.clock.now() < end {
             tokio::time::sleep(STOP_POLL).await;
         }
+        self.close(end).await;
         let calls = self.in_flight.load(Ordering::Relaxed);
         let responses = self.outbound_in_flight.load(Ordering::Relaxed);
         log_event!(
@@ -408,6 +423,20 @@
         );
     }
 
+    /// Closes the listeners and the connections of peers. Requests that arrived meanwhile are
+    /// refused first.
+    async fn close(&self, end: Timestamp) {
+        self.end_sender.send_replace(true);
+        let limit = end.min(self.clock.now() + CLOSE_LIMIT);
+        loop {
+            tokio::time::sleep(STOP_POLL).await;
+            let is_closed = !self.is_busy() && self.closing.open_connections() == 0;
+            if is_closed || self.clock.now() >= limit {
+                return;
+            }
+        }
+    }
+
     async fn sleep_until(&self, time: Timestamp) {
         self.clock.sleep_until(Some(time)).await;
     }
--- a/crates/sidecar/tests/orderly_stop.rs
+++ b/crates/sidecar/tests/orderly_stop.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::io::ErrorKind;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +17,6 @@
 /// Time after which the caller reads the response: later than a sidecar without calls stops, and
 /// earlier than the grace period ends.
 const READING_PAUSE: Duration = Duration::from_millis(1_000);
-
 /// Starts two machines. The first runs another service than the one that the route leads to.
 async fn caller_and_callee() -> (Machine, Machine) {
     let routes = configuration(1, vec![route("/shelf/", "shelf", false)]);
@@ -50,3 +51,15 @@
     assert_eq!((response.status, response.body.len()), (200, LONG_BODY));
     stop.await.unwrap();
 }
+
+/// Guards against requests that are lost with connections that a process has not accepted when it
+/// ends: the kernel accepts them as long as there is a listener.
+#[tokio::test]
+async fn a_stopped_sidecar_refuses_connections() {
+    let (caller, _callee) = caller_and_callee().await;
+    caller.sidecar.stop().await;
+    for address in [caller.outbound, caller.inbound, caller.control] {
+        let connected = TcpStream::connect(address).map_err(|error| error.kind());
+        assert_eq!(connected.err(), Some(ErrorKind::ConnectionRefused));
+    }
+}
