Count request ids in the sidecar's tests instead of drawing them

A run of these tests could not be played again: the ids of their requests, from which the admission key of a request follows, were drawn without a seed.

--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use support::client::{Response, call, request};
+use support::client::{Response, call, new_request_id, request};
 use support::platform::EmulatedPlatform;
 use support::{Machine, configuration, eventually, route};
 use tokio::task::JoinSet;
@@ -68,7 +68,7 @@
         if Instant::now() >= end {
             break;
         }
-        let id = format!("{:016x}", rand::random::<u64>());
+        let id = new_request_id();
         let (address, text) = (machine.outbound, request("GET", "/reads/x", &id, ""));
         sending.spawn(async move {
             let sent = Instant::now();
--- a/crates/sidecar/tests/crashing_requests.rs
+++ b/crates/sidecar/tests/crashing_requests.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use support::backend::Behaviour;
-use support::client::{Response, call, request};
+use support::client::{Response, call, new_request_id, request};
 use support::platform::EmulatedPlatform;
 use support::{Machine, configuration, eventually, route};
 use tokio::runtime::Runtime;
@@ -65,7 +65,7 @@
 
 /// Sends a request with a new id.
 async fn send_request(machine: &Machine, method: &str, target: &str) -> Response {
-    let id = format!("{:016x}", rand::random::<u64>());
+    let id = new_request_id();
     call(machine.outbound, &request(method, target, &id, "")).await
 }
 
@@ -73,7 +73,7 @@
 async fn send_all(machines: &[Machine], targets: &[String]) -> Vec<Response> {
     let mut sending = JoinSet::new();
     for (machine, target) in machines.iter().cycle().zip(targets) {
-        let id = format!("{:016x}", rand::random::<u64>());
+        let id = new_request_id();
         let (address, text) = (machine.outbound, request("GET", target, &id, ""));
         sending.spawn(async move { call(address, &text).await });
     }
@@ -162,8 +162,7 @@
 async fn a_backend_call_that_crashed_three_backends_reaches_no_other() {
     let (_platform, machines) = machines(4).await;
     let send = async |machine: &Machine| {
-        let (parent, own) = (rand::random::<u64>(), rand::random::<u64>());
-        let id = format!("{parent:016x}.{own:016x}");
+        let id = format!("{}.{}", new_request_id(), new_request_id());
         call(machine.outbound, &request("GET", "/reads/ends-it", &id, "")).await
     };
     terminate_as_many_as_allowed(&machines, send).await;
--- a/crates/sidecar/tests/support/client.rs
+++ b/crates/sidecar/tests/support/client.rs
@@ -1,6 +1,7 @@
 //! A caller that uses plain sockets.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -29,6 +30,13 @@
     }
 }
 
+/// Returns a request id that no other request of this program has. Ids are counted, not drawn, so a
+/// run can be played again.
+pub fn new_request_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Formats a request in the tests' dialect.
 pub fn request(method: &str, path: &str, id: &str, extra: &str) -> String {
     format!(
