End connections of callers by one rule, which answers what was taken

Cause: reader and writer of a connection each decided when it ends. The writer announced the end with the next response after the stop began and returned, whatever had been taken behind it; dropping that cancels it. The same cause: a handler that panicked took its neighbours along; a malformed or late body got a second response beside that of its request; the idle timeout counted from the arrival of the last request; idle connections stayed open at the end of a stop. Cut requests left no trace: they were no longer in flight when `stopped` was logged with responses_cut=0.

Change: `connection::lifecycle` alone decides. Requests are taken until there is a last one; whatever was taken is answered; the response to the last one says `Connection: close`. During a stop that is the last request in progress, or else the next one that arrives. Each reason for an end is recorded there before requests in progress are dropped, and each request dropped without a complete response is counted by reason and logged. The stop has phases (draining, closing, cutting); at the last one, what is left of callers and peers is cut and reported.

Considered: taking what arrives during the stop as long as the connection is busy. A caller that goes on sending would then hold up the stop; callers send what is behind an announced end again.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -173,6 +173,8 @@
     ClaimUndetermined = 4006, Unknown, 503;
     /// The backend terminated while it executed the request.
     BackendEnded = 4007, Unknown, 502;
+    /// The task that handled the request ended without a response.
+    HandlerFailed = 4008, Unknown, 502;
 }
 
 impl ResultCode {
--- a/crates/core/src/retry/decide.rs
+++ b/crates/core/src/retry/decide.rs
@@ -170,9 +170,10 @@
         | ResultCode::OriginNotOpen
         | ResultCode::QuotaUnavailable => Ok(RetryKind::Offer),
         ResultCode::DeadlineAfterDispatch => Err(GiveUpReason::Deadline),
-        ResultCode::ConnectionLost | ResultCode::MalformedAnswer | ResultCode::BackendEnded => {
-            reexecute(input)
-        }
+        ResultCode::ConnectionLost
+        | ResultCode::MalformedAnswer
+        | ResultCode::BackendEnded
+        | ResultCode::HandlerFailed => reexecute(input),
         ResultCode::ClaimUncertain | ResultCode::ClaimUndetermined => {
             Err(GiveUpReason::NotRepeatable)
         }
--- a/crates/core/tests/retry_decide.rs
+++ b/crates/core/tests/retry_decide.rs
@@ -107,6 +107,7 @@
                 Code::ConnectionLost,
                 Code::MalformedAnswer,
                 Code::BackendEnded,
+                Code::HandlerFailed,
             ],
             repeat,
             give_up(NotRepeatable),
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -53,7 +53,13 @@
     Stopping = "stopping", Info, ["calls_in_flight"],
         "The sidecar is stopping; new work is directed elsewhere.";
     Stopped = "stopped", Info, ["calls_cut", "responses_cut"],
-        "The sidecar has stopped; `calls_cut` calls did not complete within the grace period, and `responses_cut` responses were not completely written to callers.";
+        "The sidecar has stopped. `calls_cut` calls at the local backend did not complete within the grace period (`call_cut`). `responses_cut` requests of callers got no complete response since the stop began, for a reason other than the caller (`request_cut`).";
+    CallCut = "call_cut", Warn, ["request"],
+        "The grace period ended during this call at the local backend.";
+    RequestCut = "request_cut", Warn, ["request", "reason", "sent", "took_ms"],
+        "The connection of a caller ended before the response to this request was completely written, because of the stop (`stopped`), a response that broke off after its head was sent (`response_broken`), or a caller that accepted no byte in time (`caller_stalled`). `sent` is the part of the response that was written: `none` or `partial`.";
+    RequestFailed = "request_failed", Error, ["request", "error"],
+        "The task that handled a request ended without a response, which is a fault of the sidecar; the caller received a failure (4008).";
     MachineSuspended = "machine_suspended", Warn, ["length_ms"],
         "The machine was suspended for this long: its monotonic clock and its timers stopped, leases and deadlines did not.";
     SettingsRead = "settings_read", Info, [], "The settings were reloaded without an error.";
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod shared_records;
 pub mod sidecar;
 pub mod signals;
+pub mod stop_phase;
 pub mod store_era;
 pub mod tenant;
 
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -9,13 +9,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::HeaderMap;
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::watch;
 use wharfquay_daemon::accept_queue::take_queued;
 use wharfquay_daemon::body::{RequestBody, ResponseBody};
 use wharfquay_daemon::connect::set_keepalive_options;
@@ -29,6 +29,7 @@
 use crate::outbound::connection::{ConnectionSettings, RequestHandler, serve};
 use crate::settings::Settings;
 use crate::sidecar::StartError;
+use crate::stop_phase::{StopPhase, StopSignal};
 
 /// Pause after a failed accept, which prevents a lack of file descriptors from occupying a core.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
@@ -44,35 +45,50 @@
     ) -> impl Future<Output = Response<ResponseBody>> + Send {
         Self::handle(self, request)
     }
+
+    fn request_id<'head>(&self, headers: &'head HeaderMap) -> Option<&'head HeaderValue> {
+        headers.get(&self.dialect.request_id)
+    }
+
+    fn failed(&self, request_id: Option<&HeaderValue>) -> Response<ResponseBody> {
+        Self::failed(self, request_id)
+    }
 }
 
-/// The end of a stop, as the listeners and their connections receive it.
+/// The stop, as listeners and connections of peers receive it, and the connections that it waits for.
 #[derive(Clone, Debug)]
 pub(crate) struct Closing {
-    /// True once everything is to be closed.
-    signal: watch::Receiver<bool>,
-    /// Number of open connections of peers.
+    signal: StopSignal,
+    /// Number of open connections of callers and peers.
     connections: Arc<AtomicUsize>,
 }
 
 impl Closing {
-    pub(crate) fn new(signal: watch::Receiver<bool>) -> Self {
+    pub(crate) fn new(signal: StopSignal) -> Self {
         Self {
             signal,
             connections: Arc::default(),
         }
     }
 
-    /// Returns the number of connections of peers that are still open.
+    /// Returns the counter of open connections.
+    pub(crate) const fn connections(&self) -> &Arc<AtomicUsize> {
+        &self.connections
+    }
+
+    /// Returns the number of connections of callers and peers that are still open.
     pub(crate) fn open_connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Completes when everything is to be closed.
+    /// Completes when listeners and idle connections are to be closed.
     async fn begins(&mut self) {
-        if self.signal.wait_for(|closing| *closing).await.is_err() {
-            std::future::pending().await
-        }
+        self.signal.reached(StopPhase::Closing).await;
+    }
+
+    /// Completes when the grace period is over.
+    async fn cuts(&mut self) {
+        self.signal.reached(StopPhase::Cutting).await;
     }
 }
 
@@ -163,6 +179,7 @@
     let settings = Arc::new(settings);
     tokio::spawn(accept(listener, closing, move |stream| {
         let (handler, settings) = (Arc::clone(&handler), Arc::clone(&settings));
+        // The connection itself reports each request that it cut.
         tokio::spawn(async move { serve(stream, handler, &settings).await });
     }));
 }
@@ -205,6 +222,7 @@
     let _open = InFlight::begin(&closing.connections);
     let connection = server().serve_connection(TokioIo::new(stream), service_fn(handle));
     let mut connection = pin!(connection);
+    let mut cutting = closing.clone();
     let delayed = async {
         closing.begins().await;
         tokio::time::sleep(CLOSE_DELAY).await;
@@ -215,7 +233,10 @@
         _ = connection.as_mut() => {}
         () = delayed => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                () = cutting.cuts() => {}
+            }
         }
     }
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -17,6 +17,7 @@
 use wharfquay_daemon::sync::lock;
 
 use crate::inbound::load_reports::ReadReport;
+use crate::outbound::connection::lifecycle::ConnectionEnd;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -24,7 +25,7 @@
 ];
 
 /// Every metric with its help text. `docs/OPERATIONS.md` contains the same list.
-pub const CATALOGUE: [(&str, &str); 34] = [
+pub const CATALOGUE: [(&str, &str); 35] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -33,6 +34,10 @@
         "wharfquay_request_seconds",
         "Time from the arrival of a request to its final answer, by route",
     ),
+    (
+        "wharfquay_requests_cut_total",
+        "Requests of callers whose connection ended before the response was completely written, by reason: caller_gone, caller_stalled, response_broken, stopped",
+    ),
     (
         "wharfquay_attempts_total",
         "Attempts that ended, by the sidecar that got them and result",
@@ -201,6 +206,7 @@
     registry: Registry,
     requests: IntCounterVec,
     request_seconds: HistogramVec,
+    requests_cut: IntCounterVec,
     attempts: IntCounterVec,
     retries: IntCounterVec,
     given_up: IntCounterVec,
@@ -303,6 +309,7 @@
         Ok(Self {
             requests: registrar.counters("wharfquay_requests_total", &["route", "result"])?,
             request_seconds: registrar.histograms("wharfquay_request_seconds", &["route"])?,
+            requests_cut: registrar.counters("wharfquay_requests_cut_total", &["reason"])?,
             attempts: registrar.counters("wharfquay_attempts_total", &["target", "result"])?,
             retries: registrar.counters("wharfquay_retries_total", &["service"])?,
             given_up: registrar
@@ -424,6 +431,19 @@
         self.call_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a request whose connection ended before its response was completely written.
+    pub(crate) fn request_cut(&self, reason: ConnectionEnd) {
+        self.requests_cut.with_label_values(&[reason.name()]).inc();
+    }
+
+    /// Returns the number of requests that were cut for a reason other than their caller.
+    pub(crate) fn requests_cut_here(&self) -> u64 {
+        let reasons = ConnectionEnd::ALL.into_iter();
+        let here = reasons.filter(|reason| !reason.is_by_caller());
+        let counts = here.map(|reason| self.requests_cut.with_label_values(&[reason.name()]).get());
+        counts.sum()
+    }
+
     /// Counts an instance of the local backend that terminated without announcing it.
     pub fn count_unannounced_termination(&self) {
         self.instances_terminated.inc();
--- a/crates/sidecar/src/outbound/handler.rs
+++ b/crates/sidecar/src/outbound/handler.rs
@@ -80,6 +80,12 @@
         self.set_request_id(response, request_id)
     }
 
+    /// Returns the response to a request whose handling ended without one.
+    pub(crate) fn failed(&self, request_id: Option<&HeaderValue>) -> Response<ResponseBody> {
+        let response = refusal(Failure::new(ResultCode::HandlerFailed));
+        self.set_request_id(response, request_id.cloned())
+    }
+
     /// Copies the request id into the sidecar's own responses, as backends do in theirs.
     fn set_request_id(
         &self,
--- a/crates/sidecar/src/scopes.rs
+++ b/crates/sidecar/src/scopes.rs
@@ -70,6 +70,11 @@
         lock(&self.open).get(request_id).cloned()
     }
 
+    /// Returns the ids of the requests with an open scope.
+    pub(crate) fn open_requests(&self) -> Vec<Arc<str>> {
+        lock(&self.open).keys().cloned().collect()
+    }
+
     /// Returns the number of open scopes.
     pub(crate) fn len(&self) -> usize {
         lock(&self.open).len()
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -42,6 +42,7 @@
 use crate::quota::{OwnerSelector, QuotaClient, QuotaOwner};
 use crate::scopes::ScopeTable;
 use crate::settings::Settings;
+use crate::stop_phase::{StopPhase, StopSignal};
 use crate::store_era::{self, StoreEra};
 
 /// Interval at which a stop checks whether the last call has completed.
@@ -52,6 +53,10 @@
 /// Share of the stop grace period during which requests of callers are still accepted, which spares
 /// callers that have not noticed the stop yet any failure.
 const CALLER_NOTICE_SHARE: f64 = 0.43;
+/// Interval at which the end of a stop checks whether each connection has reported what it cut.
+const CUT_POLL: Duration = Duration::from_millis(2);
+/// Maximum number of these checks.
+const MAX_CUT_POLLS: u32 = 10;
 /// Maximum time for connections to close after the last response was written.
 const CLOSE_LIMIT: Duration = Duration::from_millis(200);
 /// Share of the stop grace period that is reserved for the termination of the process.
@@ -106,9 +111,8 @@
     /// True if requests of callers are refused.
     refusing: Arc<AtomicBool>,
     stop_sender: watch::Sender<bool>,
-    closing_sender: watch::Sender<bool>,
-    /// Set at the end of a stop: listeners and connections of peers are closed.
-    end_sender: watch::Sender<bool>,
+    /// Phase of the stop, for listeners and connections.
+    stop_phase: watch::Sender<StopPhase>,
     closing: Closing,
     in_flight: Arc<AtomicUsize>,
     outbound_in_flight: Arc<AtomicUsize>,
@@ -135,7 +139,7 @@
         let (listed_sender, listed) = watch::channel(None);
         let (isolated_sender, isolated) = watch::channel(false);
         let (stop_sender, stopping_receiver) = watch::channel(false);
-        let (closing_sender, closing) = watch::channel(false);
+        let (stop_phase, stop_signal) = StopSignal::channel();
         let channels = ControlChannels {
             configuration: configuration_sender,
             members: member_sender,
@@ -292,8 +296,7 @@
             refusing: Arc::clone(&refusing),
         };
         let connection_in_flight = Arc::clone(&outbound_in_flight);
-        let (end_sender, end) = watch::channel(false);
-        let peers_closing = Closing::new(end);
+        let closing = Closing::new(stop_signal.clone());
         let sidecar = Arc::new(Self {
             settings,
             metrics,
@@ -312,25 +315,26 @@
             stopping,
             refusing,
             stop_sender,
-            closing_sender,
-            end_sender,
-            closing: peers_closing.clone(),
+            stop_phase,
+            closing: closing.clone(),
             in_flight,
             outbound_in_flight,
         });
         let connection_settings = ConnectionSettings {
             limits: sidecar.spawn_updates(routing, forwarder, owner_selector),
-            closing,
+            stop: stop_signal,
+            open: Arc::clone(closing.connections()),
             in_flight: connection_in_flight,
+            metrics: Arc::clone(&sidecar.metrics),
         };
         spawn_outbound(
             listeners.outbound,
             handler,
             connection_settings,
-            peers_closing.clone(),
+            closing.clone(),
         );
-        spawn_inbound(listeners.inbound, inbound, peers_closing.clone());
-        spawn_control(listeners.control, inbox, peers_closing);
+        spawn_inbound(listeners.inbound, inbound, closing.clone());
+        spawn_control(listeners.control, inbox, closing);
         sidecar.log_start();
         Ok(sidecar)
     }
@@ -405,14 +409,15 @@
 
     /// Stops in order: first callers are directed elsewhere, then other sidecars. Requests in
     /// progress are completed and their responses written, until the grace period is over at the
-    /// latest. Listeners and connections are closed last.
+    /// latest. Then listeners and connections are closed, and what is left is cut and reported.
     pub async fn stop(&self) {
         let started = self.clock.now();
         let grace = self.settings.bounds.stop_grace;
         let in_flight = self.in_flight.load(Ordering::Relaxed);
+        let cut_before = self.metrics.requests_cut_here();
         log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         self.leaving.store(true, Ordering::Relaxed);
-        self.closing_sender.send_replace(true);
+        self.stop_phase.send_replace(StopPhase::Draining);
         self.sleep_until(started + grace.mul_f64(ACCEPTING_SHARE))
             .await;
         self.stopping.store(true, Ordering::Relaxed);
@@ -425,18 +430,34 @@
             tokio::time::sleep(STOP_POLL).await;
         }
         self.close(end).await;
-        let calls = self.in_flight.load(Ordering::Relaxed);
-        let responses = self.outbound_in_flight.load(Ordering::Relaxed);
+        let calls = self.cut().await;
+        let responses = self.metrics.requests_cut_here() - cut_before;
         log_event!(
             Event::Stopped,
             "calls_cut={calls} responses_cut={responses}"
         );
     }
 
-    /// Closes the listeners and the connections of peers. Requests that arrived meanwhile are
-    /// refused first.
+    /// Cuts what is still in progress and returns the number of calls at the local backend among it.
+    async fn cut(&self) -> usize {
+        let calls = self.scopes.open_requests();
+        for request in &calls {
+            log_event!(Event::CallCut, "request={request}");
+        }
+        self.stop_phase.send_replace(StopPhase::Cutting);
+        for _ in 0..MAX_CUT_POLLS {
+            if self.outbound_in_flight.load(Ordering::Relaxed) == 0 {
+                break;
+            }
+            tokio::time::sleep(CUT_POLL).await;
+        }
+        calls.len()
+    }
+
+    /// Closes the listeners and the idle connections. Requests that arrived meanwhile are refused
+    /// first.
     async fn close(&self, end: Timestamp) {
-        self.end_sender.send_replace(true);
+        self.stop_phase.send_replace(StopPhase::Closing);
         let limit = end.min(self.clock.now() + CLOSE_LIMIT);
         loop {
             tokio::time::sleep(STOP_POLL).await;
--- a/crates/sidecar/tests/support/client.rs
+++ b/crates/sidecar/tests/support/client.rs
@@ -63,6 +63,16 @@
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Like [`Self::send`]; returns false if the connection is lost.
+    pub async fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
+    /// Sends nothing more, and still reads.
+    pub async fn end_input(&mut self) {
+        self.stream.shutdown().await.unwrap();
+    }
+
     /// Reads the next response; `None` if the connection closes before it is complete.
     pub async fn response(&mut self) -> Option<Response> {
         tokio::time::timeout(MAX_WAIT, self.read_response())
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 pub mod client;
+pub mod log_lines;
 pub mod platform;
 pub mod tenants;
 
