Break off a streamed request body unless its sender ends it

Cause: the body passes through a channel, and closing the channel meant its end. Dropping the reader of the connection closed it.

Change: `RequestBody::channel` returns a `BodySender`; only `finish` ends the body, and a sender that is dropped breaks it off. A stream that ends before its stated length is an error, in both directions.

Considered: sending an error where the reader is dropped. That leaves every other way to drop it; here the type can't end without its sender saying so.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -39,38 +39,100 @@
         /// The rest of the body.
         rest: Incoming,
     },
-    /// A body that arrives in chunks through a channel from another task, which reads it from the
-    /// sender.
+    /// A body that arrives through a channel from another task.
     Channel(ChannelBody),
 }
 
-/// A request body that arrives in chunks through a channel from another task, which reads it from
-/// the sender.
+/// A request body that arrives in parts through a channel from another task, which reads it from the
+/// sender. It is complete only if the task says so: a [`BodySender`] that is dropped breaks it off.
 #[derive(Debug)]
 pub struct ChannelBody {
-    /// The chunks; closing the channel ends the body.
-    pub chunks: mpsc::Receiver<Result<Bytes, BodyError>>,
+    parts: mpsc::Receiver<BodyPart>,
     /// Number of bytes still to be received; `None` if the sender did not state the length.
-    pub remaining: Option<u64>,
-    /// True once the body has ended.
-    pub ended: bool,
+    remaining: Option<u64>,
+    state: ChannelState,
+}
+
+/// A message to the recipient of a [`ChannelBody`].
+#[derive(Debug)]
+enum BodyPart {
+    Data(Bytes),
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChannelState {
+    Open,
+    Complete,
+    BrokenOff,
 }
 
 impl ChannelBody {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let chunk = ready!(self.chunks.poll_recv(context));
-        match &chunk {
-            Some(Ok(bytes)) => {
+        if self.state != ChannelState::Open {
+            return Poll::Ready(None);
+        }
+        match ready!(self.parts.poll_recv(context)) {
+            Some(BodyPart::Data(bytes)) => {
                 let length = bytes.len() as u64;
                 self.remaining = self.remaining.map(|left| left.saturating_sub(length));
+                if self.remaining == Some(0) {
+                    self.state = ChannelState::Complete;
+                }
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Some(BodyPart::End) if self.remaining.is_none_or(|left| left == 0) => {
+                self.state = ChannelState::Complete;
+                Poll::Ready(None)
+            }
+            Some(BodyPart::End) | None => {
+                self.state = ChannelState::BrokenOff;
+                Poll::Ready(Some(Err(BodyError::Truncated)))
             }
-            Some(Err(_)) | None => self.ended = true,
         }
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+    }
+}
+
+/// Sends the parts of a [`ChannelBody`]. Dropping it before [`Self::finish`] breaks the body off.
+#[derive(Debug)]
+pub struct BodySender {
+    parts: mpsc::Sender<BodyPart>,
+    /// Room for the end, so that it need not wait for the recipient.
+    end: mpsc::OwnedPermit<BodyPart>,
+}
+
+impl BodySender {
+    /// Sends the next bytes. Returns false if the recipient receives no more.
+    pub async fn send(&self, bytes: Bytes) -> bool {
+        self.parts.send(BodyPart::Data(bytes)).await.is_ok()
+    }
+
+    /// Ends the body as complete.
+    pub fn finish(self) {
+        self.end.send(BodyPart::End);
     }
 }
 
 impl RequestBody {
+    /// Creates a body of which another task sends the parts, at most `capacity` ahead. `length` is
+    /// `None` if its sender did not state the length.
+    #[must_use]
+    pub fn channel(length: Option<u64>, capacity: usize) -> (BodySender, Self) {
+        let (sender, parts) = mpsc::channel(capacity + 1);
+        let permit = sender.clone().try_reserve_owned();
+        let end = permit.expect("a new channel has room");
+        let body = ChannelBody {
+            parts,
+            remaining: length,
+            state: match length {
+                Some(0) => ChannelState::Complete,
+                _ => ChannelState::Open,
+            },
+        };
+        let sender = BodySender { parts: sender, end };
+        (sender, Self::Channel(body))
+    }
+
     /// Creates a body from bytes in memory.
     #[must_use]
     pub fn held(bytes: Bytes) -> Self {
@@ -92,8 +154,11 @@
                 if let Some(bytes) = prefix.take() {
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
-                let frame = ready!(Pin::new(rest).poll_frame(context));
-                Poll::Ready(frame.map(|result| result.map_err(BodyError::Stream)))
+                let frame = ready!(Pin::new(&mut *rest).poll_frame(context));
+                Poll::Ready(match frame {
+                    None => missing_bytes(rest).map(Err),
+                    Some(result) => Some(result.map_err(BodyError::Stream)),
+                })
             }
             Self::Channel(body) => body.poll(context),
         }
@@ -103,7 +168,7 @@
         match self {
             Self::Held(bytes) => bytes.is_none(),
             Self::Streamed { prefix, rest } => prefix.is_none() && rest.is_end_stream(),
-            Self::Channel(body) => body.ended,
+            Self::Channel(body) => body.state == ChannelState::Complete,
         }
     }
 
@@ -118,6 +183,12 @@
     }
 }
 
+/// Returns an error if a stream has ended before its stated length. The HTTP library ends a stream
+/// without an error if the task that reads its connection is dropped.
+fn missing_bytes(stream: &Incoming) -> Option<BodyError> {
+    (stream.size_hint().lower() > 0).then_some(BodyError::Truncated)
+}
+
 fn prefixed(prefix: u64, rest: &SizeHint) -> SizeHint {
     let mut hint = SizeHint::new();
     hint.set_lower(prefix + rest.lower());
@@ -226,10 +297,13 @@
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             Poll::Ready(Some(Err(error))) => self.fail(context, BodyError::Stream(error)),
-            Poll::Ready(None) => {
-                self.end(BodyEnd::Complete);
-                Poll::Ready(None)
-            }
+            Poll::Ready(None) => match missing_bytes(&self.incoming) {
+                Some(failure) => self.fail(context, failure),
+                None => {
+                    self.end(BodyEnd::Complete);
+                    Poll::Ready(None)
+                }
+            },
             Poll::Pending => {
                 ready!(self.deadline.as_mut().poll(context));
                 self.fail(context, BodyError::DeadlinePassed)
--- a/crates/sidecar/src/outbound/connection/reader.rs
+++ b/crates/sidecar/src/outbound/connection/reader.rs
@@ -9,7 +9,7 @@
 use tokio::net::tcp::ReadHalf;
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
-use wharfquay_daemon::body::{BodyError, ChannelBody, MAX_HELD_BODY, RequestBody, ResponseBody};
+use wharfquay_daemon::body::{MAX_HELD_BODY, RequestBody, ResponseBody};
 use wharfquay_daemon::response::Failure;
 
 use super::lifecycle::{ConnectionEnd, Lifecycle};
@@ -21,8 +21,8 @@
 use crate::outbound::response::refusal;
 use crate::stop_phase::{StopPhase, StopSignal};
 
-/// Number of chunks of a streamed body that may be queued for the backend.
-const MAX_QUEUED_CHUNKS: usize = 4;
+/// Number of parts of a streamed body that may be queued for the backend.
+const MAX_QUEUED_PARTS: usize = 4;
 /// Time for which an idle connection is still read after the sidecar closes its connections: a
 /// request that was sent meanwhile is then answered instead of being lost.
 const CLOSE_DELAY: Duration = Duration::from_millis(20);
@@ -268,40 +268,27 @@
         taken: &mpsc::Sender<TakenRequest>,
         timeout: Duration,
     ) -> Result<(), ReadStop> {
-        let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         let length = match head.framing {
             Framing::Length(length) => Some(length),
             Framing::Chunked => None,
         };
-        let body = RequestBody::Channel(ChannelBody {
-            chunks: receiver,
-            remaining: length,
-            ended: false,
-        });
+        let (sender, body) = RequestBody::channel(length, MAX_QUEUED_PARTS);
         head.request
             .extensions_mut()
             .insert(BodyPrefix(first.clone()));
         self.start(head, body, taken).await?;
-        let mut has_receiver = chunks.send(Ok(first)).await.is_ok();
+        let mut has_recipient = sender.send(first).await;
         loop {
-            match decoder.next(&mut self.buffer) {
-                Ok(Piece::End) => return Ok(()),
-                Ok(Piece::Data(data)) if has_receiver => {
-                    has_receiver = chunks.send(Ok(data)).await.is_ok();
-                }
-                Ok(Piece::Data(_)) => {}
-                Ok(Piece::NeedMore) => {
-                    if let Err(stop) = self.fill_within(timeout).await {
-                        let _ = chunks.send(Err(BodyError::Truncated)).await;
-                        return Err(after_taking(stop));
-                    }
-                }
-                Err(error) => {
-                    let _ = chunks.send(Err(BodyError::Truncated)).await;
-                    return Err(after_taking(error.into()));
-                }
+            // An error drops the sender, which breaks the body off.
+            match decoder.next(&mut self.buffer).map_err(after_taking)? {
+                Piece::End => break,
+                Piece::Data(data) if has_recipient => has_recipient = sender.send(data).await,
+                Piece::Data(_) => {}
+                Piece::NeedMore => self.fill_within(timeout).await.map_err(after_taking)?,
             }
         }
+        sender.finish();
+        Ok(())
     }
 
     /// Responds to bytes that are not an acceptable request, as the last request of the connection.
@@ -339,8 +326,8 @@
 
 /// Returns why reading ends within the body of a request that was taken. Its own response is the
 /// answer to a body that is malformed or late; no other one may follow.
-const fn after_taking(stop: ReadStop) -> ReadStop {
-    match stop {
+fn after_taking(stop: impl Into<ReadStop>) -> ReadStop {
+    match stop.into() {
         ReadStop::Reject(_) | ReadStop::TimedOut | ReadStop::Finished => ReadStop::Finished,
         ReadStop::End(end) => ReadStop::End(end),
     }
--- a/crates/sidecar/tests/connection_ends/main.rs
+++ b/crates/sidecar/tests/connection_ends/main.rs
@@ -1,13 +1,14 @@
 //! How connections of callers end: for each reason, which requests are executed and what the caller
 //! receives.
 
+mod bodies;
 mod server;
 #[path = "../support/mod.rs"]
 mod support;
 
 use std::time::{Duration, Instant};
 
-use server::{IDLE_TIMEOUT, Server};
+use server::{IDLE_TIMEOUT, ReceivedBody, Server};
 use support::client::{Connection, Response, new_request_id, request};
 use support::{eventually, log_lines};
 use wharfquay_sidecar::outbound::connection::lifecycle::ConnectionEnd;
@@ -235,7 +236,8 @@
         drop(connection);
         assert_eq!(server.connection_end().await, ConnectionEnd::Complete);
         assert_eq!(server.handled.started(), ["/wait/200", "/broken"]);
-        assert_eq!(server.handled.broken_bodies(), 1);
+        let broken = ReceivedBody::Broken;
+        assert!(server.handled.bodies().contains(&broken));
     }
 }
 
--- a/crates/sidecar/tests/connection_ends/server.rs
+++ b/crates/sidecar/tests/connection_ends/server.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::HeaderMap;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -31,7 +32,17 @@
     started: Mutex<Vec<String>>,
     answered: AtomicUsize,
     cancelled: AtomicUsize,
-    broken_bodies: AtomicUsize,
+    bodies: Mutex<Vec<ReceivedBody>>,
+    receiving: AtomicUsize,
+}
+
+/// A body as its recipient saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReceivedBody {
+    /// It ended; these are its bytes.
+    Complete(Bytes),
+    /// It was broken off.
+    Broken,
 }
 
 impl Handled {
@@ -50,9 +61,40 @@
         self.cancelled.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of bodies that were broken off.
-    pub fn broken_bodies(&self) -> usize {
-        self.broken_bodies.load(Ordering::Relaxed)
+    /// Returns the bodies that have ended.
+    pub fn bodies(&self) -> Vec<ReceivedBody> {
+        self.bodies.lock().unwrap().clone()
+    }
+
+    /// Returns true while a body is received.
+    pub fn is_receiving(&self) -> bool {
+        self.receiving.load(Ordering::Relaxed) > 0
+    }
+
+    async fn receive(&self, body: RequestBody) -> ReceivedBody {
+        let _receiving = Receiving::begin(&self.receiving);
+        let received = match body.collect().await {
+            Ok(collected) => ReceivedBody::Complete(collected.to_bytes()),
+            Err(_) => ReceivedBody::Broken,
+        };
+        self.bodies.lock().unwrap().push(received.clone());
+        received
+    }
+}
+
+/// Counts a body that is received until it has ended or its recipient was cancelled.
+struct Receiving<'handled>(&'handled AtomicUsize);
+
+impl<'handled> Receiving<'handled> {
+    fn begin(counter: &'handled AtomicUsize) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter)
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -72,7 +114,8 @@
     }
 }
 
-/// Handles `/wait/MS` by answering after that time, `/panic` by a panic, and anything else at once.
+/// Handles `/wait/MS` by answering after that time, `/panic` by a panic, `/early` by answering before
+/// it goes on to receive the body, and anything else once the body has ended.
 struct PathHandler(Arc<Handled>);
 
 impl RequestHandler for PathHandler {
@@ -84,12 +127,15 @@
         };
         self.0.started.lock().unwrap().push(path.clone());
         assert_ne!(path, "/panic", "this request fails its task");
-        let status = match request.into_body().collect().await {
-            Ok(_) => StatusCode::OK,
-            Err(_) => {
-                self.0.broken_bodies.fetch_add(1, Ordering::Relaxed);
-                StatusCode::BAD_GATEWAY
-            }
+        if path == "/early" {
+            let handled = Arc::clone(&self.0);
+            tokio::spawn(async move { handled.receive(request.into_body()).await });
+            handling.is_answered = true;
+            return Response::new(ResponseBody::from_bytes(path));
+        }
+        let status = match self.0.receive(request.into_body()).await {
+            ReceivedBody::Complete(_) => StatusCode::OK,
+            ReceivedBody::Broken => StatusCode::BAD_GATEWAY,
         };
         if let Some(millis) = path.strip_prefix("/wait/") {
             let wait = Duration::from_millis(millis.parse().unwrap());
--- a/crates/sidecar/tests/support/client.rs
+++ b/crates/sidecar/tests/support/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::{HOST, MAX_WAIT};
 
@@ -59,18 +59,33 @@
         }
     }
 
+    /// Opens a connection with a receive buffer of this size in bytes.
+    pub async fn open_with_buffer(address: SocketAddr, size: u32) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(size).unwrap();
+        Self {
+            stream: socket.connect(address).await.unwrap(),
+            buffer: Vec::new(),
+        }
+    }
+
     pub async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
     /// Like [`Self::send`]; returns false if the connection is lost.
     pub async fn try_send(&mut self, text: &str) -> bool {
-        self.stream.write_all(text.as_bytes()).await.is_ok()
+        self.try_send_bytes(text.as_bytes()).await
+    }
+
+    /// Like [`Self::try_send`], for any bytes.
+    pub async fn try_send_bytes(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
     }
 
-    /// Sends nothing more, and still reads.
+    /// Sends nothing more, and still reads. A connection that is lost has ended as well.
     pub async fn end_input(&mut self) {
-        self.stream.shutdown().await.unwrap();
+        let _ = self.stream.shutdown().await;
     }
 
     /// Reads the next response; `None` if the connection closes before it is complete.
