Ask the backend who it is before an instance takes over a serving one

What callers saw: after a late heartbeat of an ended instance, a call that was refused by its successor, and refusals until the successor's next heartbeat.

Cause: the tracker opened the sender of any heartbeat that was not the current instance. Ids don't order instances, and sequence numbers order the heartbeats of one instance only.

Change: where another instance serves, the health endpoint is asked first; if another instance answers there, the heartbeat has no effect.

--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -365,6 +365,11 @@
     /// Starts sending work to an instance. One that may have announced a rate limit or its leaving to
     /// an earlier process is asked for it first.
     async fn open(self: &Arc<Self>, instance: &InstanceId) {
+        if self.is_outlived(instance).await {
+            lock(&self.tracker).mark_replaced(instance);
+            log_event!(Event::InstanceReplaced, "instance={instance}");
+            return;
+        }
         let announcements = self.earlier_announcements();
         let report = match announcements {
             EarlierAnnouncements::None => None,
@@ -395,6 +400,17 @@
         );
     }
 
+    /// Returns true if another instance receives work and responds at the backend's address. Ids do
+    /// not order instances, and sequence numbers order the heartbeats of one instance only, so a
+    /// heartbeat that was delayed beyond the end of its sender can't be recognised by itself.
+    async fn is_outlived(&self, instance: &InstanceId) -> bool {
+        if !lock(&self.tracker).is_another_serving(instance) {
+            return false;
+        }
+        let report = self.check_health(ANNOUNCEMENT_TIMEOUT).await;
+        report.is_some_and(|report| !report.instance.may_be_same(instance))
+    }
+
     /// Returns what is known of the announcements that the instance to open made before. Only the
     /// first instance of a process may have run beside an earlier one.
     fn earlier_announcements(&self) -> EarlierAnnouncements {
--- a/crates/sidecar/src/instance/tracker.rs
+++ b/crates/sidecar/src/instance/tracker.rs
@@ -241,6 +241,14 @@
         self.current.as_ref()
     }
 
+    /// True if an instance other than `instance` receives work.
+    #[must_use]
+    pub fn is_another_serving(&self, instance: &InstanceId) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            !current.may_be_same(instance) && self.status(current) == InstanceStatus::Serving
+        })
+    }
+
     /// Returns the maximum number of requests that an instance executes concurrently; `None` until
     /// it reports that number.
     #[must_use]
--- a/crates/sidecar/tests/instance_restarts.rs
+++ b/crates/sidecar/tests/instance_restarts.rs
@@ -4,11 +4,11 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use support::client::{call, request};
+use support::client::{call, new_request_id, request};
 use support::platform::EmulatedPlatform;
-use support::{Machine, configuration, route};
+use support::{MAX_WAIT, Machine, configuration, route};
 use wharfquay_core::idempotency::clock::UnixMillis;
 use wharfquay_core::time::Timestamp;
 use wharfquay_sidecar::instance::{
@@ -17,6 +17,8 @@
 };
 
 const NOW: Timestamp = Timestamp::ZERO;
+/// Time in which a message takes effect.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
 
 fn start(started_at_ms: u64) -> InstanceId {
     InstanceId::new("i-1", Some(UnixMillis::new(started_at_ms)))
@@ -174,3 +176,57 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against a heartbeat that arrives after its sender has ended and takes the work from the
+/// instance that now serves at the address, until that one refuses it.
+#[tokio::test]
+async fn late_heartbeats_of_an_ended_instance_do_not_take_work_from_its_successor() {
+    let (ended, successor) = ("machine-a-1", "machine-a-2");
+    let orders: [&[(&str, ReportedState, u64)]; 4] = [
+        &[(ended, ReportedState::Ready, 7)],
+        &[
+            (ended, ReportedState::Ready, 7),
+            (ended, ReportedState::Ready, 7),
+        ],
+        &[
+            (ended, ReportedState::Ready, 8),
+            (successor, ReportedState::Ready, 3),
+            (ended, ReportedState::Ready, 7),
+        ],
+        &[
+            (ended, ReportedState::Draining, 9),
+            (ended, ReportedState::Ready, 8),
+        ],
+    ];
+    for order in orders {
+        let routes = configuration(1, vec![route("/shelf/", "shelf", true)]);
+        let platform = Arc::new(EmulatedPlatform::new(Some(routes)));
+        let mut machine = Machine::start(&platform, "machine-a", "shelf").await;
+        machine.ready().await;
+        served_again(&machine).await;
+        machine.backend.replace(successor);
+        machine.send_heartbeat(ReportedState::Ready).await;
+        served_again(&machine).await;
+        for (instance, state, sequence) in order {
+            let late = heartbeat(&InstanceId::from(*instance), *state, *sequence);
+            machine.sidecar.heartbeat(&late).await;
+            tokio::time::sleep(SETTLING_TIME).await;
+            let text = request("GET", "/shelf/1", &new_request_id(), "");
+            let response = call(machine.outbound, &text).await;
+            assert_eq!(response.status, 200, "{order:?}: {}", response.text());
+        }
+    }
+}
+
+/// Waits until the backend's current instance serves requests.
+async fn served_again(machine: &Machine) {
+    let end = Instant::now() + MAX_WAIT;
+    loop {
+        let text = request("GET", "/shelf/1", &new_request_id(), "");
+        if call(machine.outbound, &text).await.status == 200 {
+            return;
+        }
+        assert!(Instant::now() < end, "never served again");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
