Let callers stop reading for longer than two seconds

What callers saw: a connection that is reset in the middle of a response, if the caller reads nothing for over 2 s.

Cause: TCP_USER_TIMEOUT on the listener for callers, which the operating system applies to a closed window as well.

Connections between sidecars and to backends keep the limit, which shows links that are cut.

Responses over 192 KiB that come from another sidecar are still cut there; this stays open.

--- a/crates/daemon/src/connect.rs
+++ b/crates/daemon/src/connect.rs
@@ -30,14 +30,22 @@
 /// Lets the operating system close a connection whose peer has become unreachable. Connections that
 /// a listener accepts inherit these options from it.
 ///
+/// A peer that reads nothing for two seconds also loses its connection: the operating system applies
+/// the limit for unacknowledged bytes to a closed window as well.
+///
 /// Errors are ignored: without these options a socket still works, but detects an unreachable peer
 /// later.
 pub fn set_keepalive_options(socket: &impl AsFd) {
+    set_keepalive_probes(socket);
+    let _ = SockRef::from(socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+}
+
+/// Like [`set_keepalive_options`], without a limit for unacknowledged bytes. For peers that may read
+/// slowly and whose connections are bounded by timeouts of this process.
+pub fn set_keepalive_probes(socket: &impl AsFd) {
     let keep_alive = TcpKeepalive::new()
         .with_time(KEEP_ALIVE_INTERVAL)
         .with_interval(KEEP_ALIVE_INTERVAL)
         .with_retries(KEEP_ALIVE_PROBES);
-    let socket = SockRef::from(socket);
-    let _ = socket.set_tcp_keepalive(&keep_alive);
-    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
+    let _ = SockRef::from(socket).set_tcp_keepalive(&keep_alive);
 }
--- a/crates/sidecar/src/listeners.rs
+++ b/crates/sidecar/src/listeners.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use wharfquay_daemon::accept_queue::take_queued;
 use wharfquay_daemon::body::{RequestBody, ResponseBody};
-use wharfquay_daemon::connect::set_keepalive_options;
+use wharfquay_daemon::connect::{set_keepalive_options, set_keepalive_probes};
 
 use crate::control::StreamInbox;
 use crate::events::Event;
@@ -113,9 +113,15 @@
                 address,
                 error,
             })?;
-            set_keepalive_options(&listener);
-            Ok(listener)
+            Ok::<_, StartError>(listener)
         };
+        let outbound = listen("outbound", settings.outbound).await?;
+        // Callers may read slowly. Writing to them has a timeout of its own.
+        set_keepalive_probes(&outbound);
+        let inbound = listen("inbound", settings.inbound).await?;
+        let control = listen("control", settings.control).await?;
+        set_keepalive_options(&inbound);
+        set_keepalive_options(&control);
         let datagrams =
             UdpSocket::bind(settings.control)
                 .await
@@ -125,9 +131,9 @@
                     error,
                 })?;
         Ok(Self {
-            outbound: listen("outbound", settings.outbound).await?,
-            inbound: listen("inbound", settings.inbound).await?,
-            control: listen("control", settings.control).await?,
+            outbound,
+            inbound,
+            control,
             datagrams,
         })
     }
