Move the orderly stop of a sidecar into a module of its own

`sidecar.rs` assembled the parts and also carried out the stop, with seven fields for it. Two tests of the stop share their beginning. No behaviour changes: the tests of the sidecar's library, `orderly_stop`, `connection_ends` and `slow_readers` pass.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,6 +35,7 @@
 mod listeners;
 mod message;
 mod metered_platform;
+mod orderly_stop;
 mod quarantine;
 mod quota;
 mod scopes;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,8 +1,8 @@
-//! Assembly of a sidecar: listeners, background tasks, and the orderly stop.
+//! Assembly of a sidecar: listeners and background tasks.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,33 +34,17 @@
 use crate::log_output;
 use crate::metered_platform::MeteredPlatform;
 use crate::metrics::{Gauges, Metrics};
+use crate::orderly_stop::{OrderlyStop, StopFlags, Work};
 use crate::outbound::connection::ConnectionSettings;
 use crate::outbound::routing::Routing;
 use crate::outbound::{CallerAdmission, Forwarder, OutboundHandler, Splits};
 use crate::platform::Platform;
 use crate::quarantine::{Disseminator, Quarantine, RecordStore};
 use crate::quota::{OwnerSelector, QuotaClient, QuotaOwner};
-use crate::scopes::ScopeTable;
 use crate::settings::Settings;
-use crate::stop_phase::{StopPhase, StopSignal};
+use crate::stop_phase::StopSignal;
 use crate::store_era::{self, StoreEra};
 
-/// Interval at which a stop checks whether the last call has completed.
-const STOP_POLL: Duration = Duration::from_millis(20);
-/// Share of the stop grace period during which a stopping sidecar still sends work to its backend:
-/// callers and other sidecars have not noticed the stop yet, and no sibling may have free capacity.
-const ACCEPTING_SHARE: f64 = 0.25;
-/// Share of the stop grace period during which requests of callers are still accepted, which spares
-/// callers that have not noticed the stop yet any failure.
-const CALLER_NOTICE_SHARE: f64 = 0.43;
-/// Interval at which the end of a stop checks whether each connection has reported what it cut.
-const CUT_POLL: Duration = Duration::from_millis(2);
-/// Maximum number of these checks.
-const MAX_CUT_POLLS: u32 = 10;
-/// Maximum time for connections to close after the last response was written.
-const CLOSE_LIMIT: Duration = Duration::from_millis(200);
-/// Share of the stop grace period that is reserved for the termination of the process.
-const RESERVE_SHARE: f64 = 0.1;
 /// Maximum time that a starting sidecar waits until it has discovered a sidecar of each service.
 const DISCOVERY_LIMIT: Duration = Duration::from_millis(2_000);
 /// Pause between two updates of the routers, which combines changes that arrive together.
@@ -103,19 +87,7 @@
     quarantine: Arc<Quarantine>,
     members: watch::Receiver<MemberTable>,
     isolated: watch::Receiver<bool>,
-    scopes: Arc<ScopeTable>,
-    /// True if the sidecar reports that it is not ready, which directs callers elsewhere.
-    leaving: AtomicBool,
-    /// True if calls for the backend are refused.
-    stopping: Arc<AtomicBool>,
-    /// True if requests of callers are refused.
-    refusing: Arc<AtomicBool>,
-    stop_sender: watch::Sender<bool>,
-    /// Phase of the stop, for listeners and connections.
-    stop_phase: watch::Sender<StopPhase>,
-    closing: Closing,
-    in_flight: Arc<AtomicUsize>,
-    outbound_in_flight: Arc<AtomicUsize>,
+    stop: OrderlyStop,
 }
 
 impl<P: Platform> Sidecar<P> {
@@ -245,11 +217,7 @@
         );
         tokio::spawn(Arc::clone(&registry).rewrite_departure_records());
         let routing = Routing::new(clock, &settings.zone);
-        let scopes = Arc::new(ScopeTable::default());
-        let stopping = Arc::new(AtomicBool::new(false));
-        let refusing = Arc::new(AtomicBool::new(false));
-        let in_flight = Arc::new(AtomicUsize::new(0));
-        let outbound_in_flight = Arc::new(AtomicUsize::new(0));
+        let (flags, work) = (StopFlags::default(), Work::default());
         let (misdirected, leaving) = (Arc::clone(&registry), Arc::clone(&registry));
         let observers = InstanceObservers {
             misdirected: Arc::new(move |instance: &InstanceId| misdirected.misdirected(instance)),
@@ -257,13 +225,13 @@
         };
         let local = Arc::new(LocalExecutor {
             backend: Arc::clone(&backend),
-            scopes: Arc::clone(&scopes),
+            scopes: Arc::clone(&work.scopes),
             routing: Arc::clone(&routing),
             quarantine: Arc::clone(&quarantine),
             dialect: dialect.clone(),
             clock,
-            stopping: Arc::clone(&stopping),
-            in_flight: Arc::clone(&in_flight),
+            stopping: Arc::clone(&flags.stopping),
+            in_flight: Arc::clone(&work.calls),
             observers,
             metrics: Arc::clone(&metrics),
             unread_headers: UnreadHeaders::default(),
@@ -290,13 +258,23 @@
             configuration: configuration.clone(),
             confirmation: Arc::clone(&confirmation),
             forwarder: Arc::clone(&forwarder),
-            scopes: Arc::clone(&scopes),
+            scopes: Arc::clone(&work.scopes),
             splits: Splits::default(),
             caller_admission: CallerAdmission::new(clock),
-            refusing: Arc::clone(&refusing),
+            refusing: Arc::clone(&flags.refusing),
         };
-        let connection_in_flight = Arc::clone(&outbound_in_flight);
+        let requests_in_flight = Arc::clone(&work.requests);
         let closing = Closing::new(stop_signal.clone());
+        let stop = OrderlyStop {
+            clock,
+            grace: settings.bounds.stop_grace,
+            flags,
+            work,
+            announcement: stop_sender,
+            phase: stop_phase,
+            closing: closing.clone(),
+            metrics: Arc::clone(&metrics),
+        };
         let sidecar = Arc::new(Self {
             settings,
             metrics,
@@ -310,21 +288,13 @@
             quarantine,
             members,
             isolated,
-            scopes,
-            leaving: AtomicBool::new(false),
-            stopping,
-            refusing,
-            stop_sender,
-            stop_phase,
-            closing: closing.clone(),
-            in_flight,
-            outbound_in_flight,
+            stop,
         });
         let connection_settings = ConnectionSettings {
             limits: sidecar.spawn_updates(routing, forwarder, owner_selector),
             stop: stop_signal,
             open: Arc::clone(closing.connections()),
-            in_flight: connection_in_flight,
+            in_flight: requests_in_flight,
             metrics: Arc::clone(&sidecar.metrics),
         };
         spawn_outbound(
@@ -368,7 +338,7 @@
         is_configured
             && has_discovered_services
             && !is_isolated
-            && !self.leaving.load(Ordering::Relaxed)
+            && !self.stop.flags.leaving.load(Ordering::Relaxed)
     }
 
     /// Returns the metrics in the Prometheus text format.
@@ -411,71 +381,7 @@
     /// progress are completed and their responses written, until the grace period is over at the
     /// latest. Then listeners and connections are closed, and what is left is cut and reported.
     pub async fn stop(&self) {
-        let started = self.clock.now();
-        let grace = self.settings.bounds.stop_grace;
-        let in_flight = self.in_flight.load(Ordering::Relaxed);
-        let cut_before = self.metrics.requests_cut_here();
-        log_event!(Event::Stopping, "calls_in_flight={in_flight}");
-        self.leaving.store(true, Ordering::Relaxed);
-        self.stop_phase.send_replace(StopPhase::Draining);
-        self.sleep_until(started + grace.mul_f64(ACCEPTING_SHARE))
-            .await;
-        self.stopping.store(true, Ordering::Relaxed);
-        self.stop_sender.send_replace(true);
-        let end = started + grace.mul_f64(1.0 - RESERVE_SHARE);
-        self.sleep_until(started + grace.mul_f64(CALLER_NOTICE_SHARE))
-            .await;
-        self.refusing.store(true, Ordering::Relaxed);
-        while self.is_busy() && self.clock.now() < end {
-            tokio::time::sleep(STOP_POLL).await;
-        }
-        self.close(end).await;
-        let calls = self.cut().await;
-        let responses = self.metrics.requests_cut_here() - cut_before;
-        log_event!(
-            Event::Stopped,
-            "calls_cut={calls} responses_cut={responses}"
-        );
-    }
-
-    /// Cuts what is still in progress and returns the number of calls at the local backend among it.
-    async fn cut(&self) -> usize {
-        let calls = self.scopes.open_requests();
-        for request in &calls {
-            log_event!(Event::CallCut, "request={request}");
-        }
-        self.stop_phase.send_replace(StopPhase::Cutting);
-        for _ in 0..MAX_CUT_POLLS {
-            if self.outbound_in_flight.load(Ordering::Relaxed) == 0 {
-                break;
-            }
-            tokio::time::sleep(CUT_POLL).await;
-        }
-        calls.len()
-    }
-
-    /// Closes the listeners and the idle connections. Requests that arrived meanwhile are refused
-    /// first.
-    async fn close(&self, end: Timestamp) {
-        self.stop_phase.send_replace(StopPhase::Closing);
-        let limit = end.min(self.clock.now() + CLOSE_LIMIT);
-        loop {
-            tokio::time::sleep(STOP_POLL).await;
-            let is_closed = !self.is_busy() && self.closing.open_connections() == 0;
-            if is_closed || self.clock.now() >= limit {
-                return;
-            }
-        }
-    }
-
-    async fn sleep_until(&self, time: Timestamp) {
-        self.clock.sleep_until(Some(time)).await;
-    }
-
-    fn is_busy(&self) -> bool {
-        self.in_flight.load(Ordering::Relaxed) > 0
-            || self.outbound_in_flight.load(Ordering::Relaxed) > 0
-            || self.scopes.len() > 0
+        self.stop.run().await;
     }
 
     fn log_start(&self) {
--- a/crates/sidecar/tests/orderly_stop.rs
+++ b/crates/sidecar/tests/orderly_stop.rs
@@ -90,6 +90,18 @@
     ids
 }
 
+/// Captures the log and starts two requests on one connection that do not end by themselves. Returns
+/// the connection and their ids.
+async fn two_endless_requests(caller: &Machine, callee: &Machine) -> (Connection, Vec<String>) {
+    log_lines::capture();
+    serve_one(caller).await;
+    callee.backend.set_service_time(ENDLESS);
+    let mut connection = Connection::open(caller.outbound).await;
+    let ids = pipeline(&mut connection, 2).await;
+    executing(callee, 2).await;
+    (connection, ids)
+}
+
 fn spawn_stop(machine: &Machine) -> tokio::task::JoinHandle<()> {
     let sidecar = Arc::clone(&machine.sidecar);
     tokio::spawn(async move { sidecar.stop().await })
@@ -122,13 +134,8 @@
 /// Guards against a stop that cuts requests of callers and doesn't report them.
 #[tokio::test]
 async fn a_stop_reports_each_request_that_it_cuts() {
-    log_lines::capture();
     let (caller, callee) = caller_and_callee().await;
-    serve_one(&caller).await;
-    callee.backend.set_service_time(ENDLESS);
-    let mut connection = Connection::open(caller.outbound).await;
-    let ids = pipeline(&mut connection, 2).await;
-    executing(&callee, 2).await;
+    let (mut connection, ids) = two_endless_requests(&caller, &callee).await;
     spawn_stop(&caller).await.unwrap();
     assert!(connection.response().await.is_none());
     for id in &ids {
@@ -148,13 +155,8 @@
 /// learn that the calls may have been executed.
 #[tokio::test]
 async fn a_stop_reports_each_call_that_it_cuts() {
-    log_lines::capture();
     let (caller, callee) = caller_and_callee().await;
-    serve_one(&caller).await;
-    callee.backend.set_service_time(ENDLESS);
-    let mut connection = Connection::open(caller.outbound).await;
-    let ids = pipeline(&mut connection, 2).await;
-    executing(&callee, 2).await;
+    let (mut connection, ids) = two_endless_requests(&caller, &callee).await;
     spawn_stop(&callee).await.unwrap();
     for id in &ids {
         let response = connection.response().await.expect("a response");
