Log each call that the stop of a daemon cuts

Cause: at the drain limit a daemon reported the number of calls in flight and not which ones.

Change: `CallsInFlight` keeps side, path and start of each call in flight; the stop logs one line (`call_cut`) for each that it cuts. It replaces the counter and its guard in `node.rs`.

Evidence: `each_call_that_a_stop_cuts_is_logged` (a real process, an endpoint that never responds, two calls) needs the new event, so it could not run before.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -113,7 +113,7 @@
         decisions,
         event_limits: EventLimits::default(),
         stopping: AtomicBool::new(false),
-        in_flight: Arc::default(),
+        calls_in_flight: Arc::default(),
     })
 }
 
@@ -162,6 +162,7 @@
         let in_flight = self.node.calls_in_flight();
         log_event!(Event::Stopping, "calls_in_flight={in_flight}");
         let left = self.drain().await;
+        self.node.calls_in_flight.log_cut();
         tokio::time::sleep_until(announced).await;
         self.stop.cancel();
         self.tasks.close();
--- a/crates/daemon/src/edge/claimed.rs
+++ b/crates/daemon/src/edge/claimed.rs
@@ -23,7 +23,7 @@
 
 use crate::body::ResponseBody;
 use crate::control::claims::{ClaimVerdict, ClaimedCall, DispatchPermit};
-use crate::metrics::ClaimResult;
+use crate::metrics::{ClaimResult, Side};
 use crate::node::Node;
 use crate::outbound::call::{CallBody, OutgoingCall};
 use crate::response::{Failure, set_result};
@@ -64,7 +64,8 @@
     body: Incoming,
 ) -> Result<Response<ResponseBody>, Failure> {
     let running = tokio::spawn(async move {
-        let _in_flight = node.begin_call();
+        let path = Some(&call.head.path);
+        let _in_flight = node.calls_in_flight.begin(Side::Edge, path);
         claim_and_forward(&node, &call, key, body).await
     });
     let lost = |_| Err(Failure::new(ResultCode::ClaimUncertain));
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -47,7 +47,8 @@
     }
 
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let call = self.node.begin_call();
+        let path = request.uri().path_and_query();
+        let call = self.node.calls_in_flight.begin(Side::Edge, path);
         let method = request.method().clone();
         let cancellation = self.node.cancellation_guard(Side::Edge);
         let result = self.respond(request).await;
--- a/crates/daemon/src/events/catalogue.rs
+++ b/crates/daemon/src/events/catalogue.rs
@@ -47,6 +47,8 @@
     Ready = "ready", Info, ["revision"], "The first configuration is in force.";
     Stopping = "stopping", Info, ["calls_in_flight"], "A stop was requested; new calls are refused.";
     Stopped = "stopped", Info, ["calls_cut"], "The daemon has stopped; `calls_cut` is the number of calls that had not completed at the drain limit.";
+    CallCut = "call_cut", Warn, ["side", "path", "age_ms"],
+        "This request of a caller (`edge`) or call of another daemon (`inbound`) had not completed at the drain limit of a stop.";
     DrainStarted = "drain_started", Info, ["calls_in_flight"],
         "The local backend is marked as leaving by a drain, the machine list, its health endpoint or its responses; new calls are refused.";
     DrainFinished = "drain_finished", Info, ["after_ms"], "The last call in flight of the leaving backend has completed.";
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -81,7 +81,8 @@
     }
 
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let call = self.node.begin_call();
+        let path = request.uri().path_and_query();
+        let call = self.node.calls_in_flight.begin(Side::Inbound, path);
         let method = request.method().clone();
         let cancellation = self.node.cancellation_guard(Side::Inbound);
         let result = match self.read_context(&request) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod admin;
 pub mod backend_pool;
 pub mod body;
+mod calls_in_flight;
 pub mod clock;
 pub mod connect;
 pub mod control;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,6 @@
 //! State that the edge, inbound and outbound sides of one daemon share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -9,6 +9,7 @@
 use wharfquay_resources::snapshot::{Revision, Snapshot};
 
 use crate::body::{BodyEnd, BodyObserver, ResponseBody};
+use crate::calls_in_flight::CallsInFlight;
 use crate::clock::Clock;
 use crate::control::{ControlView, EndpointTable};
 use crate::decisions::DecisionLog;
@@ -43,7 +44,7 @@
     pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) event_limits: EventLimits,
     pub(crate) stopping: AtomicBool,
-    pub(crate) in_flight: Arc<AtomicUsize>,
+    pub(crate) calls_in_flight: Arc<CallsInFlight>,
 }
 
 /// Rate limits of log events about single calls.
@@ -106,12 +107,6 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Counts a call as in flight until the returned guard is dropped.
-    pub(crate) fn begin_call(&self) -> CallInFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        CallInFlight(Arc::clone(&self.in_flight))
-    }
-
     /// Returns a guard that counts the call at `side` as cancelled if it is dropped before the
     /// response exists.
     pub(crate) fn cancellation_guard(&self, side: Side) -> CancellationGuard {
@@ -124,7 +119,7 @@
 
     /// Returns the number of calls that have not completed.
     pub(crate) fn calls_in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Relaxed)
+        self.calls_in_flight.count()
     }
 
     /// Converts the result of a call into its response, and counts and logs the completion.
@@ -157,21 +152,6 @@
     }
 }
 
-/// Counts a call as in flight until it is dropped; shutdown waits for calls in flight.
-#[derive(Debug)]
-pub(crate) struct CallInFlight(Arc<AtomicUsize>);
-
-impl Drop for CallInFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-impl BodyObserver for CallInFlight {
-    /// Does nothing: the drop that follows ends the count.
-    fn ended(self: Box<Self>, _end: BodyEnd) {}
-}
-
 /// Counts a call as cancelled if it is dropped before [`Self::responded`] is called, which happens
 /// when the caller disconnects and the handler's future is dropped.
 #[derive(Debug)]
--- a/crates/daemon/tests/events.rs
+++ b/crates/daemon/tests/events.rs
@@ -301,3 +301,57 @@
     assert!(daemon.of(Event::Ready).is_empty());
     daemon.check_lines();
 }
+
+/// Guards against a stop that cuts calls and reports only their number.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_call_that_a_stop_cuts_is_logged() {
+    let platform = PlatformStub::start().await;
+    for resource in standard_resources(&["booking"]) {
+        platform.put(&resource);
+    }
+    // Accepts connections and never responds.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent_address = silent.local_addr().unwrap();
+    platform.put_machine(machine("booking-1", "booking", silent_address, "live"));
+    let mut daemon = LoggedDaemon::start(
+        "cut",
+        &format!(
+            "id = \"edge\"\nzone = \"north\"\n\
+         [edge]\nlisten = \"127.0.0.1:0\"\n\
+         [admin]\nlisten = \"127.0.0.1:0\"\n\
+         [limits]\ndrain_limit_ms = 100\n\
+         [platform]\naddresses = [\"{}\"]\npoll_interval_ms = 50\n",
+            platform.address
+        ),
+    );
+    let started = daemon.wait_for(Event::Started).await;
+    daemon.wait_for(Event::EndpointAdded).await;
+    let edge = field(&started, "edge").parse().unwrap();
+    let held = ["/held/1", "/held/2"].map(|path| {
+        let call = Call::get("booking", path).header("wharfquay-deadline-ms", "20000");
+        tokio::spawn(client::send(edge, call))
+    });
+    let admin = field(&started, "admin").parse().unwrap();
+    support::eventually("both calls are in flight", async || {
+        let status = client::send(admin, Call::get("admin", "/status")).await;
+        let text = status.map(|status| status.text()).unwrap_or_default();
+        let status: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        status["calls_in_flight"] == 2
+    })
+    .await;
+    let process = daemon.child.id().to_string();
+    let killed = Command::new("kill").args(["-TERM", &process]).status();
+    assert!(killed.unwrap().success());
+    let stopped = daemon.wait_for(Event::Stopped).await;
+    assert_eq!(field(&stopped, "calls_cut"), "2");
+    let cut = daemon.of(Event::CallCut);
+    for path in ["/held/1", "/held/2"] {
+        let lines = cut.iter().filter(|line| line.contains(path));
+        assert_eq!(lines.count(), 1, "{cut:?}");
+    }
+    daemon.check_lines();
+    for call in held {
+        call.abort();
+    }
+    assert!(daemon.child.wait().unwrap().success());
+}
