Show that a body that is cut looks complete at no hop

A part of a body in chunks goes through two sidecars to a backend; the caller closes, or the stop of either sidecar cuts the upload. The backend executes nothing in each case. The property test covers callers' connections; this one the connections that the HTTP library reads.

--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -81,6 +81,8 @@
     next: VecDeque<Behaviour>,
     executed: Vec<ReceivedRequest>,
     abandoned: usize,
+    /// Number of requests of which the backend is reading the body or has read it.
+    begun: usize,
     /// Requests whose target contains this text terminate the backend.
     terminates_on: Option<String>,
     /// Number of terminations of the backend.
@@ -234,6 +236,11 @@
         self.state.lock().unwrap().executed.clone()
     }
 
+    /// Returns the number of requests whose head has arrived, health checks included.
+    pub fn begun(&self) -> usize {
+        self.state.lock().unwrap().begun
+    }
+
     /// Returns the number of requests whose connection was closed while they were executed.
     pub fn abandoned(&self) -> usize {
         self.state.lock().unwrap().abandoned
@@ -242,7 +249,11 @@
 
 async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>, termination: Arc<Notify>) {
     let mut buffer = Vec::new();
-    while let Some(executed) = read_request(&mut stream, &mut buffer).await {
+    while let Some(head) = read_head(&mut stream, &mut buffer).await {
+        state.lock().unwrap().begun += 1;
+        let Some(executed) = read_body(&mut stream, &mut buffer, head).await else {
+            return;
+        };
         let id = executed.header("test-request-id").map(str::to_owned);
         let (mut response, close, nested_call) = {
             let mut state = state.lock().unwrap();
@@ -412,14 +423,22 @@
     )
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
     let end = loop {
         if let Some(end) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
             break end + 4;
         }
         fill(stream, buffer).await?;
     };
-    let head = String::from_utf8(buffer.drain(..end).collect()).ok()?;
+    String::from_utf8(buffer.drain(..end).collect()).ok()
+}
+
+/// Returns the request; `None` if the connection ends within its body.
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    head: String,
+) -> Option<ReceivedRequest> {
     let mut executed = ReceivedRequest {
         head,
         body: Vec::new(),
