Test stops at any moment of pipelined requests

Property: up to seven requests with and without bodies in chunks, held or streamed, with pauses between them and different times of work; the stop begins at any moment. Each request that was started gets its response in its turn, the last one announces the end, nothing is cancelled or counted as cut, and the connection ends by itself.

--- a/crates/sidecar/tests/connection_ends/main.rs
+++ b/crates/sidecar/tests/connection_ends/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod server;
+mod stops;
 #[path = "../support/mod.rs"]
 mod support;
 
