Log and count why a request that must run once is sent again

Change: sending_ended names each sending of such a call that was not the first or brought no response of the backend (connection, number on it, status, mark, id echoed, conclusion); request_sent_again names each further attempt at the edge. Both have a limit and a part of the queue of their own; log_dropped counts them apart. Counters for claims of backends by mark and echoed id, and for calls sent again. The connections of the pool got a number, and a module of their own.

--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -3,6 +3,8 @@
 //! A connection whose response was abandoned is closed; otherwise a later request could receive
 //! that response.
 
+mod connection;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,18 +12,19 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 use wharfquay_clock::{Clock, TimeSource, since_boot};
-use wharfquay_core::time::Timestamp;
 
 use crate::body::{BodyEnd, BodyObserver, RequestBody};
 use crate::connect::connect;
 use crate::events::{Event, Quoted, RateLimit, log_event};
 use crate::sync::lock;
 
+pub use connection::ConnectionUse;
+use connection::{Connection, ConnectionSlot, IdleConnection, close_idle};
+
 /// Maximum wait for a connection at the connection limit. Admission keeps executions within that
 /// limit, so the wait only covers the time in which a connection becomes idle or closes.
 const CONNECTION_LIMIT_WAIT: Duration = Duration::from_millis(20);
@@ -164,7 +167,7 @@
             });
         reserved
             .ok()
-            .map(|_| ConnectionSlot(Arc::clone(&self.open)))
+            .map(|_| ConnectionSlot::new(Arc::clone(&self.open)))
     }
 
     async fn open_connection(&self, slot: ConnectionSlot) -> Result<Connection, BackendError> {
@@ -180,11 +183,7 @@
                 log_event!(Event::BackendConnectionClosed, "error={}", Quoted(error));
             }
         });
-        Ok(Connection {
-            sender,
-            task: task.abort_handle(),
-            _slot: slot,
-        })
+        Ok(Connection::new(sender, task.abort_handle(), slot))
     }
 
     /// Returns a connection whose response is complete to the pool once it can carry the next
@@ -235,61 +234,12 @@
     }
 }
 
-/// An idle connection of the pool.
-#[derive(Debug)]
-struct IdleConnection {
-    connection: Connection,
-    since: Timestamp,
-    max_idle_time: Duration,
-}
-
-impl IdleConnection {
-    fn is_usable(&self, now: Timestamp) -> bool {
-        let idle_time = now.saturating_since(self.since);
-        !self.connection.sender.is_closed() && idle_time < self.max_idle_time
-    }
-}
-
-/// Closes the connections that have been idle for too long. The connection that became idle last is
-/// reused first, so after a surge the surplus connections stay idle and expire.
-fn close_idle(idle: &mut Vec<IdleConnection>, now: Timestamp) {
-    let unusable = idle
-        .iter()
-        .take_while(|idle_connection| !idle_connection.is_usable(now));
-    let count = unusable.count();
-    idle.drain(..count);
-}
-
 /// An idle connection, or the permission to open a new one.
 enum Reserved {
     Idle(Connection),
     Slot(ConnectionSlot),
 }
 
-/// Counts one connection as open until it is dropped.
-#[derive(Debug)]
-struct ConnectionSlot(Arc<AtomicUsize>);
-
-impl Drop for ConnectionSlot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// An open connection; dropping it closes it.
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<RequestBody>,
-    task: AbortHandle,
-    _slot: ConnectionSlot,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// The use of a connection for one request. The connection returns to the pool when the response is
 /// complete and is closed otherwise.
 #[derive(Debug)]
@@ -309,6 +259,12 @@
 }
 
 impl Lease {
+    /// Returns which connection this is and how many requests it has carried.
+    #[must_use]
+    pub fn usage(&self) -> Option<ConnectionUse> {
+        self.connection.as_ref().map(Connection::usage)
+    }
+
     /// Sends the request and waits for the head of the response.
     ///
     /// # Errors
@@ -320,6 +276,7 @@
         let Some(connection) = &mut self.connection else {
             return Err(SendError::NotSent(request));
         };
+        connection.count_exchange();
         let response = connection.sender.try_send_request(request).await;
         if let Some(advertised) = response.as_ref().ok().and_then(advertised_idle_timeout) {
             self.max_idle_time = advertised;
--- a/crates/sidecar/src/events.rs
+++ b/crates/sidecar/src/events.rs
@@ -30,6 +30,12 @@
                 match self { $( Self::$variant => Level::$level, )+ }
             }
 
+            /// Returns the log target of the event's lines.
+            #[must_use]
+            pub const fn target(self) -> &'static str {
+                if self.is_reserved() { RESERVED_TARGET } else { TARGET }
+            }
+
             /// Returns the keys of the event's fields, without `time` and `level`.
             #[must_use]
             pub const fn fields(self) -> &'static [&'static str] {
@@ -145,8 +151,23 @@
         ["request", "origin", "fingerprint", "kind", "instance", "key", "result", "name", "status", "queued_ms",
          "took_ms", "in_flight", "limit", "waiting", "level", "below"],
         "A call for the local backend completed at this sidecar.";
-    LogDropped = "log_dropped", Warn, ["lines"],
-        "This many lines were dropped since the last such event, because of the limit on lines or a slow reader.";
+    SendingEnded = "sending_ended", Warn,
+        ["request", "instance", "sending", "connection", "exchange", "status", "mark", "echoed", "conclusion", "took_ms"],
+        "The local backend was sent a call that must be executed at most once, and it was not the first sending or did not bring the backend's own response. `exchange` is the number of the sending on its connection, `mark` what the response claims (`not_executed`, `misdirected`, `none`), `echoed` whether it names the request (`matching`, `missing`, `other`), and `conclusion` what follows from it: `response`, `not_executed`, `not_sent` or `unknown`. A call is sent again only after `not_executed` or `not_sent`. Reserved line.";
+    RequestSentAgain = "request_sent_again", Warn,
+        ["request", "service", "attempt", "target", "result", "name", "took_ms"],
+        "A request that must be executed at most once is sent to a further sidecar, because of this result of its last attempt. Reserved line.";
+    LogDropped = "log_dropped", Warn, ["lines", "reserved"],
+        "This many lines were dropped since the last such event, because of the limit on lines or a slow reader. `reserved` counts those among them that have a limit of their own, which other lines can't use up.";
+}
+
+impl Event {
+    /// Returns true for events that show why a request which must be executed at most once was sent
+    /// again. Their lines are written while lines of other events are dropped.
+    #[must_use]
+    pub const fn is_reserved(self) -> bool {
+        matches!(self, Self::SendingEnded | Self::RequestSentAgain)
+    }
 }
 
 /// One in this many origins is sampled for lines about successful requests.
@@ -162,12 +183,14 @@
 #[macro_export]
 macro_rules! log_event {
     ($event:expr) => {
-        log::log!(target: $crate::events::TARGET, $event.level(), "event={}", $event.name())
+        log::log!(target: $event.target(), $event.level(), "event={}", $event.name())
     };
     ($event:expr, $($fields:tt)+) => {
-        log::log!(target: $crate::events::TARGET, $event.level(), "event={} {}", $event.name(), format_args!($($fields)+))
+        log::log!(target: $event.target(), $event.level(), "event={} {}", $event.name(), format_args!($($fields)+))
     };
 }
 
-/// Log target of every event.
+/// Log target of the events.
 pub const TARGET: &str = "wharfquay";
+/// Log target of the reserved events.
+pub const RESERVED_TARGET: &str = "wharfquay::reserved";
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -20,7 +20,8 @@
 use super::backend::OpenInstance;
 use super::execution::{LocalExecutor, UNAVAILABLE_RETRY_AFTER};
 use super::load_reports::ReadReport;
-use super::response::{ResponseClass, classify, is_from_instance};
+use super::response::{ResponseClaim, ResponseClass, classify, is_from_instance};
+use super::sending_report::{SendingCounter, SendingReport};
 use super::termination_detector::{ExecutingRequest, InExecutionGuard, ProbeResult};
 use crate::body::{Collected, collect, remove_length};
 use crate::events::Event;
@@ -47,6 +48,7 @@
 const MAX_LOGGED_REQUESTS: usize = 16;
 
 /// A call that the gate admitted.
+#[derive(Debug)]
 pub(super) struct AdmittedCall<'call> {
     pub(super) context: &'call CallContext,
     pub(super) request_id: &'call str,
@@ -54,6 +56,7 @@
     /// True if the call is a suspect, which the backend executes while it executes no other
     /// suspect.
     pub(super) is_isolated: bool,
+    pub(super) sendings: SendingCounter,
 }
 
 impl AdmittedCall<'_> {
@@ -101,6 +104,7 @@
             }
             tokio::time::sleep(wait).await;
             self.quarantine.check(call.context)?;
+            self.metrics.call_sent_again(call.context.repeatability);
             let repeated = self.send(instance, call, RequestBody::Held(None)).await;
             if has_code(&repeated, ResultCode::RateLimited) {
                 // The call arrived before, which the earlier refusal shows.
@@ -246,13 +250,27 @@
             *in_execution = call
                 .executing_request()
                 .map(|request| instance.termination.begin(request));
+            let mut report = SendingReport::new(self.clock, call, &instance.id, lease.usage());
             match lease.send(request).await {
                 Ok(response) => {
                     self.read_announcements(instance, call, sent_at, &response);
-                    return self.read(instance, call, response, lease).await;
+                    let claim = ResponseClaim::read(&self.dialect, call.request_id, &response);
+                    report.responded(claim);
+                    self.metrics.backend_responded(claim);
+                    let result = self.read(instance, call, claim, response, lease).await;
+                    match &result {
+                        Ok(_) => report.succeeded(),
+                        Err(failure) => report.failed(failure.code),
+                    }
+                    return result;
+                }
+                Err(SendError::Failed(error)) => {
+                    let code = result_code(error);
+                    report.failed(code);
+                    return Err(Failure::new(code));
                 }
-                Err(SendError::Failed(error)) => return Err(Failure::new(result_code(error))),
                 Err(SendError::NotSent(unsent)) => {
+                    report.not_sent();
                     *in_execution = None;
                     request = unsent;
                 }
@@ -319,10 +337,11 @@
         &self,
         instance: &OpenInstance,
         call: &AdmittedCall<'_>,
+        claim: ResponseClaim,
         response: Response<Incoming>,
         lease: Lease,
     ) -> Result<BackendResponse, Failure> {
-        match classify(&self.dialect, call.request_id, &response) {
+        match classify(&self.dialect, claim, &response) {
             ResponseClass::Usable => {}
             ResponseClass::Refused => {
                 drain_refusal(response, lease);
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -24,6 +24,7 @@
 use super::backend::{LocalBackend, OpenInstance};
 use super::dispatch::{AdmittedCall, BackendResponse};
 use super::report::CallReport;
+use super::sending_report::SendingCounter;
 use super::unread_headers::UnreadHeaders;
 use crate::body::Collected;
 use crate::dialect::Dialect;
@@ -164,6 +165,7 @@
             request_id,
             head,
             is_isolated: suspect_permit.is_some(),
+            sendings: SendingCounter::default(),
         };
         // Pinned here and passed by reference, so that the future of the call contains it only once.
         let execution = pin!(self.dispatch(instance, &call, body));
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -9,7 +9,8 @@
 mod execution;
 mod handler;
 mod report;
-mod response;
+pub(crate) mod response;
+mod sending_report;
 mod termination_detector;
 mod unread_headers;
 
--- a/crates/sidecar/src/inbound/response.rs
+++ b/crates/sidecar/src/inbound/response.rs
@@ -2,7 +2,6 @@
 
 use http::header::{self, HeaderMap};
 use http::{Response, StatusCode};
-use hyper::body::Incoming;
 use wharfquay_core::outcome::ResultCode;
 
 use crate::dialect::{Dialect, text};
@@ -22,25 +21,97 @@
     Unusable(ResultCode),
 }
 
-/// Classifies the head of the response to the request with `request_id`.
-pub(crate) fn classify(
+/// Whether a response names the request that it responds to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IdEcho {
+    /// It names the request.
+    Matching,
+    /// It names no request.
+    Missing,
+    /// It names another request.
+    Other,
+}
+
+impl IdEcho {
+    /// Returns the name used in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Matching => "matching",
+            Self::Missing => "missing",
+            Self::Other => "other",
+        }
+    }
+}
+
+/// What a response claims about the execution of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mark {
+    /// The backend did not execute it.
+    NotExecuted,
+    /// Another instance has the address and did not execute it.
+    Misdirected,
+    /// Nothing.
+    None,
+}
+
+impl Mark {
+    /// Returns the name used in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NotExecuted => "not_executed",
+            Self::Misdirected => "misdirected",
+            Self::None => "none",
+        }
+    }
+}
+
+/// What the head of a response shows about the execution of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ResponseClaim {
+    pub(crate) status: StatusCode,
+    pub(crate) mark: Mark,
+    pub(crate) echo: IdEcho,
+}
+
+impl ResponseClaim {
+    /// Reads the head of a response to the request with `request_id`.
+    pub(crate) fn read<B>(dialect: &Dialect, request_id: &str, response: &Response<B>) -> Self {
+        let (status, headers) = (response.status(), response.headers());
+        let mark = if status == StatusCode::MISDIRECTED_REQUEST {
+            Mark::Misdirected
+        } else if headers.contains_key(&dialect.not_executed) {
+            Mark::NotExecuted
+        } else {
+            Mark::None
+        };
+        let echo = match text(headers, &dialect.request_id) {
+            Some(echoed) if echoed == request_id => IdEcho::Matching,
+            Some(_) => IdEcho::Other,
+            None => IdEcho::Missing,
+        };
+        Self { status, mark, echo }
+    }
+}
+
+/// Classifies the head of a response, of which `claim` was read.
+pub(crate) fn classify<B>(
     dialect: &Dialect,
-    request_id: &str,
-    response: &Response<Incoming>,
+    claim: ResponseClaim,
+    response: &Response<B>,
 ) -> ResponseClass {
     let (status, headers) = (response.status(), response.headers());
-    let echoed = text(headers, &dialect.request_id);
-    if echoed.is_some_and(|echoed| echoed != request_id) {
+    if claim.echo == IdEcho::Other {
         return ResponseClass::Unusable(ResultCode::MalformedAnswer);
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        let instance = text(headers, &dialect.instance).map(str::to_owned);
-        return ResponseClass::Misdirected(instance);
-    }
-    if headers.contains_key(&dialect.not_executed) {
-        return ResponseClass::Refused;
+    match claim.mark {
+        Mark::Misdirected => {
+            let instance = text(headers, &dialect.instance).map(str::to_owned);
+            return ResponseClass::Misdirected(instance);
+        }
+        Mark::NotExecuted => return ResponseClass::Refused,
+        Mark::None => {}
     }
-    if echoed.is_none() || !is_unencoded(headers) || claims_not_executed(status) {
+    if claim.echo == IdEcho::Missing || !is_unencoded(headers) || claims_not_executed(status) {
         return ResponseClass::Unusable(ResultCode::MalformedAnswer);
     }
     if status.is_success() && !headers.contains_key(&dialect.signature) {
--- a/crates/sidecar/src/log_output.rs
+++ b/crates/sidecar/src/log_output.rs
@@ -4,11 +4,14 @@
 //! the limit is available to all lines, the next to warnings and errors, and the last to errors
 //! only. Under load, lines about ordinary requests are therefore dropped first. Dropped lines are
 //! counted and reported.
+//!
+//! Lines of reserved events ([`Event::is_reserved`]) have a limit and a part of the buffer of their
+//! own, so no number of other lines displaces them.
 
 use std::io::Write;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
 use flexi_logger::writers::LogWriter;
@@ -16,7 +19,7 @@
 use log::{Level, Record};
 use wharfquay_daemon::sync::lock;
 
-use crate::events::Event;
+use crate::events::{Event, RESERVED_TARGET};
 
 /// Maximum number of lines per second.
 pub const LINES_PER_SECOND: u32 = 400;
@@ -24,10 +27,14 @@
 const UNRESERVED_LINES: u32 = 300;
 /// Number of these lines that are available to warnings and errors.
 const WARNING_LINES: u32 = 360;
+/// Maximum number of lines of reserved events per second, beside the other lines.
+pub const RESERVED_LINES_PER_SECOND: u32 = 400;
 /// Maximum length of a line, in bytes. Longer ones are truncated.
 pub const MAX_LINE: usize = 1_024;
 /// Maximum number of lines queued for the writing thread.
-const MAX_QUEUED_LINES: usize = 512;
+const MAX_QUEUED_LINES: usize = 1_024;
+/// Queue length from which only lines of reserved events are queued.
+const MAX_QUEUED_ORDINARY_LINES: u64 = 512;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Counters of the lines since the start of the process.
@@ -109,7 +116,17 @@
 pub struct LineBudget {
     window: Instant,
     lines: u32,
-    dropped: u64,
+    reserved_lines: u32,
+    dropped: DroppedLines,
+}
+
+/// Numbers of dropped lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DroppedLines {
+    /// Lines of all events.
+    pub all: u64,
+    /// Lines of reserved events among them.
+    pub reserved: u64,
 }
 
 impl LineBudget {
@@ -119,31 +136,58 @@
         Self {
             window: now,
             lines: 0,
-            dropped: 0,
+            reserved_lines: 0,
+            dropped: DroppedLines {
+                all: 0,
+                reserved: 0,
+            },
+        }
+    }
+
+    /// Returns true if a line of a reserved event may be written. Counts the line as written or
+    /// dropped.
+    pub fn allows_reserved(&mut self, now: Instant) -> bool {
+        self.advance(now);
+        if self.reserved_lines >= RESERVED_LINES_PER_SECOND {
+            self.count_dropped(true);
+            return false;
         }
+        self.reserved_lines += 1;
+        true
     }
 
     /// Returns true if a line of this level may be written. Counts the line as written or dropped.
     pub fn allows(&mut self, now: Instant, level: Level) -> bool {
-        if now.saturating_duration_since(self.window) >= SECOND {
-            self.window = now;
-            self.lines = 0;
-        }
+        self.advance(now);
         let bound = match level {
             Level::Error => LINES_PER_SECOND,
             Level::Warn => WARNING_LINES,
             _ => UNRESERVED_LINES,
         };
         if self.lines >= bound {
-            self.dropped += 1;
+            self.count_dropped(false);
             return false;
         }
         self.lines += 1;
         true
     }
 
-    /// Returns the number of lines dropped since the last call.
-    pub fn take_dropped(&mut self) -> u64 {
+    /// Starts a new second if the current one is over.
+    fn advance(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.window) >= SECOND {
+            self.window = now;
+            self.lines = 0;
+            self.reserved_lines = 0;
+        }
+    }
+
+    fn count_dropped(&mut self, is_reserved: bool) {
+        self.dropped.all += 1;
+        self.dropped.reserved += u64::from(is_reserved);
+    }
+
+    /// Returns the numbers of lines dropped since the last call.
+    pub fn take_dropped(&mut self) -> DroppedLines {
         std::mem::take(&mut self.dropped)
     }
 }
@@ -161,42 +205,41 @@
         }
     }
 
-    fn send(&self, line: String) {
-        QUEUED_LINES.fetch_add(1, Ordering::Relaxed);
-        match self.lines.try_send(line) {
-            Ok(()) => {
-                COUNTERS.written.fetch_add(1, Ordering::Relaxed);
-            }
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                QUEUED_LINES.fetch_sub(1, Ordering::Relaxed);
-                self.count_dropped();
-            }
+    fn send(&self, line: String, is_reserved: bool) {
+        let queued = QUEUED_LINES.fetch_add(1, Ordering::Relaxed);
+        let has_room = is_reserved || queued < MAX_QUEUED_ORDINARY_LINES;
+        if has_room && self.lines.try_send(line).is_ok() {
+            COUNTERS.written.fetch_add(1, Ordering::Relaxed);
+            return;
         }
-    }
-
-    fn count_dropped(&self) {
+        QUEUED_LINES.fetch_sub(1, Ordering::Relaxed);
         COUNTERS.dropped.fetch_add(1, Ordering::Relaxed);
-        lock(&self.budget).dropped += 1;
+        lock(&self.budget).count_dropped(is_reserved);
     }
 }
 
 impl LogWriter for BoundedWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        let is_reserved = record.target() == RESERVED_TARGET;
         let mut budget = lock(&self.budget);
-        if !budget.allows(Instant::now(), record.level()) {
+        let is_allowed = match is_reserved {
+            true => budget.allows_reserved(Instant::now()),
+            false => budget.allows(Instant::now(), record.level()),
+        };
+        if !is_allowed {
             COUNTERS.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
         let dropped = budget.take_dropped();
         drop(budget);
         let time = now.format_rfc3339();
-        if dropped > 0 {
-            let name = Event::LogDropped.name();
-            self.send(format!(
-                "event={name} time={time} level=WARN lines={dropped}\n"
-            ));
+        if dropped.all > 0 {
+            let (name, all, reserved) = (Event::LogDropped.name(), dropped.all, dropped.reserved);
+            let fields = format!("lines={all} reserved={reserved}");
+            let line = format!("event={name} time={time} level=WARN {fields}\n");
+            self.send(line, is_reserved);
         }
-        self.send(line(&time, record));
+        self.send(line(&time, record), is_reserved);
         Ok(())
     }
 
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -12,11 +12,13 @@
 use wharfquay_core::admission::completion::{FULL_SHARE, LimitedKind};
 use wharfquay_core::admission::returns::PromiseCounts;
 use wharfquay_core::backend_load::{BackendLoad, ReportedExecution};
+use wharfquay_core::call::Repeatability;
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::routing::PickBasis;
 use wharfquay_daemon::sync::lock;
 
 use crate::inbound::load_reports::ReadReport;
+use crate::inbound::response::{Mark, ResponseClaim};
 use crate::outbound::connection::lifecycle::ConnectionEnd;
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -25,7 +27,7 @@
 ];
 
 /// Every metric with its help text. `docs/OPERATIONS.md` contains the same list.
-pub const CATALOGUE: [(&str, &str); 35] = [
+pub const CATALOGUE: [(&str, &str); 37] = [
     (
         "wharfquay_requests_total",
         "Requests of callers and of the back end that ended, by route and result",
@@ -54,6 +56,14 @@
         "wharfquay_calls_total",
         "Calls for the local back end that ended, by result",
     ),
+    (
+        "wharfquay_unexecuted_claims_total",
+        "Responses of the local backend that claim that their request was not executed, by mark (not_executed, misdirected) and by whether they name the request (matching, missing, other)",
+    ),
+    (
+        "wharfquay_calls_sent_again_total",
+        "Calls sent again to the local backend after it refused them, by whether they may be executed more than once",
+    ),
     (
         "wharfquay_call_seconds",
         "Time from the arrival of a call to its answer",
@@ -211,6 +221,8 @@
     retries: IntCounterVec,
     given_up: IntCounterVec,
     calls: IntCounterVec,
+    unexecuted_claims: IntCounterVec,
+    calls_sent_again: IntCounterVec,
     call_seconds: Histogram,
     queue_seconds: Histogram,
     platform_calls: IntCounterVec,
@@ -315,6 +327,10 @@
             given_up: registrar
                 .counters("wharfquay_retries_given_up_total", &["service", "reason"])?,
             calls: registrar.counters("wharfquay_calls_total", &["result"])?,
+            unexecuted_claims: registrar
+                .counters("wharfquay_unexecuted_claims_total", &["mark", "echoed"])?,
+            calls_sent_again: registrar
+                .counters("wharfquay_calls_sent_again_total", &["repeatable"])?,
             call_seconds: registrar.histogram("wharfquay_call_seconds")?,
             queue_seconds: registrar.histogram("wharfquay_queue_seconds")?,
             platform_calls: registrar
@@ -431,6 +447,23 @@
         self.call_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts a response of the local backend that claims that its request was not executed.
+    pub(crate) fn backend_responded(&self, claim: ResponseClaim) {
+        if claim.mark != Mark::None {
+            let labels = [claim.mark.name(), claim.echo.name()];
+            self.unexecuted_claims.with_label_values(&labels).inc();
+        }
+    }
+
+    /// Counts a call that is sent again to the local backend after it refused the call.
+    pub(crate) fn call_sent_again(&self, repeatability: Repeatability) {
+        let label = match repeatability {
+            Repeatability::Repeatable => "true",
+            Repeatability::AtMostOnce => "false",
+        };
+        self.calls_sent_again.with_label_values(&[label]).inc();
+    }
+
     /// Counts a request whose connection ended before its response was completely written.
     pub(crate) fn request_cut(&self, reason: ConnectionEnd) {
         self.requests_cut.with_label_values(&[reason.name()]).inc();
--- a/crates/sidecar/src/outbound/forward.rs
+++ b/crates/sidecar/src/outbound/forward.rs
@@ -315,6 +315,9 @@
                 }
             };
             self.metrics.retried(&call.service);
+            if call.context.repeatability == Repeatability::AtMostOnce {
+                call.report.sent_again();
+            }
             if !after.is_zero() {
                 tokio::time::sleep(after).await;
             }
--- a/crates/sidecar/src/outbound/report.rs
+++ b/crates/sidecar/src/outbound/report.rs
@@ -106,6 +106,25 @@
         });
     }
 
+    /// Logs that a further attempt follows the last one.
+    pub(crate) fn sent_again(&self) {
+        let attempts = lock(&self.attempts);
+        let Some(last) = attempts.last() else {
+            return;
+        };
+        log_event!(
+            Event::RequestSentAgain,
+            "request={} service={} attempt={} target={} result={} name={} took_ms={:.1}",
+            self.request_id,
+            self.service,
+            attempts.len() + 1,
+            last.target,
+            last.result.number(),
+            last.result.name(),
+            millis(last.took),
+        );
+    }
+
     /// Records why the last attempt is not followed by another.
     pub(crate) fn record_no_retry(&self, reason: NoRetry) {
         *lock(&self.no_retry) = Some(reason);
--- a/crates/sidecar/tests/log_output.rs
+++ b/crates/sidecar/tests/log_output.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use log::Level;
-use wharfquay_sidecar::log_output::{LINES_PER_SECOND, LineBudget};
+use wharfquay_sidecar::log_output::{
+    DroppedLines, LINES_PER_SECOND, LineBudget, RESERVED_LINES_PER_SECOND,
+};
 
 /// Returns how many lines of a level are written in one second, counted from the start of a
 /// budget's window.
@@ -22,9 +24,12 @@
     let errors = passed(&mut budget, start, Level::Error, many);
     assert!(ordinary > warnings && warnings > 0 && errors > 0);
     assert_eq!(ordinary + warnings + errors, LINES_PER_SECOND);
-    let dropped = u64::from(3 * many - LINES_PER_SECOND);
+    let dropped = DroppedLines {
+        all: u64::from(3 * many - LINES_PER_SECOND),
+        reserved: 0,
+    };
     assert_eq!(budget.take_dropped(), dropped);
-    assert_eq!(budget.take_dropped(), 0);
+    assert_eq!(budget.take_dropped(), DroppedLines::default());
 }
 
 #[test]
@@ -36,3 +41,24 @@
     let later = start + Duration::from_millis(1_001);
     assert_eq!(passed(&mut budget, later, Level::Info, many), first);
 }
+
+/// Guards against a flood of other lines that hides why a request was sent again.
+#[test]
+fn other_lines_do_not_displace_those_of_reserved_events() {
+    let start = Instant::now();
+    let mut budget = LineBudget::new(start);
+    let many = 10 * LINES_PER_SECOND;
+    for level in [Level::Info, Level::Warn, Level::Error] {
+        passed(&mut budget, start, level, many);
+    }
+    budget.take_dropped();
+    for _ in 0..RESERVED_LINES_PER_SECOND {
+        assert!(budget.allows_reserved(start));
+    }
+    assert!(!budget.allows_reserved(start));
+    let dropped = DroppedLines {
+        all: 1,
+        reserved: 1,
+    };
+    assert_eq!(budget.take_dropped(), dropped);
+}
