--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -41,6 +42,13 @@
     Encoded,
     /// Refuses the request with the proof that it was not executed.
     Refuse,
+    /// Refuses the request, and sends the refusal once more after this delay.
+    RefuseTwice(Duration),
+    /// Sends a complete response and, after this delay, a refusal that names no request.
+    RespondThenRefuse(Duration),
+    /// Sends a complete response and, after this delay, a misdirection by another instance that
+    /// names no request.
+    RespondThenMisdirect(Duration),
     /// Responds that it is overloaded, without the proof that the request was not executed.
     Unproven503,
     /// Responds with a server error.
@@ -247,7 +255,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>, termination: Arc<Notify>) {
+/// The sending half of a connection. Extra responses are sent while the next request is executed.
+type Writer = Arc<tokio::sync::Mutex<OwnedWriteHalf>>;
+
+async fn serve(stream: TcpStream, state: Arc<Mutex<State>>, termination: Arc<Notify>) {
+    let (mut stream, writer) = stream.into_split();
+    let writer: Writer = Arc::new(tokio::sync::Mutex::new(writer));
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buffer).await {
         state.lock().unwrap().begun += 1;
@@ -272,19 +285,35 @@
             return std::future::pending().await;
         }
         if let Some(wait) = response.wait {
-            let mut byte = [0; 1];
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
-                _ = stream.read(&mut byte) => {
+                () = read_until_closed(&mut stream, &mut buffer) => {
                     state.lock().unwrap().abandoned += 1;
                     return;
                 }
             }
         }
         let bytes = with_announcements(response.bytes, &state.lock().unwrap().announced);
-        if stream.write_all(&bytes).await.is_err() || close {
+        if writer.lock().await.write_all(&bytes).await.is_err() || close {
             return;
         }
+        if let Some(extra) = response.extra {
+            tokio::spawn(extra.send(Arc::clone(&writer)));
+        }
+    }
+}
+
+/// A response that no request is due.
+struct ExtraResponse {
+    delay: Duration,
+    bytes: Vec<u8>,
+}
+
+impl ExtraResponse {
+    async fn send(self, writer: Writer) {
+        tokio::time::sleep(self.delay).await;
+        // The connection may have been closed meanwhile.
+        let _ = writer.lock().await.write_all(&self.bytes).await;
     }
 }
 
@@ -299,6 +328,7 @@
 struct PlannedResponse {
     wait: Option<Duration>,
     bytes: Vec<u8>,
+    extra: Option<ExtraResponse>,
     terminations: bool,
 }
 
@@ -306,8 +336,16 @@
     let immediate = |text: String| PlannedResponse {
         wait: None,
         bytes: text.into_bytes(),
+        extra: None,
         terminations: false,
     };
+    let with_extra = |text: String, delay: Duration, extra: String| PlannedResponse {
+        extra: Some(ExtraResponse {
+            delay,
+            bytes: extra.into_bytes(),
+        }),
+        ..immediate(text)
+    };
     let instance = state.instance.clone();
     if executed.request_line().starts_with("GET /health ") {
         let status = if state.is_healthy {
@@ -342,12 +380,16 @@
             service_time.map_or(Behaviour::Respond, Behaviour::Slow)
         }),
     };
-    if behaviour == Behaviour::Refuse {
-        let text = format!(
-            "HTTP/1.1 503 Full\r\ntest-request-id: {id}\r\ntest-not-executed: 1\r\n\
-             content-length: 0\r\n\r\n"
-        );
-        return (immediate(text), false);
+    let refusal = format!(
+        "HTTP/1.1 503 Full\r\ntest-request-id: {id}\r\ntest-not-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    match behaviour {
+        Behaviour::Refuse => return (immediate(refusal), false),
+        Behaviour::RefuseTwice(delay) => {
+            return (with_extra(refusal.clone(), delay, refusal), false);
+        }
+        _ => {}
     }
     let body = format!("{instance} {}", executed.request_line());
     state.executed.push(executed);
@@ -359,12 +401,22 @@
     };
     let complete = signed(&id, "", body.len(), &body);
     match behaviour {
-        Behaviour::Respond | Behaviour::Refuse => (immediate(complete), false),
+        Behaviour::Respond | Behaviour::Refuse | Behaviour::RefuseTwice(_) => {
+            (immediate(complete), false)
+        }
+        Behaviour::RespondThenRefuse(delay) => {
+            let extra = "HTTP/1.1 503 Full\r\ntest-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            (with_extra(complete, delay, extra.to_owned()), false)
+        }
+        Behaviour::RespondThenMisdirect(delay) => {
+            let extra = "HTTP/1.1 421 Misdirected\r\ntest-instance: another\r\n\
+                         content-length: 0\r\n\r\n";
+            (with_extra(complete, delay, extra.to_owned()), false)
+        }
         Behaviour::Slow(wait) => (
             PlannedResponse {
                 wait: Some(wait),
-                bytes: complete.into_bytes(),
-                terminations: false,
+                ..immediate(complete)
             },
             false,
         ),
@@ -423,7 +475,7 @@
     )
 }
 
-async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+async fn read_head(stream: &mut OwnedReadHalf, buffer: &mut Vec<u8>) -> Option<String> {
     let end = loop {
         if let Some(end) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
             break end + 4;
@@ -435,7 +487,7 @@
 
 /// Returns the request; `None` if the connection ends within its body.
 async fn read_body(
-    stream: &mut TcpStream,
+    stream: &mut OwnedReadHalf,
     buffer: &mut Vec<u8>,
     head: String,
 ) -> Option<ReceivedRequest> {
@@ -460,7 +512,12 @@
     Some(executed)
 }
 
-async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+/// Reads what arrives during an execution; returns when the connection is closed.
+async fn read_until_closed(stream: &mut OwnedReadHalf, buffer: &mut Vec<u8>) {
+    while fill(stream, buffer).await.is_some() {}
+}
+
+async fn fill(stream: &mut OwnedReadHalf, buffer: &mut Vec<u8>) -> Option<()> {
     let mut piece = [0; 4_096];
     let length = stream
         .read(&mut piece)
