Carry a request at most once on a connection to a backend

Cause: a response names its request, not the sending that it answers. A refused call is sent again with the same id about a millisecond later, on the connection that became idle last, which is the one of the refusal. A copy of the refusal that arrives 5 ms later stands where the response to the second sending is due and carries its id. The same holds for a request that comes back to the backend by another way. Class: what a message proves was tied to the id of the request alone.

Change: a connection remembers the keys of the requests that it has carried, at most 512, then it is closed. A call goes to an idle connection that has not carried it, or to a new one; at the limit an idle connection makes room. A response with the id then belongs to the one sending on its connection.

--- a/crates/daemon/src/backend_pool/connection.rs
+++ b/crates/daemon/src/backend_pool/connection.rs
@@ -1,7 +1,8 @@
 //! One connection of the pool, in use or idle.
 
-use std::sync::Arc;
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use hyper::client::conn::http1::SendRequest;
@@ -27,6 +28,25 @@
     }
 }
 
+/// Maximum number of identified requests that one connection carries. It bounds the memory for their
+/// keys.
+pub(super) const MAX_IDENTIFIED_REQUESTS: usize = 512;
+
+/// Identity of a request on its connections. A connection carries no two requests with the same key,
+/// so a response that names a request belongs to one sending of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestKey(u64);
+
+impl RequestKey {
+    /// Returns the key of the request with this identifier. Two identifiers may share a key, which
+    /// only keeps their requests on different connections.
+    #[must_use]
+    pub fn of(identifier: &str) -> Self {
+        static HASHER: LazyLock<RandomState> = LazyLock::new(RandomState::new);
+        Self(HASHER.hash_one(identifier))
+    }
+}
+
 /// Number of connections that this process has opened to backends and peers.
 static OPENED_CONNECTIONS: AtomicU64 = AtomicU64::new(0);
 
@@ -45,6 +65,8 @@
     pub(super) sender: SendRequest<RequestBody>,
     task: AbortHandle,
     usage: ConnectionUse,
+    /// Keys of the identified requests that the connection has carried.
+    carried: Vec<RequestKey>,
     _slot: ConnectionSlot,
 }
 
@@ -61,6 +83,7 @@
                 connection: OPENED_CONNECTIONS.fetch_add(1, Ordering::Relaxed) + 1,
                 exchanges: 0,
             },
+            carried: Vec::new(),
             _slot: slot,
         }
     }
@@ -69,9 +92,20 @@
         self.usage
     }
 
-    /// Counts a request that is passed to the connection.
-    pub(super) const fn count_exchange(&mut self) {
+    /// Records a request that is passed to the connection.
+    pub(super) fn begin_exchange(&mut self, request: Option<RequestKey>) {
         self.usage.exchanges = self.usage.exchanges.saturating_add(1);
+        self.carried.extend(request);
+    }
+
+    /// True if the connection may carry this request.
+    fn accepts(&self, request: Option<RequestKey>) -> bool {
+        request.is_none_or(|request| !self.carried.contains(&request))
+    }
+
+    /// True if the connection can't remember a further request.
+    pub(super) const fn is_used_up(&self) -> bool {
+        self.carried.len() >= MAX_IDENTIFIED_REQUESTS
     }
 }
 
@@ -97,6 +131,23 @@
     }
 }
 
+/// Removes the connection that became idle last among those that may carry the request, and closes
+/// unusable ones that became idle later.
+pub(super) fn take_idle(
+    idle: &mut Vec<IdleConnection>,
+    request: Option<RequestKey>,
+    now: Timestamp,
+) -> Option<Connection> {
+    for index in (0..idle.len()).rev() {
+        if !idle[index].is_usable(now) {
+            idle.remove(index);
+        } else if idle[index].connection.accepts(request) {
+            return Some(idle.remove(index).connection);
+        }
+    }
+    None
+}
+
 /// Closes the connections that have been idle for too long. The connection that became idle last is
 /// reused first, so after a surge the surplus connections stay idle and expire.
 pub(super) fn close_idle(idle: &mut Vec<IdleConnection>, now: Timestamp) {
--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -1,7 +1,8 @@
 //! A pool of keep-alive HTTP/1.1 connections to the local backend, within its connection limit.
 //!
 //! A connection whose response was abandoned is closed; otherwise a later request could receive
-//! that response.
+//! that response. A backend may also send a response twice, and late. Responses name their request,
+//! but not which sending of it, so a connection carries each identified request at most once.
 
 mod connection;
 
@@ -22,8 +23,8 @@
 use crate::events::{Event, Quoted, RateLimit, log_event};
 use crate::sync::lock;
 
-pub use connection::ConnectionUse;
-use connection::{Connection, ConnectionSlot, IdleConnection, close_idle};
+use connection::{Connection, ConnectionSlot, IdleConnection, close_idle, take_idle};
+pub use connection::{ConnectionUse, RequestKey};
 
 /// Maximum wait for a connection at the connection limit. Admission keeps executions within that
 /// limit, so the wait only covers the time in which a connection becomes idle or closes.
@@ -114,9 +115,25 @@
     /// [`BackendError::ConnectionLimit`] or [`BackendError::ConnectFailed`]; the backend received
     /// nothing of the request.
     pub async fn checkout(self: &Arc<Self>) -> Result<Lease, BackendError> {
-        let reserved = match self.try_reserve() {
+        self.lease(None).await
+    }
+
+    /// Like [`Self::checkout`], for an identified request. Returns a connection that has not carried
+    /// a request with this key.
+    ///
+    /// # Errors
+    /// As [`Self::checkout`].
+    pub async fn checkout_for(
+        self: &Arc<Self>,
+        request: RequestKey,
+    ) -> Result<Lease, BackendError> {
+        self.lease(Some(request)).await
+    }
+
+    async fn lease(self: &Arc<Self>, request: Option<RequestKey>) -> Result<Lease, BackendError> {
+        let reserved = match self.try_reserve(request) {
             Some(reserved) => reserved,
-            None => self.wait_for_connection().await?,
+            None => self.wait_for_connection(request).await?,
         };
         let connection = match reserved {
             Reserved::Idle(connection) => connection,
@@ -125,20 +142,34 @@
         Ok(Lease {
             pool: Arc::clone(self),
             connection: Some(connection),
+            request,
             max_idle_time: self.max_idle_time,
         })
     }
 
-    fn try_reserve(&self) -> Option<Reserved> {
-        let idle = self.take_idle().map(Reserved::Idle);
-        idle.or_else(|| self.reserve_slot().map(Reserved::Slot))
+    fn try_reserve(&self, request: Option<RequestKey>) -> Option<Reserved> {
+        let idle = take_idle(&mut lock(&self.idle), request, self.clock.now());
+        idle.map(Reserved::Idle)
+            .or_else(|| self.reserve_slot().map(Reserved::Slot))
+            .or_else(|| self.replace_idle().map(Reserved::Slot))
+    }
+
+    /// Closes an idle connection at the connection limit and reserves its place. The connections that
+    /// are still idle can't carry the request.
+    fn replace_idle(&self) -> Option<ConnectionSlot> {
+        let closed = lock(&self.idle).pop()?;
+        drop(closed);
+        self.reserve_slot()
     }
 
-    async fn wait_for_connection(&self) -> Result<Reserved, BackendError> {
+    async fn wait_for_connection(
+        &self,
+        request: Option<RequestKey>,
+    ) -> Result<Reserved, BackendError> {
         let waiting = async {
             loop {
                 let connection_freed = self.connection_freed.notified();
-                if let Some(reserved) = self.try_reserve() {
+                if let Some(reserved) = self.try_reserve(request) {
                     return reserved;
                 }
                 connection_freed.await;
@@ -148,16 +179,6 @@
         waited.map_err(|_| BackendError::ConnectionLimit)
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = lock(&self.idle);
-        while let Some(idle_connection) = idle.pop() {
-            if idle_connection.is_usable(self.clock.now()) {
-                return Some(idle_connection.connection);
-            }
-        }
-        None
-    }
-
     fn reserve_slot(&self) -> Option<ConnectionSlot> {
         let limit = self.limit.load(Ordering::Relaxed);
         let reserved = self
@@ -189,6 +210,11 @@
     /// Returns a connection whose response is complete to the pool once it can carry the next
     /// request.
     fn return_connection(self: Arc<Self>, mut connection: Connection, max_idle_time: Duration) {
+        if connection.is_used_up() {
+            drop(connection);
+            self.connection_freed.notify_one();
+            return;
+        }
         if connection.sender.is_ready() {
             self.push_idle(connection, max_idle_time);
             return;
@@ -246,6 +272,8 @@
 pub struct Lease {
     pool: Arc<BackendPool>,
     connection: Option<Connection>,
+    /// Key of the request that the connection is to carry, if it is identified.
+    request: Option<RequestKey>,
     max_idle_time: Duration,
 }
 
@@ -276,7 +304,7 @@
         let Some(connection) = &mut self.connection else {
             return Err(SendError::NotSent(request));
         };
-        connection.count_exchange();
+        connection.begin_exchange(self.request.take());
         let response = connection.sender.try_send_request(request).await;
         if let Some(advertised) = response.as_ref().ok().and_then(advertised_idle_timeout) {
             self.max_idle_time = advertised;
--- a/crates/daemon/tests/backend_pool.rs
+++ b/crates/daemon/tests/backend_pool.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 use support::UnusedPort;
 use support::backend::BackendStub;
 use wharfquay_clock::since_boot;
-use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease, SendError};
+use wharfquay_daemon::backend_pool::{BackendError, BackendPool, Lease, RequestKey, SendError};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -173,3 +174,36 @@
     let lost = matches!(sent, Err(SendError::Failed(BackendError::Lost)));
     assert!(lost, "{sent:?}");
 }
+
+async fn exchange_identified(backend: &BackendStub, pool: &Arc<BackendPool>, id: &str) {
+    let lease = pool.checkout_for(RequestKey::of(id)).await.unwrap();
+    exchange(backend, lease, "/echo", BodyEnd::Complete).await;
+}
+
+/// Guards against a late response to one sending of a request that is taken for the response to its
+/// next sending, also where the connection limit leaves no room for a second connection.
+#[tokio::test]
+async fn a_connection_carries_a_request_once() {
+    const CASES: [(usize, &[&str], usize); 2] =
+        [(1, &["a", "a", "b", "a"], 3), (8, &["a", "a", "b"], 2)];
+    for (limit, ids, connections) in CASES {
+        let backend = BackendStub::start().await;
+        let pool = BackendPool::new(backend.address, limit, CONNECT_TIMEOUT);
+        for id in ids {
+            exchange_identified(&backend, &pool, id).await;
+        }
+        assert_eq!(backend.connections(), connections, "limit {limit}");
+    }
+}
+
+/// Guards against memory for the requests of a connection that grows as long as it is open.
+#[tokio::test]
+async fn a_connection_is_closed_when_it_can_remember_no_further_request() {
+    const MAX_REQUESTS_PER_CONNECTION: usize = 512;
+    let backend = BackendStub::start().await;
+    let pool = BackendPool::new(backend.address, 1, CONNECT_TIMEOUT);
+    for number in 0..=MAX_REQUESTS_PER_CONNECTION {
+        exchange_identified(&backend, &pool, &number.to_string()).await;
+    }
+    assert_eq!(backend.connections(), 2);
+}
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -12,7 +12,7 @@
 use wharfquay_core::rate_limit::{ExchangeTimes, ResponseSource};
 use wharfquay_core::retry::Backoff;
 use wharfquay_core::time::Timestamp;
-use wharfquay_daemon::backend_pool::{BackendError, Lease, SendError};
+use wharfquay_daemon::backend_pool::{BackendError, Lease, RequestKey, SendError};
 use wharfquay_daemon::body::{BodyEnd, BodyObserver, RequestBody};
 use wharfquay_daemon::headers::{remove_hop_by_hop, remove_internal_response_headers};
 use wharfquay_daemon::response::Failure;
@@ -235,7 +235,7 @@
         self.set_target_instance(instance, request.headers_mut());
         let mut is_admitted = false;
         for _ in 0..CONNECTION_ATTEMPTS {
-            let mut lease = self.checkout(instance).await?;
+            let mut lease = self.checkout(instance, call).await?;
             let sent_at = self.clock.now();
             let key = call.context.admission_key();
             let progress = call.context.progress();
@@ -280,8 +280,14 @@
         Err(Failure::new(ResultCode::ConnectFailed))
     }
 
-    async fn checkout(&self, instance: &OpenInstance) -> Result<Lease, Failure> {
-        instance.pool.checkout().await.map_err(|error| {
+    async fn checkout(
+        &self,
+        instance: &OpenInstance,
+        call: &AdmittedCall<'_>,
+    ) -> Result<Lease, Failure> {
+        let request = RequestKey::of(call.request_id);
+        let checkout = instance.pool.checkout_for(request);
+        checkout.await.map_err(|error| {
             if error == BackendError::ConnectFailed {
                 instance.connect_failed(self.clock.now());
             }
--- a/crates/sidecar/tests/proof_of_sending.rs
+++ b/crates/sidecar/tests/proof_of_sending.rs
@@ -17,8 +17,9 @@
 const EXTRA_DELAY: Duration = Duration::from_millis(5);
 /// Service time of a sending during which an extra response arrives.
 const SERVICE_TIME: Duration = Duration::from_millis(60);
-/// Requests before each test, which leave room for repeats.
+/// Requests before each test and in each round, which leave room for repeats.
 const FIRST_REQUESTS: usize = 60;
+const REQUESTS_PER_ROUND: usize = 10;
 const ROUNDS: usize = 10;
 
 async fn machine() -> (Arc<EmulatedPlatform>, Machine) {
@@ -83,6 +84,32 @@
         let response = delete(&machine, &id).await;
         assert_truthful(&machine, &id, &response, round);
         assert_eq!(response.status, 200, "round {round}");
-        read(&machine).await;
+        for _ in 0..REQUESTS_PER_ROUND {
+            read(&machine).await;
+        }
+    }
+}
+
+/// Guards against a request that runs although its caller was promised that it had not, because it
+/// came back to a connection on which an earlier refusal of it was still due.
+#[tokio::test]
+async fn a_refusal_that_comes_twice_does_not_refuse_the_request_when_it_returns() {
+    let (_platform, machine) = machine().await;
+    for round in 0..ROUNDS {
+        machine.backend.expect(&[
+            Behaviour::RefuseTwice(EXTRA_DELAY),
+            Behaviour::Slow(SERVICE_TIME),
+        ]);
+        let id = new_request_id();
+        // A request with a body is not sent again after a refusal.
+        let text = request("POST", "/writes/1", &id, "Content-Length: 2\r\n") + "{}";
+        let refused = call(machine.outbound, &text).await;
+        assert_eq!(refused.status, 503);
+        let response = call(machine.outbound, &text).await;
+        assert_truthful(&machine, &id, &response, round);
+        assert_eq!(response.status, 200, "round {round}");
+        for _ in 0..REQUESTS_PER_ROUND {
+            read(&machine).await;
+        }
     }
 }
