Believe only a refusal that names the request

Cause: the id of a response was compared only where it had one. A refusal, or a 421, that comes late and names no request counted as proof for whatever request was waiting on its connection.

Change: a response that does not name the request proves nothing: its call may have been executed, its connection is closed, and nothing that it says about the instance is used.

--- a/crates/sidecar/src/inbound/response.rs
+++ b/crates/sidecar/src/inbound/response.rs
@@ -93,14 +93,15 @@
     }
 }
 
-/// Classifies the head of a response, of which `claim` was read.
+/// Classifies the head of a response, of which `claim` was read. A response that does not name the
+/// request may belong to an earlier one on the connection and proves nothing.
 pub(crate) fn classify<B>(
     dialect: &Dialect,
     claim: ResponseClaim,
     response: &Response<B>,
 ) -> ResponseClass {
     let (status, headers) = (response.status(), response.headers());
-    if claim.echo == IdEcho::Other {
+    if claim.echo != IdEcho::Matching {
         return ResponseClass::Unusable(ResultCode::MalformedAnswer);
     }
     match claim.mark {
@@ -111,7 +112,7 @@
         Mark::NotExecuted => return ResponseClass::Refused,
         Mark::None => {}
     }
-    if claim.echo == IdEcho::Missing || !is_unencoded(headers) || claims_not_executed(status) {
+    if !is_unencoded(headers) || claims_not_executed(status) {
         return ResponseClass::Unusable(ResultCode::MalformedAnswer);
     }
     if status.is_success() && !headers.contains_key(&dialect.signature) {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -58,7 +58,7 @@
     ),
     (
         "wharfquay_unexecuted_claims_total",
-        "Responses of the local backend that claim that their request was not executed, by mark (not_executed, misdirected) and by whether they name the request (matching, missing, other)",
+        "Responses of the local backend that claim that their request was not executed, by mark (not_executed, misdirected) and by whether they name the request (matching, missing, other); only those that do are believed",
     ),
     (
         "wharfquay_calls_sent_again_total",
--- a/crates/sidecar/tests/proof_of_sending.rs
+++ b/crates/sidecar/tests/proof_of_sending.rs
@@ -113,3 +113,42 @@
         }
     }
 }
+
+/// Guards against a request that runs twice, or runs although its caller was promised that it had
+/// not, because of a late refusal that names no request.
+#[tokio::test]
+async fn a_refusal_that_names_no_request_proves_nothing() {
+    let (_platform, machine) = machine().await;
+    for round in 0..ROUNDS {
+        let behaviours = [
+            Behaviour::RespondThenRefuse(EXTRA_DELAY),
+            Behaviour::Slow(SERVICE_TIME),
+        ];
+        machine.backend.expect(&behaviours);
+        assert_eq!(read(&machine).await.status, 200);
+        let id = new_request_id();
+        let response = delete(&machine, &id).await;
+        assert_truthful(&machine, &id, &response, round);
+        machine.backend.expect_nothing();
+    }
+}
+
+/// Guards against an instance that gets no calls any more because of a misdirection that names no
+/// request, and against a request that runs although its caller was promised that it had not.
+#[tokio::test]
+async fn a_misdirection_that_names_no_request_proves_nothing() {
+    let (_platform, machine) = machine().await;
+    for round in 0..ROUNDS {
+        let behaviours = [
+            Behaviour::RespondThenMisdirect(EXTRA_DELAY),
+            Behaviour::Slow(SERVICE_TIME),
+        ];
+        machine.backend.expect(&behaviours);
+        assert_eq!(read(&machine).await.status, 200, "round {round}");
+        let id = new_request_id();
+        let response = delete(&machine, &id).await;
+        assert_truthful(&machine, &id, &response, round);
+        machine.backend.expect_nothing();
+        assert_eq!(read(&machine).await.status, 200, "round {round}");
+    }
+}
