Tie refusals between sidecars, and those of a daemon's backend, to one sending

A refusal of another sidecar named no attempt: whatever stood where the response was due counted as proof. A daemon believed a refusal of its backend on any connection, although it names no request.

Change: response metadata name the attempt; a response that names another or none proves nothing. A misaddressed call gets metadata as well. A backend's refusal names the scope of its request; one that names none is certain only as the first response on its connection. Streams of daemons (HTTP/2) and datagrams (random number) were tied to their request before.

Price: about 15 bytes a response between sidecars. Processes of earlier versions name no attempt; their refusals count as unknown outcomes while both versions run.

--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -27,8 +27,12 @@
 ];
 
 /// Internal headers that are removed from responses of backends.
-const INTERNAL_RESPONSE_HEADERS: [HeaderName; 3] =
-    [names::RESULT, names::OUTCOME, names::RESPONSE_METADATA];
+const INTERNAL_RESPONSE_HEADERS: [HeaderName; 4] = [
+    names::RESULT,
+    names::OUTCOME,
+    names::RESPONSE_METADATA,
+    names::SCOPE,
+];
 
 /// Removes the hop-by-hop headers, including those that the `Connection` header lists.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/crates/daemon/src/inbound/dispatch.rs
+++ b/crates/daemon/src/inbound/dispatch.rs
@@ -14,10 +14,11 @@
 use crate::headers::remove_hop_by_hop;
 use crate::inbound::LocalBackend;
 use crate::response::Failure;
-use crate::scopes::OpenScope;
+use crate::scopes::{OpenScope, ScopeId};
 
 /// Header with which a backend asserts, on a 503 response, that it refused the request before it
-/// executed any of it.
+/// executed any of it. The refusal is certain only if it names the scope of the request
+/// ([`names::SCOPE`]) or is the first response on its connection.
 const REFUSED: HeaderName = HeaderName::from_static("wharfquay-refused");
 const REFUSED_BEFORE_EXECUTION: &str = "before-execution";
 
@@ -70,7 +71,7 @@
             Ok(response) => {
                 let (source, headers) = (ResponseSource::Call, response.headers());
                 backend.announcements.read(source, admitted_at, headers);
-                return check_response(&method, response, lease);
+                return check_response(&method, scope.id(), response, lease);
             }
             Err(SendError::Failed(error)) => return Err(Failure::new(code_of(error))),
             Err(SendError::NotSent(unsent)) => request = unsent,
@@ -129,11 +130,22 @@
 
 fn check_response(
     method: &Method,
+    scope: ScopeId,
     response: Response<Incoming>,
     lease: Lease,
 ) -> Result<BackendResponse, Failure> {
+    let echoed = echoed_scope(response.headers());
+    if echoed.is_some_and(|echoed| echoed != scope.to_string()) {
+        return Err(Failure::new(ResultCode::MalformedAnswer));
+    }
     if refused_before_execution(&response) {
-        return Err(Failure::new(ResultCode::RefusedByBackend));
+        let is_first = lease.usage().is_some_and(|usage| usage.exchanges == 1);
+        let code = match echoed.is_some() || is_first {
+            true => ResultCode::RefusedByBackend,
+            // An earlier request on the connection may have been refused twice.
+            false => ResultCode::MalformedAnswer,
+        };
+        return Err(Failure::new(code));
     }
     if !has_delimited_body(method, &response) {
         return Err(Failure::new(ResultCode::MalformedAnswer));
@@ -141,6 +153,11 @@
     Ok(BackendResponse { response, lease })
 }
 
+/// Returns the scope that a response names; `None` if it names none.
+fn echoed_scope(headers: &HeaderMap) -> Option<&str> {
+    headers.get(names::SCOPE)?.to_str().ok()
+}
+
 fn refused_before_execution<B>(response: &Response<B>) -> bool {
     let header = response.headers().get(REFUSED);
     let proof = header.is_some_and(|value| value.as_bytes() == REFUSED_BEFORE_EXECUTION.as_bytes());
--- a/crates/daemon/src/inbound/handler.rs
+++ b/crates/daemon/src/inbound/handler.rs
@@ -199,6 +199,7 @@
         let below = self.level_below(&snapshot, request_kind);
         let (slowdown_percent, expected_execution_ms) = execution_fields(report.execution);
         ResponseMetadata {
+            attempt: None,
             unused_retries,
             level: report.level,
             folded_level: report.level.fold(below),
--- a/crates/daemon/tests/decisions.rs
+++ b/crates/daemon/tests/decisions.rs
@@ -53,6 +53,7 @@
 fn response_with_strict_level() -> Response<TestBody> {
     let level = AdmissionLevel::new(STRICT_LEVEL);
     let metadata = ResponseMetadata {
+        attempt: None,
         unused_retries: RetryAllowance::NONE,
         level,
         folded_level: level,
--- a/crates/daemon/tests/outcomes.rs
+++ b/crates/daemon/tests/outcomes.rs
@@ -340,3 +340,22 @@
         assert_eq!(response.code(), Some(ResultCode::Answered));
     }
 }
+
+/// Guards against a refusal of an earlier request on a connection that is taken for one of the next:
+/// a refusal that names no request is certain only on a connection that carried no other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_names_no_request_is_certain_only_on_a_new_connection() {
+    let deployment = Deployment::start(&["booking"]).await;
+    let send = async |path: &str| {
+        deployment
+            .send(Call::post("booking", path, ""))
+            .await
+            .code()
+    };
+    assert_eq!(send("/echo").await, Some(ResultCode::Answered));
+    let on_a_used_connection = send("/refuse-unnamed").await;
+    assert_eq!(on_a_used_connection, Some(ResultCode::MalformedAnswer));
+    let on_a_new_connection = send("/refuse-unnamed").await;
+    assert_eq!(on_a_new_connection, Some(ResultCode::RefusedByBackend));
+    assert_eq!(send("/refuse").await, Some(ResultCode::RefusedByBackend));
+}
--- a/crates/daemon/tests/support/backend.rs
+++ b/crates/daemon/tests/support/backend.rs
@@ -163,8 +163,11 @@
             .unwrap()
             .headers
             .push(request.headers().clone());
+        if path == "/refuse-unnamed" {
+            return Ok(refusal(None));
+        }
         if path == "/refuse" || self.refusing.load(Ordering::Relaxed) {
-            return Ok(refusal());
+            return Ok(refusal(request.headers().get("wharfquay-scope")));
         }
         self.record_execution(&path);
         let mut guard = CancelGuard(Some(Arc::clone(&self.record)));
@@ -262,11 +265,15 @@
     }
 }
 
-fn refusal() -> Response<TestBody> {
+/// Returns a refusal that names this scope, if any.
+fn refusal(scope: Option<&http::HeaderValue>) -> Response<TestBody> {
     let mut response = Response::new(TestBody::complete("refused"));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     let headers = response.headers_mut();
     headers.insert("wharfquay-refused", "before-execution".parse().unwrap());
+    if let Some(scope) = scope {
+        headers.insert("wharfquay-scope", scope.clone());
+    }
     response
 }
 
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -108,6 +108,7 @@
 
     fn metadata(&self, unused_retries: RetryAllowance) -> ResponseMetadata {
         ResponseMetadata {
+            attempt: None,
             unused_retries,
             level: self.response.level,
             folded_level: self.response.folded_level,
--- a/crates/emulator/src/backend/execution.rs
+++ b/crates/emulator/src/backend/execution.rs
@@ -31,10 +31,15 @@
 /// Serves one request of a scenario's request kind.
 pub(super) async fn serve(state: Arc<BackendState>, request: BackendRequest) -> ResponseResult {
     let Some((kind, step)) = find_step(&state, &request) else {
-        return Ok(refusal(StatusCode::NOT_FOUND, "no step for this request"));
+        return Ok(refusal(
+            &request,
+            StatusCode::NOT_FOUND,
+            "no step for this request",
+        ));
     };
     if !has_valid_body(&request) {
         return Ok(refusal(
+            &request,
             StatusCode::BAD_REQUEST,
             "the body is not the token's",
         ));
@@ -46,7 +51,11 @@
     }
     if should_refuse(&state, faults.refuse) {
         record_unexecuted(&state, &request, |counts| counts.refused += 1);
-        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "refused"));
+        return Ok(refusal(
+            &request,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "refused",
+        ));
     }
     execute_in_slot(&state, request, &kind, &step).await
 }
@@ -96,12 +105,20 @@
         None => Ok(state.slots.acquire().await),
     };
     let Ok(acquired) = acquired else {
-        return Ok(refusal(StatusCode::GATEWAY_TIMEOUT, "deadline in queue"));
+        return Ok(refusal(
+            &request,
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline in queue",
+        ));
     };
     queued.dequeue();
     let Ok(_slot) = acquired else {
         record_unexecuted(state, &request, |counts| counts.refused += 1);
-        return Ok(refusal(StatusCode::SERVICE_UNAVAILABLE, "queue full"));
+        return Ok(refusal(
+            &request,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "queue full",
+        ));
     };
     let running = RunningExecution::start(state, &request, kind);
     if state.terminates_on(&request.token) {
@@ -242,11 +259,18 @@
 }
 
 /// Returns a response which states that the request was not executed.
-fn refusal(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
+fn refusal(
+    request: &BackendRequest,
+    status: StatusCode,
+    text: &'static str,
+) -> Response<ResponseBody> {
     let mut response = Response::new(complete(text.into()));
     *response.status_mut() = status;
     let value = http::HeaderValue::from_static(BEFORE_EXECUTION);
     response.headers_mut().insert(REFUSED_HEADER, value);
+    if let Some(scope) = &request.scope {
+        response.headers_mut().insert(headers::SCOPE, scope.clone());
+    }
     response
 }
 
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -5,7 +5,7 @@
 use http::HeaderValue;
 use serde::{Deserialize, Serialize};
 use wharfquay_core::backend_load::{ReportedExecution, Slowdown};
-use wharfquay_core::call::RetryAllowance;
+use wharfquay_core::call::{AttemptId, RetryAllowance};
 use wharfquay_core::priority::AdmissionLevel;
 
 use crate::context::{DecodeError, decode_header, encode_header, header_value};
@@ -13,6 +13,9 @@
 /// Response metadata between daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResponseMetadata {
+    /// Attempt that the response belongs to. Absent in responses of processes that don't send it.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub attempt: Option<AttemptId>,
     /// Unused retries of the call's allowance, which the caller takes back.
     #[serde(rename = "r")]
     pub unused_retries: RetryAllowance,
@@ -83,6 +86,25 @@
 }
 
 impl ResponseMetadata {
+    /// Creates the metadata of a response that reports no backend.
+    #[must_use]
+    pub const fn unloaded(attempt: AttemptId, unused_retries: RetryAllowance) -> Self {
+        Self {
+            attempt: Some(attempt),
+            unused_retries,
+            level: AdmissionLevel::OPEN,
+            folded_level: AdmissionLevel::OPEN,
+            incarnation: 0,
+            in_flight: 0,
+            limit: 0,
+            queued: 0,
+            rate_limited_ms: 0,
+            slowdown_percent: None,
+            expected_execution_ms: None,
+            completed_permille: None,
+        }
+    }
+
     /// Returns the expected execution time of one more call; `None` if the sender does not know it
     /// or is of an earlier version, or if a value is invalid.
     #[must_use]
--- a/crates/protocol/tests/wire.rs
+++ b/crates/protocol/tests/wire.rs
@@ -177,6 +177,7 @@
     #[test]
     fn metadata_is_exchanged_with_the_earlier_version(numbers in any::<[u32; 4]>(), levels in any::<[u16; 2]>(), incarnation in any::<u64>()) {
         let metadata = ResponseMetadata {
+            attempt: None,
             unused_retries: RetryAllowance::new(levels[0]),
             level: AdmissionLevel::new(levels[0]),
             folded_level: AdmissionLevel::new(levels[1]),
@@ -290,6 +291,7 @@
 #[test]
 fn a_value_is_independent_of_the_one_encoded_before() {
     let metadata = |incarnation| ResponseMetadata {
+        attempt: None,
         unused_retries: RetryAllowance::NONE,
         level: AdmissionLevel::OPEN,
         folded_level: AdmissionLevel::OPEN,
@@ -330,6 +332,7 @@
 #[test]
 fn response_metadata_without_a_completed_share_has_its_earlier_form() {
     let metadata = ResponseMetadata {
+        attempt: None,
         unused_retries: RetryAllowance::NONE,
         level: AdmissionLevel::OPEN,
         folded_level: AdmissionLevel::OPEN,
@@ -346,6 +349,7 @@
     assert_eq!(metadata.encode(), earlier);
     assert_eq!(ResponseMetadata::decode(earlier.as_bytes()), Ok(metadata));
     let reporting = ResponseMetadata {
+        attempt: None,
         completed_permille: Some(450),
         ..metadata
     };
@@ -356,6 +360,7 @@
 #[test]
 fn envelope_rejects_other_versions_and_sizes() {
     let metadata = ResponseMetadata {
+        attempt: None,
         unused_retries: RetryAllowance::new(2),
         level: AdmissionLevel::OPEN,
         folded_level: AdmissionLevel::CLOSED,
@@ -425,6 +430,7 @@
         expected: Duration::from_micros(110_200),
     }));
     let reported = ResponseMetadata {
+        attempt: None,
         slowdown_percent,
         expected_execution_ms,
         ..metadata
@@ -442,6 +448,7 @@
 #[test]
 fn invalid_execution_fields_count_as_unknown() {
     let mut metadata = ResponseMetadata {
+        attempt: None,
         unused_retries: RetryAllowance::NONE,
         level: AdmissionLevel::OPEN,
         folded_level: AdmissionLevel::OPEN,
--- a/crates/sidecar/src/inbound/execution.rs
+++ b/crates/sidecar/src/inbound/execution.rs
@@ -222,6 +222,7 @@
         };
         let (slowdown_percent, expected_execution_ms) = execution_fields(execution);
         ResponseMetadata {
+            attempt: Some(call.attempt()),
             unused_retries,
             level,
             folded_level: level.fold(below),
--- a/crates/sidecar/src/inbound/handler.rs
+++ b/crates/sidecar/src/inbound/handler.rs
@@ -11,10 +11,19 @@
 use wharfquay_daemon::response::{Failure, set_metadata, set_result};
 use wharfquay_protocol::context::{Callee, WireContext};
 use wharfquay_protocol::headers as names;
+use wharfquay_protocol::response::ResponseMetadata;
 
 use super::execution::{LocalExecutor, split_body};
 use crate::message::RequestHead;
 
+/// Reason why a call is refused because of its context.
+enum RejectedContext {
+    /// The context is missing or can't be decoded.
+    Unreadable,
+    /// The call is addressed to another sidecar.
+    Misaddressed(Box<CallContext>),
+}
+
 /// Serves calls from other sidecars.
 #[derive(Clone, Debug)]
 pub(crate) struct InboundHandler {
@@ -34,7 +43,10 @@
     ) -> Result<Response<ResponseBody>, Infallible> {
         let response = match self.read_context(&request) {
             Ok(context) => self.execute(context, request).await,
-            Err(code) => Failure::new(code).into_response(),
+            Err(RejectedContext::Unreadable) => {
+                Failure::new(ResultCode::InvalidContext).into_response()
+            }
+            Err(RejectedContext::Misaddressed(context)) => misaddressed(&context),
         };
         Ok(response)
     }
@@ -43,18 +55,20 @@
     ///
     /// # Errors
     /// The reason why the call is refused; it was not executed.
-    fn read_context(&self, request: &Request<Incoming>) -> Result<CallContext, ResultCode> {
+    fn read_context(&self, request: &Request<Incoming>) -> Result<CallContext, RejectedContext> {
         let value = request.headers().get(names::CONTEXT);
-        let value = value.ok_or(ResultCode::InvalidContext)?;
-        let wire = WireContext::decode(value.as_bytes()).map_err(|_| ResultCode::InvalidContext)?;
-        if wire
+        let value = value.ok_or(RejectedContext::Unreadable)?;
+        let wire =
+            WireContext::decode(value.as_bytes()).map_err(|_| RejectedContext::Unreadable)?;
+        let is_misaddressed = wire
             .callee()
-            .is_some_and(|callee| !self.is_addressed_here(callee))
-        {
-            return Err(ResultCode::Misaddressed);
+            .is_some_and(|callee| !self.is_addressed_here(callee));
+        let context = wire.into_context(self.executor.clock.now());
+        let context = context.map_err(|_| RejectedContext::Unreadable)?;
+        if is_misaddressed {
+            return Err(RejectedContext::Misaddressed(Box::new(context)));
         }
-        wire.into_context(self.executor.clock.now())
-            .map_err(|_| ResultCode::InvalidContext)
+        Ok(context)
     }
 
     /// True if a call is addressed to this sidecar and its backend, not to an earlier owner of the
@@ -85,3 +99,12 @@
         response
     }
 }
+
+/// Returns the response to a call that is addressed to another sidecar. Its metadata name the attempt
+/// and return the allowance; the load of this sidecar does not concern the sender.
+fn misaddressed(context: &CallContext) -> Response<ResponseBody> {
+    let mut response = Failure::new(ResultCode::Misaddressed).into_response();
+    let metadata = ResponseMetadata::unloaded(context.attempt, context.allowance);
+    set_metadata(response.headers_mut(), &metadata);
+    response
+}
--- a/crates/sidecar/src/inbound/report.rs
+++ b/crates/sidecar/src/inbound/report.rs
@@ -1,7 +1,7 @@
 //! Log and metrics report of one call for the local backend.
 
 use http::Response;
-use wharfquay_core::call::CallContext;
+use wharfquay_core::call::{AttemptId, CallContext};
 use wharfquay_core::outcome::ResultCode;
 use wharfquay_core::priority::Priority;
 use wharfquay_core::time::Timestamp;
@@ -42,6 +42,10 @@
         &self.context.request_kind
     }
 
+    pub(super) const fn attempt(&self) -> AttemptId {
+        self.context.attempt
+    }
+
     pub(super) fn priority(&self) -> Priority {
         self.context.priority
     }
--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt of a call at one sidecar.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,7 +103,7 @@
         match lease.send(request).await {
             Ok(response) => {
                 let deadline = clock.instant(context.deadline);
-                return read(&head.method, response, lease, deadline).await;
+                return read(context.attempt, &head.method, response, lease, deadline).await;
             }
             Err(SendError::NotSent(unsent)) => request = unsent,
             Err(SendError::Failed(_)) => return AttemptOutcome::lost(ResultCode::ConnectionLost),
@@ -121,14 +124,19 @@
 }
 
 async fn read(
+    attempt: AttemptId,
     method: &Method,
     mut response: Response<Incoming>,
     lease: Lease,
     deadline: Instant,
 ) -> AttemptOutcome {
     let metadata = response::take_metadata(response.headers_mut());
-    let returned = metadata.map(|metadata| metadata.unused_retries);
-    let result = match response::result(response.headers()) {
+    // A response that does not name the attempt may belong to another one and proves nothing.
+    let Some(metadata) = metadata.filter(|metadata| metadata.attempt == Some(attempt)) else {
+        return AttemptOutcome::lost(ResultCode::MalformedAnswer);
+    };
+    let code = response::result(response.headers());
+    let result = match code {
         Some(ResultCode::Answered) => read_response(method, response, lease, deadline).await,
         Some(code) => {
             let retry_after = response::retry_after(response.headers());
@@ -139,8 +147,9 @@
     };
     AttemptOutcome {
         result,
-        metadata,
-        returned,
+        // Another sidecar than the addressed one reports nothing about the addressed one.
+        metadata: Some(metadata).filter(|_| code != Some(ResultCode::Misaddressed)),
+        returned: Some(metadata.unused_retries),
         unsent: None,
     }
 }
