Keep an unknown rate limit unknown while announcements are malformed

Cause: a sidecar that has just started does not know what its backend announced before, and allows 2 calls a second. A malformed announcement in the first health response repeated the last valid one, which did not exist, and so counted as no limit.

Change: while the announcements are unknown, a malformed one changes nothing for 4 s, the length of the window over which arrivals count; after that the backend counts as unlimited as before.

--- a/crates/core/src/rate_limit/announced.rs
+++ b/crates/core/src/rate_limit/announced.rs
@@ -15,6 +15,9 @@
 /// Rate for a backend whose announcements are not known, in calls per second. It admits enough calls
 /// to learn them from the first response.
 const UNKNOWN_RATE: f64 = 2.0;
+/// Time for which malformed announcements leave the limit of a backend unknown. Afterwards it counts as
+/// unlimited: a backend that announces nothing valid would otherwise get few calls for good.
+const MALFORMED_HOLD: Duration = Duration::from_secs(4);
 /// Time without a confirmation after which the backend is asked whether the limit still holds, and
 /// minimum time between two such questions.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(400);
@@ -43,6 +46,8 @@
     /// Limit in force, from the announced rate or because the announcements are unknown.
     limit: Option<ArrivalLimit>,
     rate: Option<f64>,
+    /// Time since which the announcements are unknown; `None` if they are known.
+    unknown_since: Option<Timestamp>,
     /// True if the health endpoint has announced a rate, so that its silence lifts an announced limit.
     is_in_health: bool,
     /// Time at which the rate in force was last received.
@@ -58,6 +63,7 @@
     pub fn unknown(now: Timestamp) -> Self {
         Self {
             limit: Some(ArrivalLimit::with_burst(now, UNKNOWN_RATE)),
+            unknown_since: Some(now),
             ..Self::default()
         }
     }
@@ -84,6 +90,7 @@
         let now = times.received_at;
         let had_rate = self.rate.is_some();
         self.rate = rate;
+        self.unknown_since = None;
         self.confirmed_at = now;
         match (rate, &mut self.limit) {
             (None, limit) => *limit = None,
@@ -94,8 +101,13 @@
     }
 
     /// Records a response whose announcement is malformed: the last valid one stays in force, because
-    /// a backend that announces anything is in need.
+    /// a backend that announces anything is in need. If none is known, the limit stays unknown for up
+    /// to [`MALFORMED_HOLD`].
     pub fn record_malformed(&mut self, source: ResponseSource, times: ExchangeTimes) {
+        let is_held = |since: Timestamp| times.received_at < since + MALFORMED_HOLD;
+        if self.unknown_since.is_some_and(is_held) {
+            return;
+        }
         self.record(source, times, self.rate);
     }
 
--- a/crates/sidecar/src/inbound/announcements/tests.rs
+++ b/crates/sidecar/src/inbound/announcements/tests.rs
@@ -102,6 +102,25 @@
     assert_eq!(admitted(1_000), 100);
 }
 
+/// Guards against a garbled value in the first response after a restart that counts as no limit, and
+/// against one that keeps calls away for good.
+#[test]
+fn a_malformed_rate_leaves_unknown_announcements_unknown_for_a_while() {
+    let announcements = Announcements::unknown(InstanceId::from("i-1"), at(0));
+    let admitted = |from: u64| {
+        let times = (from..from + 1_000).step_by(10);
+        times
+            .filter(|now| announcements.admit(at(*now), AdmissionKey::FIRST, RequestProgress::New))
+            .count()
+    };
+    read_health(&announcements, 0, 1, Some("1e400"));
+    assert!(admitted(0) <= 4);
+    read(&announcements, 1_000, 1_010, Some("NaN"));
+    assert!(admitted(1_010) <= 4);
+    read(&announcements, 4_000, 4_010, Some("NaN"));
+    assert_eq!(admitted(4_010), 100);
+}
+
 /// Guards against a burst on top of what an earlier process sent within the rate.
 #[test]
 fn a_rate_that_is_learned_after_a_restart_starts_without_a_burst() {
