Bound the time and memory for responses without end

Cause of what was open: the body of a refusal was read to its end in a task without a time limit, so a backend that trickles it held that connection; between sidecars the refused call waited for it until its deadline. A response head could grow to the HTTP library's 400 KiB on each of hundreds of connections, in a process of 160 MB.

Change: refusals of backends and of sidecars are discarded by one function, in the background, up to 16 KiB and 100 ms, and close their connection beyond that. Read buffers hold 64 KiB at most.

--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -32,6 +32,8 @@
 /// Maximum time from the end of a response until its connection is ready for the next request;
 /// reached when a backend responds before it has read the whole request.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum size of a connection's read buffer in bytes, which is also that of a response head.
+pub const MAX_READ_BUFFER: usize = 64 * 1024;
 /// Subtracted from the idle timeout that a backend advertises, which avoids sending a request on a
 /// connection that the backend is about to close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
@@ -196,7 +198,10 @@
         let stream = connecting
             .await
             .map_err(|error| self.connect_failed(&error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake
             .await
             .map_err(|error| self.connect_failed(&error))?;
         let task = tokio::spawn(async move {
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use wharfquay_core::rate_limit::ResponseSource;
 
+use crate::backend_pool::MAX_READ_BUFFER;
 use crate::connect::connect;
 use crate::events::{Event, Quoted, log_event};
 use crate::inbound::BackendAnnouncements;
@@ -73,9 +74,10 @@
     async fn read(&self) -> Result<HealthState, HealthError> {
         let stream = connect(self.address, self.interval).await;
         let stream = stream.map_err(HealthError::Connect)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(exchange_error)?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER)
+            .handshake(TokioIo::new(stream));
+        let (mut sender, connection) = handshake.await.map_err(exchange_error)?;
         let request = Request::get(&self.path)
             .header(http::header::HOST, self.address.to_string())
             .body(Empty::<Bytes>::new())
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -1,17 +1,26 @@
-//! Buffers the body of a response, which reveals a failure before the response head is relayed.
+//! Reads bodies of responses: buffers those to relay, which reveals a failure before the response
+//! head is relayed, and discards those of refusals.
+
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::Method;
 use http::header::{self, HeaderMap};
+use http::{Method, Response};
 use http_body::Body;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::Instant;
-use wharfquay_daemon::body::ResponseBody;
+use tokio::time::{Instant, timeout};
+use wharfquay_daemon::backend_pool::Lease;
+use wharfquay_daemon::body::{BodyEnd, BodyObserver, ResponseBody};
 
 /// Maximum size of a response body that is buffered, in bytes. Longer bodies are streamed.
 const MAX_COLLECTED: u64 = 192 * 1024;
 
+/// Maximum size of a body that is discarded, in bytes. Refusals have shorter ones.
+const MAX_DISCARDED: usize = 16 * 1024;
+/// Maximum time for a body that is discarded to end.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Body of a response, as far as it was read.
 pub(crate) enum Collected {
     /// The complete body.
@@ -44,6 +53,22 @@
     Ok(Collected::Complete(collected.freeze()))
 }
 
+/// Discards the body of a refusal in the background and returns its connection to the pool. A body
+/// that is long, or that does not end in time, closes the connection.
+pub(crate) fn discard(response: Response<Incoming>, lease: Lease) {
+    let lease = Box::new(lease);
+    if response.body().is_end_stream() {
+        lease.ended(BodyEnd::Complete);
+        return;
+    }
+    tokio::spawn(async move {
+        let body = Limited::new(response.into_body(), MAX_DISCARDED);
+        if let Ok(Ok(_)) = timeout(DISCARD_TIMEOUT, body.collect()).await {
+            lease.ended(BodyEnd::Complete);
+        }
+    });
+}
+
 impl Collected {
     /// Returns the body to relay, which is cut off at `deadline` if it is streamed.
     pub(crate) fn into_body(self, deadline: Instant) -> ResponseBody {
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -23,7 +23,7 @@
 use super::response::{ResponseClaim, ResponseClass, classify, is_from_instance};
 use super::sending_report::{SendingCounter, SendingReport};
 use super::termination_detector::{ExecutingRequest, InExecutionGuard, ProbeResult};
-use crate::body::{Collected, collect, remove_length};
+use crate::body::{Collected, collect, discard, remove_length};
 use crate::events::Event;
 use crate::log_event;
 use crate::message::RequestHead;
@@ -350,7 +350,7 @@
         match classify(&self.dialect, claim, &response) {
             ResponseClass::Usable => {}
             ResponseClass::Refused => {
-                drain_refusal(response, lease);
+                discard(response, lease);
                 let code = ResultCode::RefusedByBackend;
                 return Err(Failure::with_retry_after(code, REFUSED_RETRY_AFTER));
             }
@@ -401,15 +401,6 @@
     matches!(result, Err(failure) if failure.code == code)
 }
 
-/// Reads a short refusal to its end, which allows its connection to be reused.
-fn drain_refusal(response: Response<Incoming>, lease: Lease) {
-    tokio::spawn(async move {
-        if let Ok(Collected::Complete(_)) = collect(response.into_body()).await {
-            BodyObserver::ended(Box::new(lease), BodyEnd::Complete);
-        }
-    });
-}
-
 const fn result_code(error: BackendError) -> ResultCode {
     match error {
         BackendError::ConnectionLimit => ResultCode::ConnectionLimit,
--- a/crates/sidecar/src/outbound/attempt.rs
+++ b/crates/sidecar/src/outbound/attempt.rs
@@ -22,7 +22,7 @@
 use wharfquay_protocol::headers as names;
 use wharfquay_protocol::response::ResponseMetadata;
 
-use crate::body::{Collected, collect, remove_length};
+use crate::body::{Collected, collect, discard, remove_length};
 use crate::message::RequestHead;
 use crate::outbound::routing::{ServiceRouter, Target};
 
@@ -140,7 +140,7 @@
         Some(ResultCode::Answered) => read_response(method, response, lease, deadline).await,
         Some(code) => {
             let retry_after = response::retry_after(response.headers());
-            finish_refusal(response, lease).await;
+            discard(response, lease);
             Err(Failure::with_retry_after(code, retry_after))
         }
         None => Err(Failure::new(ResultCode::MalformedAnswer)),
@@ -176,13 +176,6 @@
     Ok(Response::from_parts(parts, body))
 }
 
-/// Reads the short body of a refusal, which allows its connection to be reused.
-async fn finish_refusal(response: Response<Incoming>, lease: Lease) {
-    if let Ok(Collected::Complete(_)) = collect(response.into_body()).await {
-        Box::new(lease).ended(BodyEnd::Complete);
-    }
-}
-
 /// The router's record of an attempt in flight. Dropping it without an outcome records the attempt
 /// as cancelled.
 #[derive(Debug)]
