Act on a leaving that a health response announces

What a leaving backend saw: a call after its health response had announced that it is leaving. While a rate limit lets no call through, the sidecar asks the health endpoint every 400 ms, applied the limit in the response, and ignored the leaving in it; the next call learned it from its own response.

Change: one function closes an instance that announced its leaving, for responses to calls and for those of the health endpoint.

--- a/crates/sidecar/src/inbound/backend.rs
+++ b/crates/sidecar/src/inbound/backend.rs
@@ -27,7 +27,9 @@
 use super::termination_detector::TerminationDetector;
 use crate::configuration::Service;
 use crate::dialect::Dialect;
+use crate::events::Event;
 use crate::instance::InstanceId;
+use crate::log_event;
 use crate::settings::RetryBounds;
 
 /// Assumed number of concurrent executions until an instance reports its slots.
@@ -141,8 +143,19 @@
         *lock(&self.unreachable_until) = now + UNREACHABLE_HOLD;
     }
 
+    /// Stops new calls because the instance announced that it is leaving. Returns false if it was
+    /// leaving already.
+    pub(super) fn close_leaving(&self) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        log_event!(Event::LeavingAnnounced, "instance={}", self.id);
+        self.close();
+        true
+    }
+
     /// Stops new calls. Calls in execution continue.
-    pub(super) fn close(&self) {
+    fn close(&self) {
         self.leaving.store(true, Ordering::Relaxed);
         self.gate.begin_drain();
     }
@@ -282,6 +295,13 @@
         }
     }
 
+    /// Stops new work for an instance that announced that it is leaving. Returns the instance unless
+    /// it was leaving already.
+    pub(super) fn close_leaving(&self, id: &InstanceId) -> Option<Arc<OpenInstance>> {
+        self.matching_instance(id)
+            .filter(|instance| instance.close_leaving())
+    }
+
     /// Stops new work for an instance that has terminated, and records its termination.
     pub fn mark_terminated(&self, id: &InstanceId) {
         self.close(id);
--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -146,13 +146,21 @@
         Failure::with_retry_after(ResultCode::RateLimited, retry_after)
     }
 
-    /// Asks the backend's health endpoint whether the rate limit still holds.
+    /// Asks the backend's health endpoint whether the rate limit still holds. The response may also
+    /// announce that the instance is leaving.
     fn confirm_rate_limit(&self) {
         let backend = Arc::clone(&self.backend);
+        let leaving = Arc::clone(&self.observers.leaving);
         tokio::spawn(async move {
             let check = backend.check_health();
-            if let Ok(Some(report)) = tokio::time::timeout(CONFIRMATION_TIMEOUT, check).await {
-                backend.read_health(&report);
+            let Ok(Some(report)) = tokio::time::timeout(CONFIRMATION_TIMEOUT, check).await else {
+                return;
+            };
+            backend.read_health(&report);
+            if report.is_leaving
+                && let Some(instance) = backend.close_leaving(&report.instance)
+            {
+                leaving(&instance.id);
             }
         });
     }
@@ -321,12 +329,9 @@
         self.read_load(instance, times, headers);
         let announcements = &instance.announcements;
         let source = ResponseSource::Call;
-        if announcements.read(source, times, &self.dialect, headers) && !instance.is_leaving() {
-            log_event!(Event::LeavingAnnounced, "instance={}", instance.id);
-            instance.close();
-            if self.backend.is_current(instance) {
-                (self.observers.leaving)(&instance.id);
-            }
+        let is_leaving = announcements.read(source, times, &self.dialect, headers);
+        if is_leaving && instance.close_leaving() && self.backend.is_current(instance) {
+            (self.observers.leaving)(&instance.id);
         }
     }
 
--- a/crates/sidecar/tests/announced_limits.rs
+++ b/crates/sidecar/tests/announced_limits.rs
@@ -129,6 +129,27 @@
 const RATE_LIMIT: &str = "test-rate-limit";
 const LEAVING: &str = "test-leaving";
 
+/// Guards against a call to a leaving backend whose rate limit let no call through for longer than it
+/// takes to ask its health endpoint, which announced the leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_is_learned_from_the_health_endpoint_while_no_call_is_sent() {
+    const RATE: (&str, &str) = ("test-rate-limit", "0.5");
+    let (_platform, machines) = machines(1).await;
+    machines[0].backend.announce(&[RATE]);
+    load(&machines, WINDOW).await;
+    // The next call is due two seconds after this one.
+    let arrivals = machines[0].backend.arrivals().len();
+    let end = Instant::now() + support::MAX_WAIT;
+    while machines[0].backend.arrivals().len() == arrivals {
+        assert!(Instant::now() < end, "no call arrives");
+        load(&machines, LOAD_INTERVAL * 2).await;
+    }
+    machines[0].backend.announce(&[RATE, ("test-leaving", "1")]);
+    let announced = Instant::now();
+    load(&machines, Duration::from_secs(3)).await;
+    assert_eq!(arrivals_since(&machines[0], announced), 0);
+}
+
 fn refused(served: &[Served]) -> usize {
     served
         .iter()
