Limit the bytes before the head of a response

What callers saw (soak, a backend that sends interim responses without end as fast as the link): all requests at one machine got no response for 8 s; the process stood still.

Cause: the HTTP library reads any number of interim responses before the head of a response. A peer that sends them without end keeps the only thread busy parsing; timers and other connections wait.

Change: while a response head is due, a connection of the pool reads at most 256 KiB, then it fails. That covers calls, health checks, the platform's store and other sidecars. The daemon's health checks use the pool as well, one connection for each check, in place of a connection of their own making.

--- a/crates/daemon/src/backend_pool/connection.rs
+++ b/crates/daemon/src/backend_pool/connection.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 use wharfquay_core::time::Timestamp;
 
+use super::head_limit::HeadLimit;
 use crate::body::RequestBody;
 
 /// Counts one connection as open until it is dropped.
@@ -64,6 +65,7 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<RequestBody>,
     task: AbortHandle,
+    head_limit: HeadLimit,
     usage: ConnectionUse,
     /// Keys of the identified requests that the connection has carried.
     carried: Vec<RequestKey>,
@@ -74,11 +76,13 @@
     pub(super) fn new(
         sender: SendRequest<RequestBody>,
         task: AbortHandle,
+        head_limit: HeadLimit,
         slot: ConnectionSlot,
     ) -> Self {
         Self {
             sender,
             task,
+            head_limit,
             usage: ConnectionUse {
                 connection: OPENED_CONNECTIONS.fetch_add(1, Ordering::Relaxed) + 1,
                 exchanges: 0,
@@ -96,6 +100,12 @@
     pub(super) fn begin_exchange(&mut self, request: Option<RequestKey>) {
         self.usage.exchanges = self.usage.exchanges.saturating_add(1);
         self.carried.extend(request);
+        self.head_limit.begin();
+    }
+
+    /// Records that the head of the response has arrived.
+    pub(super) fn end_head(&self) {
+        self.head_limit.lift();
     }
 
     /// True if the connection may carry this request.
--- a/crates/daemon/src/backend_pool/mod.rs
+++ b/crates/daemon/src/backend_pool/mod.rs
@@ -5,6 +5,7 @@
 //! but not which sending of it, so a connection carries each identified request at most once.
 
 mod connection;
+mod head_limit;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -25,6 +26,7 @@
 
 use connection::{Connection, ConnectionSlot, IdleConnection, close_idle, take_idle};
 pub use connection::{ConnectionUse, RequestKey};
+use head_limit::{HeadLimit, LimitedStream};
 
 /// Maximum wait for a connection at the connection limit. Admission keeps executions within that
 /// limit, so the wait only covers the time in which a connection becomes idle or closes.
@@ -33,7 +35,7 @@
 /// reached when a backend responds before it has read the whole request.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum size of a connection's read buffer in bytes, which is also that of a response head.
-pub const MAX_READ_BUFFER: usize = 64 * 1024;
+const MAX_READ_BUFFER: usize = 64 * 1024;
 /// Subtracted from the idle timeout that a backend advertises, which avoids sending a request on a
 /// connection that the backend is about to close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
@@ -198,9 +200,10 @@
         let stream = connecting
             .await
             .map_err(|error| self.connect_failed(&error))?;
+        let head_limit = HeadLimit::new();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(LimitedStream::new(stream, head_limit.clone())));
         let (sender, connection) = handshake
             .await
             .map_err(|error| self.connect_failed(&error))?;
@@ -209,7 +212,12 @@
                 log_event!(Event::BackendConnectionClosed, "error={}", Quoted(error));
             }
         });
-        Ok(Connection::new(sender, task.abort_handle(), slot))
+        Ok(Connection::new(
+            sender,
+            task.abort_handle(),
+            head_limit,
+            slot,
+        ))
     }
 
     /// Returns a connection whose response is complete to the pool once it can carry the next
@@ -311,6 +319,7 @@
         };
         connection.begin_exchange(self.request.take());
         let response = connection.sender.try_send_request(request).await;
+        connection.end_head();
         if let Some(advertised) = response.as_ref().ok().and_then(advertised_idle_timeout) {
             self.max_idle_time = advertised;
         }
--- a/crates/daemon/src/control/health.rs
+++ b/crates/daemon/src/control/health.rs
@@ -5,18 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use displaydoc::Display;
 use http::Request;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use tokio::sync::watch;
 use wharfquay_core::rate_limit::ResponseSource;
 
-use crate::backend_pool::MAX_READ_BUFFER;
-use crate::connect::connect;
+use crate::backend_pool::BackendPool;
+use crate::body::RequestBody;
 use crate::events::{Event, Quoted, log_event};
 use crate::inbound::BackendAnnouncements;
 
@@ -50,8 +47,10 @@
 enum HealthError {
     /// no response before the timeout
     Timeout,
-    /// cannot connect: {0}
-    Connect(std::io::Error),
+    /// cannot connect
+    Connect,
+    /// no response on the connection
+    NoResponse,
     /// no complete response: {0}
     Exchange(Box<dyn std::error::Error + Send + Sync>),
     /// the response is not a health report: {0}
@@ -72,28 +71,22 @@
     }
 
     async fn read(&self) -> Result<HealthState, HealthError> {
-        let stream = connect(self.address, self.interval).await;
-        let stream = stream.map_err(HealthError::Connect)?;
-        let handshake = http1::Builder::new()
-            .max_buf_size(MAX_READ_BUFFER)
-            .handshake(TokioIo::new(stream));
-        let (mut sender, connection) = handshake.await.map_err(exchange_error)?;
+        // Each check has a connection of its own, so no other response can be due on it.
+        let pool = BackendPool::new(self.address, 1, self.interval);
+        let mut lease = pool.checkout().await.map_err(|_| HealthError::Connect)?;
         let request = Request::get(&self.path)
             .header(http::header::HOST, self.address.to_string())
-            .body(Empty::<Bytes>::new())
+            .body(RequestBody::Held(None))
             .map_err(exchange_error)?;
-        let exchange = async move {
-            let sent_at = self.announcements.now();
-            let response = sender.send_request(request).await.map_err(exchange_error)?;
-            let (source, headers) = (ResponseSource::HealthEndpoint, response.headers());
-            self.announcements.read(source, sent_at, headers);
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            let body = body.collect().await.map_err(HealthError::Exchange)?;
-            Ok(body.to_bytes())
-        };
-        // The connection closes after the exchange, when its sender is dropped.
-        let (body, _) = tokio::join!(exchange, connection);
-        let health: Health = serde_json::from_slice(&body?).map_err(HealthError::Malformed)?;
+        let sent_at = self.announcements.now();
+        let response = lease.send(request).await;
+        let response = response.map_err(|_| HealthError::NoResponse)?;
+        let (source, headers) = (ResponseSource::HealthEndpoint, response.headers());
+        self.announcements.read(source, sent_at, headers);
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let body = body.collect().await.map_err(HealthError::Exchange)?;
+        let health: Health =
+            serde_json::from_slice(&body.to_bytes()).map_err(HealthError::Malformed)?;
         Ok(health.state)
     }
 
--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use tokio::task::JoinSet;
 
 use super::client::{call, request};
+use super::endless::{EndlessPart, write_without_end};
 
 /// Time from the begin of a request that terminates the backend to that termination.
 const TERMINATION_DELAY: Duration = Duration::from_millis(40);
@@ -59,6 +61,8 @@
     TruncateLong(usize),
     /// Begins to execute the request and terminates.
     Terminate,
+    /// Sends a response that does not end, as fast as the link allows.
+    Endless(EndlessPart),
 }
 
 /// One request as the backend received it.
@@ -104,6 +108,16 @@
     arrivals: Vec<Instant>,
     /// Address of the sidecar and path of the call that the backend makes for each request.
     nested_call: Option<(SocketAddr, String)>,
+    endless: Arc<EndlessResponses>,
+}
+
+/// Responses without end that the backend sends or has sent.
+#[derive(Debug, Default)]
+struct EndlessResponses {
+    /// Number of those whose connection is open.
+    open: AtomicUsize,
+    /// Number of bytes sent.
+    sent: AtomicUsize,
 }
 
 #[derive(Clone, Debug)]
@@ -249,6 +263,16 @@
         self.state.lock().unwrap().begun
     }
 
+    /// Returns the number of responses without end that are being sent.
+    pub fn endless_responses(&self) -> usize {
+        self.state
+            .lock()
+            .unwrap()
+            .endless
+            .open
+            .load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests whose connection was closed while they were executed.
     pub fn abandoned(&self) -> usize {
         self.state.lock().unwrap().abandoned
@@ -293,6 +317,13 @@
                 }
             }
         }
+        if let Some(part) = response.endless {
+            let endless = Arc::clone(&state.lock().unwrap().endless);
+            endless.open.fetch_add(1, Ordering::SeqCst);
+            write_without_end(&mut *writer.lock().await, part, &endless.sent).await;
+            endless.open.fetch_sub(1, Ordering::SeqCst);
+            return;
+        }
         let bytes = with_announcements(response.bytes, &state.lock().unwrap().announced);
         if writer.lock().await.write_all(&bytes).await.is_err() || close {
             return;
@@ -329,6 +360,7 @@
     wait: Option<Duration>,
     bytes: Vec<u8>,
     extra: Option<ExtraResponse>,
+    endless: Option<EndlessPart>,
     terminations: bool,
 }
 
@@ -337,6 +369,7 @@
         wait: None,
         bytes: text.into_bytes(),
         extra: None,
+        endless: None,
         terminations: false,
     };
     let with_extra = |text: String, delay: Duration, extra: String| PlannedResponse {
@@ -420,6 +453,13 @@
             },
             false,
         ),
+        Behaviour::Endless(part) => (
+            PlannedResponse {
+                endless: Some(part),
+                ..immediate(String::new())
+            },
+            true,
+        ),
         Behaviour::LoseResponse => (immediate(String::new()), true),
         Behaviour::Terminate => {
             let mut reply = immediate(String::new());
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -7,6 +7,8 @@
 
 pub mod backend;
 pub mod client;
+#[path = "../../../daemon/tests/support/endless.rs"]
+pub mod endless;
 pub mod log_lines;
 pub mod platform;
 pub mod tenants;
