--- a/crates/daemon/tests/support/endless.rs
+++ b/crates/daemon/tests/support/endless.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-const PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+static PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
 const INTERIM: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
 /// Part of a response that does not end.
