--- a/crates/sidecar/src/inbound/dispatch.rs
+++ b/crates/sidecar/src/inbound/dispatch.rs
@@ -1,7 +1,6 @@
 //! Sends an admitted call to the backend and classifies the outcome: a response, a refusal, a lost
 //! connection or the termination of the backend.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
@@ -42,8 +41,6 @@
 };
 /// Retry-After of a call that the backend itself refused.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Timeout of a health check that confirms a rate limit.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of fingerprints in the log line about a terminated instance.
 const MAX_LOGGED_REQUESTS: usize = 16;
 
@@ -115,56 +112,6 @@
         result
     }
 
-    /// Refuses a call for which the rate limit of the instance leaves no room.
-    ///
-    /// # Errors
-    /// The refusal, with a Retry-After that spreads the return of refused calls.
-    pub(super) fn check_rate_limit(
-        &self,
-        instance: &OpenInstance,
-        context: &CallContext,
-    ) -> Result<(), Failure> {
-        if self.is_rate_limited(instance, context) {
-            return Err(self.rate_limited(instance, context));
-        }
-        Ok(())
-    }
-
-    fn is_rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> bool {
-        let (now, key) = (self.clock.now(), context.admission_key());
-        instance
-            .announcements
-            .is_exhausted(now, key, context.progress())
-    }
-
-    fn rate_limited(&self, instance: &OpenInstance, context: &CallContext) -> Failure {
-        let (now, key) = (self.clock.now(), context.admission_key());
-        let retry_after = instance.announcements.refuse(now, key);
-        if instance.announcements.begin_confirmation(now) {
-            self.confirm_rate_limit();
-        }
-        Failure::with_retry_after(ResultCode::RateLimited, retry_after)
-    }
-
-    /// Asks the backend's health endpoint whether the rate limit still holds. The response may also
-    /// announce that the instance is leaving.
-    fn confirm_rate_limit(&self) {
-        let backend = Arc::clone(&self.backend);
-        let leaving = Arc::clone(&self.observers.leaving);
-        tokio::spawn(async move {
-            let check = backend.check_health();
-            let Ok(Some(report)) = tokio::time::timeout(CONFIRMATION_TIMEOUT, check).await else {
-                return;
-            };
-            backend.read_health(&report);
-            if report.is_leaving
-                && let Some(instance) = backend.close_leaving(&report.instance)
-            {
-                leaving(&instance.id);
-            }
-        });
-    }
-
     /// Counts a call that is about to be sent to the backend.
     ///
     /// # Errors
--- a/crates/sidecar/src/inbound/mod.rs
+++ b/crates/sidecar/src/inbound/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod execution;
 mod handler;
+mod rate_limit;
 mod report;
 pub(crate) mod response;
 mod sending_report;
