Ask who is at an address before a misdirection closes an instance for good

Cause: a misdirection marked the instance as replaced, which is final, on the word of one response.

Change: the gate is closed at once, and the health endpoint is asked who is there. Another instance, or none, makes it final as before; the same one gets work again, with its announcements as that response has them.

--- a/crates/sidecar/src/instance/registry.rs
+++ b/crates/sidecar/src/instance/registry.rs
@@ -148,11 +148,41 @@
         }
     }
 
-    /// Closes the gate of an instance whose address now belongs to another instance.
+    /// Closes the gate of an instance at whose address another one refused a call, and asks who is
+    /// there. The instance gets work again if it is itself, since one wrong response must not close it
+    /// for good.
     pub fn misdirected(self: &Arc<Self>, instance: &InstanceId) {
-        lock(&self.tracker).mark_replaced(instance);
         self.backend.close(instance);
-        log_event!(Event::InstanceReplaced, "instance={instance}");
+        let (registry, instance) = (Arc::clone(self), instance.clone());
+        tokio::spawn(async move { registry.settle_misdirection(&instance).await });
+    }
+
+    async fn settle_misdirection(self: &Arc<Self>, instance: &InstanceId) {
+        let report = self.check_health(HEALTH_TIMEOUT).await;
+        let Some(report) = report.filter(|report| report.instance.may_be_same(instance)) else {
+            lock(&self.tracker).mark_replaced(instance);
+            log_event!(Event::InstanceReplaced, "instance={instance}");
+            return;
+        };
+        if report.is_leaving {
+            self.announced_leaving(instance);
+            return;
+        }
+        let slots = {
+            let tracker = lock(&self.tracker);
+            let is_serving = tracker.status(instance) == InstanceStatus::Serving;
+            if !is_serving || tracker.current() != Some(instance) {
+                return;
+            }
+            tracker.slots(instance)
+        };
+        self.backend
+            .open(instance, slots, EarlierAnnouncements::Unknown);
+        self.backend.read_health(&report);
+        log_event!(
+            Event::InstanceServing,
+            "instance={instance} slots={slots:?}"
+        );
     }
 
     /// Closes the gate of an instance that announced in a response that it is leaving, and makes its
--- a/crates/sidecar/tests/proof_of_sending.rs
+++ b/crates/sidecar/tests/proof_of_sending.rs
@@ -152,3 +152,18 @@
         assert_eq!(read(&machine).await.status, 200, "round {round}");
     }
 }
+
+/// Guards against an instance that gets no calls for good because of one false misdirection.
+#[tokio::test]
+async fn a_false_misdirection_closes_an_instance_only_until_it_shows_that_it_is_there() {
+    let (_platform, machine) = machine().await;
+    machine.backend.expect(&[Behaviour::Misdirect]);
+    let id = new_request_id();
+    let response = delete(&machine, &id).await;
+    assert_truthful(&machine, &id, &response, 0);
+    let end = Instant::now() + Duration::from_secs(2);
+    while read(&machine).await.status != 200 {
+        assert!(Instant::now() < end, "the instance gets no calls any more");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/sidecar/tests/support/backend.rs
+++ b/crates/sidecar/tests/support/backend.rs
@@ -46,6 +46,8 @@
     Refuse,
     /// Refuses the request, and sends the refusal once more after this delay.
     RefuseTwice(Duration),
+    /// Responds falsely that another instance has the address.
+    Misdirect,
     /// Sends a complete response and, after this delay, a refusal that names no request.
     RespondThenRefuse(Duration),
     /// Sends a complete response and, after this delay, a misdirection by another instance that
@@ -418,6 +420,13 @@
          content-length: 0\r\n\r\n"
     );
     match behaviour {
+        Behaviour::Misdirect => {
+            let text = format!(
+                "HTTP/1.1 421 Misdirected\r\ntest-request-id: {id}\r\ntest-instance: another\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            return (immediate(text), false);
+        }
         Behaviour::Refuse => return (immediate(refusal), false),
         Behaviour::RefuseTwice(delay) => {
             return (with_extra(refusal.clone(), delay, refusal), false);
@@ -434,9 +443,10 @@
     };
     let complete = signed(&id, "", body.len(), &body);
     match behaviour {
-        Behaviour::Respond | Behaviour::Refuse | Behaviour::RefuseTwice(_) => {
-            (immediate(complete), false)
-        }
+        Behaviour::Respond
+        | Behaviour::Refuse
+        | Behaviour::RefuseTwice(_)
+        | Behaviour::Misdirect => (immediate(complete), false),
         Behaviour::RespondThenRefuse(delay) => {
             let extra = "HTTP/1.1 503 Full\r\ntest-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
             (with_extra(complete, delay, extra.to_owned()), false)
