Let emulated backends send responses twice and without end

The emulator's backends could lose, cut, delay and refuse, but not send anything extra, late or without end.

Change: two faults, each a share of the responses: the response is sent a second time up to 10 ms later on its connection, or its body does not end.

--- a/crates/emulator/src/backend/arguments.rs
+++ b/crates/emulator/src/backend/arguments.rs
@@ -89,6 +89,8 @@
         "close-after" => faults.close_after = share(parser, "close-after")?,
         "refuse" => faults.refuse = share(parser, "refuse")?,
         "hang" => faults.hang = share(parser, "hang")?,
+        "twice" => faults.twice = share(parser, "twice")?,
+        "endless" => faults.endless = share(parser, "endless")?,
         "rate-limit" => {
             faults.rate_limit =
                 arguments::number_in(parser, "rate-limit", 0.0..=1e6, "0 to 1000000")?;
--- a/crates/emulator/src/backend/body.rs
+++ b/crates/emulator/src/backend/body.rs
@@ -1,4 +1,4 @@
-//! Response bodies, complete or truncated by an injected fault.
+//! Response bodies: complete, or truncated or without end by an injected fault.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -15,7 +15,7 @@
 impl std::error::Error for ConnectionAborted {}
 
 /// Body of every response.
-pub(super) type ResponseBody = Either<CompleteBody, TruncatedBody>;
+pub(super) type ResponseBody = Either<CompleteBody, FaultyBody>;
 
 /// A body that is sent completely.
 pub(super) type CompleteBody =
@@ -30,19 +30,31 @@
 
 /// Returns a body that declares the full length and aborts the connection after half of the bytes.
 pub(super) fn truncated(bytes: &Bytes) -> ResponseBody {
-    Either::Right(TruncatedBody {
+    Either::Right(FaultyBody::Truncated {
         declared: bytes.len() as u64,
         remaining: Some(bytes.slice(..bytes.len() / 2)),
     })
 }
 
-/// A body that ends with an error before its declared length.
-pub(super) struct TruncatedBody {
-    declared: u64,
-    remaining: Option<Bytes>,
+/// Returns a body that repeats the bytes without end.
+pub(super) const fn endless(bytes: Bytes) -> ResponseBody {
+    Either::Right(FaultyBody::Endless(bytes))
 }
 
-impl Body for TruncatedBody {
+/// A body that does not end as it should.
+pub(super) enum FaultyBody {
+    /// It ends with an error before its declared length.
+    Truncated {
+        /// Declared length in bytes.
+        declared: u64,
+        /// Bytes that are still sent.
+        remaining: Option<Bytes>,
+    },
+    /// It repeats these bytes.
+    Endless(Bytes),
+}
+
+impl Body for FaultyBody {
     type Data = Bytes;
     type Error = ConnectionAborted;
 
@@ -50,14 +62,17 @@
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ConnectionAborted>>> {
-        let next = match self.remaining.take() {
-            Some(part) => Ok(Frame::data(part)),
-            None => Err(ConnectionAborted),
+        let next = match &mut *self {
+            Self::Truncated { remaining, .. } => remaining.take().ok_or(ConnectionAborted),
+            Self::Endless(bytes) => Ok(bytes.clone()),
         };
-        Poll::Ready(Some(next))
+        Poll::Ready(Some(next.map(Frame::data)))
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.declared)
+        match self {
+            Self::Truncated { declared, .. } => SizeHint::with_exact(*declared),
+            Self::Endless(_) => SizeHint::new(),
+        }
     }
 }
--- a/crates/emulator/src/backend/execution.rs
+++ b/crates/emulator/src/backend/execution.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use wharfquay_protocol::headers;
 
-use super::body::{ConnectionAborted, ResponseBody, complete, truncated};
+use super::body::{ConnectionAborted, ResponseBody, complete, endless, truncated};
 use super::calls::CallFailure;
 use super::record::{ExecutionNumber, ExecutionRecord, ExecutionState, Unexecuted};
 use super::request::BackendRequest;
@@ -225,6 +225,8 @@
     let bytes = response_body::render(&state.settings.service, &request.token);
     let body = if state.should_inject(faults.cut_answer) {
         truncated(&bytes)
+    } else if state.should_inject(faults.endless) {
+        endless(bytes)
     } else {
         complete(bytes)
     };
--- a/crates/emulator/src/backend/faults.rs
+++ b/crates/emulator/src/backend/faults.rs
@@ -34,6 +34,10 @@
     pub refuse: f64,
     /// Share of requests that are executed and get no response while the connection stays open.
     pub hang: f64,
+    /// Share of responses that are sent a second time up to 10 ms later, over HTTP/1.1.
+    pub twice: f64,
+    /// Share of responses whose body does not end.
+    pub endless: f64,
     /// Share of requests, selected by a hash of their token, that terminate every backend that
     /// starts to execute them. The backend listens on the same address again after a second.
     pub end: f64,
@@ -60,6 +64,8 @@
             close_after: 0.0,
             refuse: 0.0,
             hang: 0.0,
+            twice: 0.0,
+            endless: 0.0,
             end: 0.0,
             rate_limit: 0.0,
             limit_course: None,
@@ -119,6 +125,8 @@
             ("close_after", self.close_after),
             ("refuse", self.refuse),
             ("hang", self.hang),
+            ("twice", self.twice),
+            ("endless", self.endless),
             ("end", self.end),
             ("garble_rate_limit", self.garble_rate_limit),
         ];
--- a/crates/emulator/src/backend/mod.rs
+++ b/crates/emulator/src/backend/mod.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 mod limit_course;
 pub mod record;
+mod repeating_stream;
 mod request;
 pub mod server;
 mod slots;
--- a/crates/emulator/src/backend/server.rs
+++ b/crates/emulator/src/backend/server.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use displaydoc::Display;
-use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use rand::RngExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -21,6 +22,7 @@
 use super::execution::{self, ResponseResult};
 use super::faults::Faults;
 use super::record::ExecutionReport;
+use super::repeating_stream::{RepeatingStream, ResponseRepeater};
 use super::request::BackendRequest;
 use super::state::{BackendSettings, BackendState};
 use super::{body::ConnectionAborted, endpoints};
@@ -29,6 +31,8 @@
 const MAX_BODY_BYTES: usize = 1_024 * 1_024;
 /// Announced rate limit that is no number.
 const GARBLED_RATE_LIMIT: &str = "-many";
+/// Maximum time after which a response is sent a second time.
+const MAX_REPEAT_DELAY: Duration = Duration::from_millis(10);
 /// Time from the termination of a backend until it listens again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Time between two samples of the reported state.
@@ -236,7 +240,20 @@
         return;
     }
     let state = Arc::clone(&open.0);
-    let service = service_fn(move |request| respond(Arc::clone(&state), request));
+    let repeater = ResponseRepeater::default();
+    let stream = RepeatingStream::new(stream, repeater.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (state, repeater) = (Arc::clone(&state), repeater.clone());
+        async move {
+            let is_sequential = request.version() == Version::HTTP_11;
+            let response = respond(Arc::clone(&state), request).await?;
+            if is_sequential && state.should_inject(state.faults().twice) {
+                let delay = state.rng().random_range(Duration::ZERO..=MAX_REPEAT_DELAY);
+                repeater.repeat_next(delay);
+            }
+            Ok::<_, ConnectionAborted>(response)
+        }
+    });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new());
     builder.http2().timer(TokioTimer::new());
--- a/crates/emulator/tests/backend_contract/faults.rs
+++ b/crates/emulator/tests/backend_contract/faults.rs
@@ -2,6 +2,8 @@
 
 use http::{HeaderName, Method, StatusCode};
 use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wharfquay_core::backend_load::Slowdown;
 use wharfquay_emulator::backend::faults::Faults;
 use wharfquay_emulator::backend::record::ExecutionState;
@@ -86,6 +88,15 @@
             Expected::Timeout,
             completed,
         ),
+        case(
+            "endless",
+            Faults {
+                endless: 1.0,
+                ..none
+            },
+            Expected::Timeout,
+            completed,
+        ),
         case(
             "end",
             Faults { end: 1.0, ..none },
@@ -117,6 +128,34 @@
     }
 }
 
+/// Guards against emulated backends that can't play an extra late response.
+#[tokio::test]
+async fn a_response_that_is_sent_twice_comes_again_on_the_same_connection() {
+    let deep = start("deep").await;
+    deep.set_faults(Faults {
+        twice: 1.0,
+        ..Faults::default()
+    });
+    let mut stream = TcpStream::connect(deep.address()).await.unwrap();
+    let text = "GET /look?token=t1&call=t1-1 HTTP/1.1\r\nhost: deep\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let reading = async {
+        loop {
+            stream.read_buf(&mut received).await.unwrap();
+            let (first, second) = received.split_at(received.len() / 2);
+            if !first.is_empty() && first == second {
+                return;
+            }
+        }
+    };
+    let limit = std::time::Duration::from_secs(5);
+    tokio::time::timeout(limit, reading)
+        .await
+        .expect("the response comes twice");
+    assert_eq!(states(&deep), [ExecutionState::Completed]);
+}
+
 #[tokio::test]
 async fn a_terminated_backend_refuses_connections_until_it_restarts() {
     let deep = start("deep").await;
