--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -11,6 +11,8 @@
 use support::endless::{EndlessPart, EndlessPeer};
 use support::platform::EmulatedPlatform;
 use support::{Machine, configuration, dialect, eventually, route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use wharfquay_daemon::clock::Clock;
 use wharfquay_sidecar::configuration::Service;
 use wharfquay_sidecar::inbound::backend::LocalBackend;
@@ -80,6 +82,27 @@
     }
 }
 
+/// Guards against a body without end that is relayed beyond the deadline of its request, because it is
+/// sent as fast as it is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_is_cut_at_the_deadline_of_its_request() {
+    let (_platform, machine) = machine().await;
+    let part = EndlessPart::Body(RESPONSE);
+    machine.backend.expect(&[Behaviour::Endless(part)]);
+    let mut stream = TcpStream::connect(machine.outbound).await.unwrap();
+    let text = request("POST", "/writes/1", "endless", "Content-Length: 2\r\n") + "{}";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let started = Instant::now();
+    let mut piece = vec![0; 64 * 1024];
+    let reading = async { while let Ok(1..) = stream.read(&mut piece).await {} };
+    let read = tokio::time::timeout(ROUTE_LIMIT, reading).await;
+    assert!(read.is_ok(), "still sent after {:?}", started.elapsed());
+    eventually("the connection is closed", || {
+        machine.backend.endless_responses() == 0
+    })
+    .await;
+}
+
 /// Guards against a health check that holds a connection, memory or the process.
 #[tokio::test]
 async fn a_health_check_with_a_response_without_end_ends() {
