--- a/crates/daemon/tests/endless_responses.rs
+++ b/crates/daemon/tests/endless_responses.rs
@@ -25,7 +25,7 @@
     lease.send(request).await.map(|_| ())
 }
 
-/// Guards against a process that stands still, or grows, while peers send heads, interim responses or
+/// Guards against a process that is blocked, or grows, while peers send heads, interim responses or
 /// junk without end.
 #[tokio::test]
 async fn a_response_head_without_end_is_given_up() {
