--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -605,7 +605,7 @@
         chunked = headers.get("transfer-encoding", "").lower() == "chunked"
         parts, total, raw = [], 0, bytearray(rest)
         length = int(headers.get("content-length", "0"))
-        state = {"left": 0, "done": False}
+        state = {"left": 0, "last": False, "done": False}
 
         def decode():
             nonlocal total
@@ -617,18 +617,23 @@
                 state["done"] = total >= length
                 return
             while raw:
-                if state["left"] == 0:
+                if state["left"] == 0 and not state["last"]:
                     at = raw.find(b"\r\n")
                     if at < 0:
                         return
                     if at == 0:
+                        # The end of the chunk before.
                         del raw[:2]
                         continue
                     state["left"] = int(bytes(raw[:at]).split(b";")[0], 16)
                     del raw[: at + 2]
                     if state["left"] == 0:
+                        state["last"] = True
+                if state["last"]:
+                    if len(raw) >= 2:
+                        del raw[:2]
                         state["done"] = True
-                        return
+                    return
                 take = bytes(raw[: state["left"]])
                 del raw[: len(take)]
                 parts.append(take)
@@ -652,6 +657,8 @@
                 decode()
         except OSError as error:
             answer.problem = repr(error)
+        # What follows belongs to the next answer on this connection.
+        self.buffer = bytes(raw)
         answer.body = b"".join(parts)
         answer.whole = state["done"]
         return answer
